--- /dev/null
+++ b/cmd/pearlanding/main.go
@@ -0,0 +1,63 @@
+// Command pearlanding is the one binary of the system: the daemon, the
+// operators' commands, the stand-ins and the embedded default.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// version is the release; see CHANGELOG.md.
+const version = "0.1.0"
+
+// Exit codes, the same for all commands.
+const (
+	exitOK       = 0
+	exitRefused  = 1 // findings, refusal or a failed command; nothing was changed
+	exitUsage    = 2
+	exitConflict = 3 // somebody else was first
+	exitUnknown  = 4 // the outcome is not known; ask with "change get"
+	exitPending  = 5 // written, not yet in force everywhere
+)
+
+func main() {
+	app := kingpin.New("pearlanding", "Serves large models that span several VMs, in permitted places only.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := exitOK
+	run := func(f func(context.Context) int) kingpin.Action {
+		return func(*kingpin.ParseContext) error {
+			code = f(ctx)
+			return nil
+		}
+	}
+	app.Command("version", "Print the version.").Action(run(func(context.Context) int {
+		fmt.Println("pearlanding", version)
+		return exitOK
+	}))
+	addServe(app, run)
+	addCheck(app, run)
+	addOperator(app, run)
+	addStandin(app, run)
+	addDev(app, run)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "pearlanding:", err)
+		os.Exit(exitUsage)
+	}
+	os.Exit(code)
+}
+
+// action turns a command's function into a kingpin action.
+type action func(f func(context.Context) int) kingpin.Action
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	return exitRefused
+}
--- /dev/null
+++ b/cmd/pearlanding/serve.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pearlanding/internal/catalog"
+	"pearlanding/internal/daemon"
+	"pearlanding/internal/findings"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/settings"
+	"pearlanding/internal/telemetry"
+)
+
+func addServe(app *kingpin.Application, run action) {
+	cmd := app.Command("serve", "Run one daemon.")
+	config := cmd.Flag("config", "Settings file.").Required().ExistingFile()
+	cmd.Action(run(func(ctx context.Context) int { return serve(ctx, *config) }))
+}
+
+func serve(ctx context.Context, config string) int {
+	s, err := settings.Load(config)
+	if err != nil {
+		return fail(err)
+	}
+	log, err := newLogger(s.Log.Level)
+	if err != nil {
+		return fail(err)
+	}
+	d := daemon.New(s, platform.NewClient(s.Platform.URL, s.Platform.Timeout), log)
+	if err := d.Run(ctx); err != nil {
+		log.Error("stopped", zap.Error(err))
+		return exitRefused
+	}
+	log.Info("stopped cleanly")
+	return exitOK
+}
+
+// newLogger logs to standard error; the HTTP library's own lines are silenced,
+// what matters of them is logged by us with the request's id.
+func newLogger(level string) (*zap.Logger, error) {
+	hlog.SetLevel(hlog.LevelFatal)
+	return telemetry.Logger(level, zapcore.Lock(os.Stderr))
+}
+
+func addCheck(app *kingpin.Application, run action) {
+	cmd := app.Command("check", "Check settings, templates, workspaces and services; print all findings at once.")
+	files := cmd.Arg("file", "INI files; those of the configuration are checked together.").Required().ExistingFiles()
+	cmd.Action(run(func(context.Context) int { return check(*files) }))
+}
+
+// check tells a settings file by its [daemon] section; all others are parts of
+// one configuration.
+func check(files []string) int {
+	var list findings.List
+	edit := catalog.NewEdit()
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			list.Add(findings.Finding{File: name, Message: err.Error()})
+			continue
+		}
+		if findings.HasSection(data, "daemon") {
+			settings.Parse(name, data, &list)
+		} else {
+			edit.Parse(name, data, &list)
+		}
+	}
+	edit.Check(edit.Doc, &list)
+	for _, f := range list.Items() {
+		fmt.Println(f)
+	}
+	if !list.Empty() {
+		return exitRefused
+	}
+	fmt.Printf("%d files, no findings\n", len(files))
+	return exitOK
+}
--- /dev/null
+++ b/internal/api/generate.go
@@ -0,0 +1,175 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pearlanding/internal/admission"
+	"pearlanding/internal/engine"
+	"pearlanding/internal/problem"
+	"pearlanding/internal/router"
+	"pearlanding/internal/telemetry"
+	"pearlanding/internal/upstream"
+)
+
+// headerAdapter names the adapter to an engine.
+const headerAdapter = "X-Engine-Adapter"
+
+// generation is what the daemon reads of a model request; the engine reads the
+// body itself.
+type generation struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// generate serves a model request.
+func (a *API) generate(ctx context.Context, x *exchange) *problem.Problem {
+	body := x.c.Request.Body()
+	var g generation
+	if err := json.Unmarshal(body, &g); err != nil {
+		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, "the body is not a JSON request: %v", err)
+	}
+	if len(g.Messages) == 0 && len(g.Prompt) == 0 {
+		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, "one of messages and prompt is required")
+	}
+	pool, use, ok := x.snap.Head.Doc.PoolFor(x.ws, g.Model)
+	if !ok {
+		return problem.New(http.StatusNotFound, problem.CodeNoSuchModel, "workspace %s has no model %q", x.workspace, g.Model)
+	}
+	resumeFrom, p := resumePoint(x)
+	if p != nil {
+		return p
+	}
+	leave, p := a.takePlace(x)
+	if p != nil {
+		return p
+	}
+	defer leave()
+	x.c.Response.Header.Set(HeaderModel, g.Model)
+	r := &relay{api: a, x: x, stream: g.Stream, resumeFrom: resumeFrom}
+	k := &call{
+		method: http.MethodPost, uri: string(x.c.Request.Path()), body: body,
+		header:     http.Header{"Content-Type": {"application/json"}},
+		once:       string(x.c.GetHeader(HeaderRepeat)) == repeatNever,
+		consume:    r.consume,
+		repeatable: func() bool { return true },
+	}
+	k.prepare = func(h http.Header, d *destination) { a.engineHeaders(h, x, d, use.Adapter, r) }
+	k.choose = func(exclude []string, now time.Time) *destination {
+		return a.chooseReplica(x, pool, router.PrefixHash(x.workspace, promptOf(g)), exclude, now)
+	}
+	if p := a.shed(x, pool); p != nil {
+		return p
+	}
+	return a.runGeneration(ctx, x, k, r)
+}
+
+// runGeneration dispatches, under a claim if the request may not be repeated.
+func (a *API) runGeneration(ctx context.Context, x *exchange, k *call, r *relay) *problem.Problem {
+	if k.once {
+		c, p := a.claim(ctx, x, k.body)
+		if c == nil {
+			return p
+		}
+		r.claimed = c
+		// The answer is recorded even if the caller leaves while it comes.
+		var cancel context.CancelFunc
+		ctx, cancel = upstream.Detached(ctx, time.Until(x.start.Add(a.Settings.Limits.Deadline)))
+		defer cancel()
+	}
+	telemetry.Since(x.metrics.BeforeSend, x.start)
+	p := a.dispatch(ctx, x, k)
+	if r.claimed != nil {
+		a.finish(ctx, x, r.claimed, p)
+	}
+	if p == nil {
+		took := time.Since(x.start)
+		x.metrics.Answer.Update(took.Seconds())
+		a.service.Note(took)
+	}
+	return r.close(p)
+}
+
+// resumePoint is how many tokens the caller has already.
+func resumePoint(x *exchange) (int, *problem.Problem) {
+	raw := string(x.c.GetHeader(HeaderResume))
+	if raw == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(raw)
+	if err != nil || n < 0 {
+		return 0, problem.New(http.StatusBadRequest, problem.CodeBadRequest, "%s is not a number of tokens", HeaderResume)
+	}
+	return n, nil
+}
+
+func promptOf(g generation) []byte {
+	if len(g.Messages) > 0 {
+		return g.Messages
+	}
+	return g.Prompt
+}
+
+// engineHeaders binds an attempt to the request and to the epoch it was chosen for.
+func (a *API) engineHeaders(h http.Header, x *exchange, d *destination, adapter string, r *relay) {
+	h.Set(engine.HeaderRequestID, x.id)
+	h.Set(engine.HeaderGroup, d.name)
+	h.Set(engine.HeaderEpoch, strconv.FormatUint(d.epoch, 10))
+	h.Set(engine.HeaderPriority, strconv.Itoa(admission.Priority(x.ws.Class)))
+	if key := x.c.GetHeader(HeaderIdempotencyKey); len(key) > 0 {
+		h.Set(HeaderIdempotencyKey, string(key))
+	}
+	if from := r.resumeFrom + r.delivered; from > 0 {
+		h.Set(engine.HeaderResume, strconv.Itoa(from))
+	}
+	if adapter != "" {
+		h.Set(headerAdapter, adapter)
+	}
+}
+
+// permitted lists the replicas of a pool that the request may go to now, by the
+// newest snapshot: places of the workspace and of the template.
+func (a *API) permitted(x *exchange, pool string, exclude []string, now time.Time) ([]*router.Target, router.Request) {
+	snap := a.Control.Snapshot()
+	template, _, _ := strings.Cut(pool, "@")
+	places := slices.DeleteFunc(slices.Clone(x.ws.Places), func(p string) bool {
+		return !slices.Contains(snap.Head.Doc.Templates[template].Places, p)
+	})
+	req := router.Request{Places: places, Exclude: exclude}
+	return a.Router.Permitted(snap.Targets[pool], req, now), req
+}
+
+func (a *API) chooseReplica(x *exchange, pool string, prefix uint64, exclude []string, now time.Time) *destination {
+	permitted, req := a.permitted(x, pool, exclude, now)
+	req.Prefix = prefix
+	t := a.Router.Choose(permitted, req, now, router.Uniform)
+	if t == nil {
+		return nil
+	}
+	return &destination{name: t.Group, epoch: t.Epoch, place: t.Place, address: t.Address,
+		load: t.Load(), among: len(permitted), sent: func() { t.Sent.Add(1) }}
+}
+
+// shed refuses at once what the permitted replicas could not take up in time.
+func (a *API) shed(x *exchange, pool string) *problem.Problem {
+	permitted, _ := a.permitted(x, pool, nil, time.Now())
+	if len(permitted) == 0 {
+		return a.nowhere(1, false)
+	}
+	least := permitted[0].Load()
+	for _, t := range permitted {
+		least = min(least, t.Load())
+	}
+	if retry, shed := admission.Shed(x.ws.Class, least, a.service.Mean()); shed {
+		return problem.New(http.StatusTooManyRequests, problem.CodeOverloaded,
+			"every permitted replica is loaded beyond what class %s may add to", x.ws.Class).After(retry)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/api/recent.go
@@ -0,0 +1,83 @@
+package api
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"pearlanding/internal/problem"
+)
+
+// Attempt is one upstream try of a request, as kept for operators.
+type Attempt struct {
+	Group   string        `json:"group"`
+	Epoch   uint64        `json:"epoch,omitempty"`
+	Place   string        `json:"place"`
+	Address string        `json:"address"`
+	Load    float64       `json:"load"`
+	Among   int           `json:"among"` // permitted replicas at the time
+	Result  string        `json:"result"`
+	Took    time.Duration `json:"took_ns"`
+}
+
+// trail is the list of attempts of one request.
+type trail struct{ attempts []Attempt }
+
+func (t *trail) add(at Attempt) { t.attempts = append(t.attempts, at) }
+
+func (t *trail) group() string {
+	names := make([]string, len(t.attempts))
+	for i, a := range t.attempts {
+		names[i] = a.Group
+	}
+	return strings.Join(names, ",")
+}
+
+// Explanation tells where a recent request went and why, or why it was refused.
+type Explanation struct {
+	RequestID string           `json:"request_id"`
+	At        time.Time        `json:"at"`
+	Took      time.Duration    `json:"took_ns"`
+	Workspace string           `json:"workspace"`
+	Revision  uint64           `json:"revision"`
+	Permitted []string         `json:"permitted_places"`
+	Attempts  []Attempt        `json:"attempts"`
+	Refusal   *problem.Problem `json:"refusal,omitempty"`
+}
+
+// recentKept is how many requests stay explainable.
+const recentKept = 4096
+
+// recent is a ring of the last requests. Safe for concurrent use.
+type recent struct {
+	mu   sync.Mutex
+	ring []Explanation
+	next int
+}
+
+func newRecent() *recent { return &recent{ring: make([]Explanation, 0, 64)} }
+
+func (r *recent) add(x *exchange, p *problem.Problem) {
+	e := Explanation{RequestID: x.id, At: x.start, Took: time.Since(x.start), Workspace: x.workspace,
+		Revision: x.snap.Head.Revision, Permitted: x.ws.Places, Attempts: x.trail.attempts, Refusal: p}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < recentKept {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % recentKept
+}
+
+// Explain returns what is kept of a request.
+func (a *API) Explain(requestID string) (Explanation, bool) {
+	a.recent.mu.Lock()
+	defer a.recent.mu.Unlock()
+	for i := len(a.recent.ring) - 1; i >= 0; i-- {
+		if a.recent.ring[i].RequestID == requestID {
+			return a.recent.ring[i], true
+		}
+	}
+	return Explanation{}, false
+}
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,240 @@
+// Package api is the callers' interface: model requests in the widely used JSON
+// shape and calls to plain services, over HTTP.
+package api
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/admission"
+	"pearlanding/internal/catalog"
+	"pearlanding/internal/control"
+	"pearlanding/internal/ledger"
+	"pearlanding/internal/problem"
+	"pearlanding/internal/router"
+	"pearlanding/internal/settings"
+	"pearlanding/internal/telemetry"
+	"pearlanding/internal/upstream"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRepeat: "never" makes a request at most once; needs a key.
+	HeaderRepeat = "Pearlanding-Repeat"
+	// HeaderReplayed: "true" on an answer taken from the record of a key.
+	HeaderReplayed = "Pearlanding-Replayed"
+	// HeaderResume is how many tokens of the answer the caller has already.
+	HeaderResume = "Pearlanding-Resume-From"
+	HeaderModel  = "Pearlanding-Model"
+	HeaderPlace  = "Pearlanding-Place"
+	HeaderGroup  = "Pearlanding-Group"
+	HeaderEpoch  = "Pearlanding-Epoch"
+)
+
+// repeatNever is the value of HeaderRepeat that marks at-most-once requests.
+const repeatNever = "never"
+
+// Deps is what the interface works with.
+type Deps struct {
+	Settings  settings.Settings
+	Control   *control.Control
+	Router    *router.Router
+	Gate      *admission.Gate
+	Ledger    *ledger.Ledger
+	Upstream  *upstream.Client
+	Telemetry *telemetry.Telemetry
+	Claimant  ledger.Claimant
+	Log       *zap.Logger
+}
+
+// API serves callers. Safe for concurrent use.
+type API struct {
+	Deps
+	budget   *admission.RetryBudget
+	service  admission.ServiceTime
+	inFlight atomic.Int64
+	recent   *recent
+}
+
+// New returns the interface over its dependencies.
+func New(d Deps) *API {
+	return &API{Deps: d, budget: admission.NewRetryBudget(d.Settings.Limits.RetryBudget), recent: newRecent()}
+}
+
+// InFlight is the number of requests in progress.
+func (a *API) InFlight() int64 { return a.inFlight.Load() }
+
+// Server returns the HTTP server for callers, not yet listening.
+func (a *API) Server() *server.Hertz {
+	l := a.Settings.Limits
+	h := server.New(
+		server.WithHostPorts(a.Settings.Listen.Callers),
+		server.WithTransport(standard.NewTransporter),
+		server.WithReadTimeout(l.ReadTimeout), server.WithWriteTimeout(l.WriteTimeout),
+		server.WithIdleTimeout(time.Minute), server.WithMaxRequestBodySize(l.MaxBodyBytes),
+		server.WithMaxHeaderBytes(l.MaxHeaderBytes), server.WithExitWaitTime(time.Millisecond),
+		server.WithDisablePrintRoute(true), server.WithRemoveExtraSlash(false),
+		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	)
+	h.POST("/v1/chat/completions", a.handle(a.generate))
+	h.POST("/v1/completions", a.handle(a.generate))
+	h.GET("/v1/models", a.handle(a.models))
+	h.Any("/services/:service", a.handle(a.callService))
+	h.Any("/services/:service/*path", a.handle(a.callService))
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	h.GET("/readyz", a.ready)
+	h.NoRoute(a.handle(func(_ context.Context, x *exchange) *problem.Problem {
+		return problem.New(http.StatusNotFound, problem.CodeNotFound, "no such path")
+	}))
+	return h
+}
+
+// ready tells the balancer whether this daemon admits requests.
+func (a *API) ready(_ context.Context, c *app.RequestContext) {
+	if a.Control.Snapshot().MayAdmit(time.Now()) {
+		c.String(http.StatusOK, "ready\n")
+		return
+	}
+	c.String(http.StatusServiceUnavailable, "not admitting\n")
+}
+
+// exchange is one caller's request under way.
+type exchange struct {
+	c         *app.RequestContext
+	id        string
+	start     time.Time
+	snap      *control.Snapshot
+	workspace string
+	ws        catalog.Workspace
+	metrics   *telemetry.Workspace
+	trail     trail
+	// replied: the response was written; a late problem can't be sent any more.
+	replied bool
+}
+
+// handler serves one admitted exchange, or returns why not.
+type handler func(ctx context.Context, x *exchange) *problem.Problem
+
+// handle wraps a handler with identity, authorisation, the admission lease, the
+// deadline and the writing of problems.
+func (a *API) handle(serve handler) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		a.inFlight.Add(1)
+		defer a.inFlight.Add(-1)
+		x := &exchange{c: c, id: requestID(c), start: time.Now(), snap: a.Control.Snapshot()}
+		c.Response.Header.Set(HeaderRequestID, x.id)
+		ctx, cancel := context.WithTimeout(ctx, a.Settings.Limits.Deadline)
+		defer cancel()
+		p := a.enter(x)
+		if p == nil {
+			p = serve(ctx, x)
+		}
+		if p != nil {
+			a.refuse(x, p)
+		}
+		a.recent.add(x, p)
+	}
+}
+
+// maxRequestID bounds a caller's own request id.
+const maxRequestID = 100
+
+// requestID takes the caller's id if it is plain and short, or makes one.
+func requestID(c *app.RequestContext) string {
+	id := string(c.GetHeader(HeaderRequestID))
+	plain := strings.IndexFunc(id, func(r rune) bool { return r <= ' ' || r > '~' || r == '"' || r == '\\' }) < 0
+	if id != "" && len(id) <= maxRequestID && plain {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// enter checks that this daemon may admit requests and who is asking.
+func (a *API) enter(x *exchange) *problem.Problem {
+	if p := a.mayAdmit(x.snap, time.Now()); p != nil {
+		return p
+	}
+	token, ok := strings.CutPrefix(string(x.c.GetHeader("Authorization")), "Bearer ")
+	if !ok {
+		return problem.New(http.StatusUnauthorized, problem.CodeUnauthorized, "a bearer token is required")
+	}
+	// Only digests are kept and compared: timing tells nothing about a token.
+	digest := sha256.Sum256([]byte(token))
+	name, ok := x.snap.ByDigest[hex.EncodeToString(digest[:])]
+	if !ok {
+		return problem.New(http.StatusUnauthorized, problem.CodeUnauthorized, "unknown token")
+	}
+	x.workspace, x.ws = name, x.snap.Head.Doc.Workspaces[name]
+	x.metrics = a.Telemetry.Workspace(name, x.ws.Class)
+	return nil
+}
+
+// mayAdmit tells why requests can't be admitted now, if so.
+func (a *API) mayAdmit(snap *control.Snapshot, now time.Time) *problem.Problem {
+	switch {
+	case snap.Stopping:
+		return problem.New(http.StatusServiceUnavailable, problem.CodeStopping, "this daemon is stopping").After(time.Second)
+	case !snap.MayAdmit(now):
+		return problem.New(http.StatusServiceUnavailable, problem.CodeStale,
+			"this daemon can't tell whether its configuration is current").After(a.Settings.Timing.AdmissionLease)
+	}
+	return nil
+}
+
+// refuse writes a problem, or cuts the connection when an answer had begun.
+func (a *API) refuse(x *exchange, p *problem.Problem) {
+	p.RequestID = x.id
+	a.Telemetry.Refused(x.workspace, p)
+	a.Log.Info("refused", zap.String("request_id", x.id), zap.String("workspace", x.workspace), zap.String("code", string(p.Code)),
+		zap.String("outcome", string(p.Outcome)), zap.Int("status", p.Status), zap.String("group", x.trail.group()))
+	if x.replied {
+		return
+	}
+	if after := p.RetryAfterSeconds(); after != "" {
+		x.c.Response.Header.Set("Retry-After", after)
+	}
+	x.c.Data(p.Status, problem.ContentType, p.Body())
+}
+
+// takePlace takes a place of the workspace under its shared limits.
+func (a *API) takePlace(x *exchange) (func(), *problem.Problem) {
+	limits := admission.Limits{
+		MaxConcurrent: x.ws.MaxConcurrent, RatePerSecond: x.ws.RatePerSecond,
+		Daemons: len(x.snap.Live), OthersInUse: x.snap.OthersInUse[x.workspace],
+	}
+	leave, retry, ok := a.Gate.Enter(x.workspace, limits, time.Now())
+	if !ok {
+		return nil, problem.New(http.StatusTooManyRequests, problem.CodeWorkspaceLimit,
+			"workspace %s has reached its limit", x.workspace).After(retry)
+	}
+	return leave, nil
+}
+
+// models lists the models of the workspace.
+func (a *API) models(_ context.Context, x *exchange) *problem.Problem {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	for name := range x.ws.Models {
+		list = append(list, model{ID: name, Object: "model", OwnedBy: x.workspace})
+	}
+	x.c.JSON(http.StatusOK, map[string]any{"object": "list", "data": list})
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/peers.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/creachadair/jrpc2"
+	"github.com/creachadair/jrpc2/channel"
+	"github.com/creachadair/jrpc2/handler"
+	"github.com/creachadair/jrpc2/server"
+	"github.com/juju/errors"
+)
+
+// ErrRefused: the peer's address refused the connection; no process listens
+// there. Any other error leaves open what became of the call.
+const ErrRefused = errors.ConstError("peer: connection refused")
+
+// Handler answers the calls of peers. Methods run on many goroutines.
+type Handler interface {
+	Sync(ctx context.Context, req SyncRequest) (SyncReply, error)
+	Offer(ctx context.Context, head HeadCopy) (OfferReply, error)
+	Append(ctx context.Context, req AppendRequest) (AppendReply, error)
+}
+
+// Serve answers peers on the listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, h Handler) error {
+	methods := handler.Map{
+		MethodSync:   handler.New(h.Sync),
+		MethodOffer:  handler.New(h.Offer),
+		MethodAppend: handler.New(h.Append),
+	}
+	accept := server.NetAccepter(listener, channel.Line)
+	err := server.Loop(ctx, accept, server.Static(methods), &server.LoopOptions{
+		ServerOptions: &jrpc2.ServerOptions{Concurrency: 8},
+	})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+// Peers keeps one connection to each peer address. Safe for concurrent use.
+type Peers struct {
+	timeout time.Duration
+	mu      sync.Mutex
+	clients map[string]*jrpc2.Client
+}
+
+// NewPeers returns an empty set whose calls take at most timeout.
+func NewPeers(timeout time.Duration) *Peers {
+	return &Peers{timeout: timeout, clients: map[string]*jrpc2.Client{}}
+}
+
+// Call makes one call to the peer at address. A failed call closes the
+// connection, so a late answer can never be taken for another call's.
+func (p *Peers) Call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	client, err := p.client(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := client.CallResult(ctx, method, params, result); err != nil {
+		var rpcErr *jrpc2.Error
+		if !errors.As(err, &rpcErr) || ctx.Err() != nil {
+			p.drop(address, client)
+		}
+		return errors.Annotatef(err, "peer %s %s", address, method)
+	}
+	return nil
+}
+
+func (p *Peers) client(ctx context.Context, address string) (*jrpc2.Client, error) {
+	p.mu.Lock()
+	client := p.clients[address]
+	p.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.WithType(err, ErrRefused)
+	}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	client = jrpc2.NewClient(channel.Line(conn, conn), nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.clients[address]; other != nil {
+		go client.Close()
+		return other, nil
+	}
+	p.clients[address] = client
+	return client, nil
+}
+
+func (p *Peers) drop(address string, client *jrpc2.Client) {
+	p.mu.Lock()
+	if p.clients[address] == client {
+		delete(p.clients, address)
+	}
+	p.mu.Unlock()
+	go client.Close()
+}
+
+// Close ends all connections.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		go c.Close()
+	}
+	p.clients = map[string]*jrpc2.Client{}
+}
+
+// Rank returns the first n slots for a duty by rendezvous hashing, best first;
+// fewer if there are not so many. Removing a slot moves only what it held.
+func Rank(duty string, slots []string, n int) []string {
+	out := slices.Clone(slots)
+	score := func(slot string) uint64 { return xxhash.Sum64String(duty + "\x00" + slot) }
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b))
+	})
+	return out[:min(n, len(out))]
+}
+
+// Owns tells whether slot is among the first n for the duty.
+func Owns(slot, duty string, slots []string, n int) bool {
+	return slices.Contains(Rank(duty, slots, n), slot)
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,181 @@
+package control
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"pearlanding/internal/catalog"
+	"pearlanding/internal/cluster"
+	"pearlanding/internal/group"
+	"pearlanding/internal/revision"
+	"pearlanding/internal/router"
+)
+
+// Peer is what a snapshot says of one registered daemon.
+type Peer struct {
+	revision.Member
+	State    PeerState
+	Revision uint64 // applied, as last heard
+	HeardAt  time.Time
+}
+
+// Snapshot is the control state at one moment. It is never changed after it was
+// published.
+type Snapshot struct {
+	Head        revision.Head
+	HeadVersion uint64
+	Slot        string
+	Incarnation string
+	Registered  bool
+	Stopping    bool
+	// AdmitUntil is when the admission lease ends.
+	AdmitUntil time.Time
+	// PlatformAsOf is the moment of the freshest evidence from the platform.
+	PlatformAsOf time.Time
+	// AcceptedUpTo is the highest revision known to be in force everywhere.
+	AcceptedUpTo uint64
+	// WaitingFor names the daemons that have not applied the head's revision.
+	WaitingFor []string
+	Live       []string
+	Peers      map[string]Peer
+	Domains    map[string]group.Copy
+	Evidence   map[string]group.Evidence
+	Targets    map[string][]*router.Target // by pool
+	ByDigest   map[string]string           // token digest -> workspace
+	Pools      []catalog.Pool
+	// OthersInUse is the requests in progress at the other live daemons.
+	OthersInUse map[string]int
+	// Changed is closed when a newer snapshot has been published.
+	Changed chan struct{}
+}
+
+// MayAdmit tells whether requests may be admitted at now.
+func (s *Snapshot) MayAdmit(now time.Time) bool {
+	return s.Registered && !s.Stopping && now.Before(s.AdmitUntil)
+}
+
+// Owns tells whether this daemon is among the first n live ones for a duty.
+func (s *Snapshot) Owns(duty string, n int) bool { return cluster.Owns(s.Slot, duty, s.Live, n) }
+
+// snapshot builds the next snapshot; parts that can't have changed are taken
+// from the previous one.
+func (s *state) snapshot(now time.Time, previous *Snapshot) *Snapshot {
+	s.lease.Renew(now, s.cfg.AdmissionLease, s.head, s.cfg.Slot, s.heard)
+	verdict, waiting := s.acks.Decide(now, s.head, s.cfg.AdmissionLease)
+	if verdict == revision.VerdictAccepted && s.headVersion > 0 {
+		s.decided = max(s.decided, s.head.Revision)
+	}
+	out := &Snapshot{
+		Head: s.head, HeadVersion: s.headVersion, Slot: s.cfg.Slot, Incarnation: s.cfg.Incarnation,
+		Registered: s.registered(), Stopping: s.stopping, AdmitUntil: s.lease.ValidUntil(),
+		PlatformAsOf: s.lease.PlatformAsOf(), AcceptedUpTo: s.decided, WaitingFor: waiting,
+		Live: s.live(now), Peers: s.peers(now), Domains: maps.Clone(s.domains), Evidence: s.copyEvidence(),
+		OthersInUse: s.othersInUse(now), Changed: make(chan struct{}),
+	}
+	if previous != nil && previous.HeadVersion == s.headVersion {
+		out.ByDigest, out.Pools = previous.ByDigest, previous.Pools
+	} else {
+		out.ByDigest, out.Pools = digests(s.head.Doc), s.head.Doc.Pools()
+	}
+	out.Targets = s.targets(previous)
+	return out
+}
+
+func digests(doc catalog.Doc) map[string]string {
+	out := make(map[string]string, len(doc.Workspaces))
+	for name, ws := range doc.Workspaces {
+		out[ws.TokenSHA256] = name
+	}
+	return out
+}
+
+func (s *state) peers(now time.Time) map[string]Peer {
+	out := make(map[string]Peer, len(s.head.Members))
+	for slot, m := range s.head.Members {
+		h := s.heard[slot]
+		if slot == s.cfg.Slot {
+			h.Revision, h.At = s.head.Revision, now
+		}
+		out[slot] = Peer{Member: m, State: s.peerState(slot, now), Revision: h.Revision, HeardAt: h.At}
+	}
+	return out
+}
+
+func (s *state) copyEvidence() map[string]group.Evidence {
+	out := make(map[string]group.Evidence, len(s.evidence))
+	for id, e := range s.evidence {
+		out[id] = e.Evidence
+	}
+	return out
+}
+
+func (s *state) othersInUse(now time.Time) map[string]int {
+	out := map[string]int{}
+	for slot, load := range s.loads {
+		if slot == s.cfg.Slot || s.peerState(slot, now) != PeerAlive {
+			continue
+		}
+		for ws, n := range load.InUse {
+			out[ws] += n
+		}
+	}
+	return out
+}
+
+// targets lists, by pool, the groups that may be routed to: serving at the
+// epoch of the newest domain object, no member on its way out, with evidence. A
+// target keeps its counter of dispatches until a newer report comes in.
+func (s *state) targets(previous *Snapshot) map[string][]*router.Target {
+	old := map[string]*router.Target{}
+	if previous != nil {
+		for _, list := range previous.Targets {
+			for _, t := range list {
+				old[t.Group] = t
+			}
+		}
+	}
+	out := map[string][]*router.Target{}
+	for _, c := range s.domains {
+		for _, id := range c.Domain.GroupIDs() {
+			g := c.Domain.Groups[id]
+			e, known := s.evidence[id]
+			if g.State != group.StateServing || !known || e.Epoch != g.Epoch || len(e.Leaving) > 0 || c.Domain.Departing(g) {
+				continue
+			}
+			out[g.Pool] = append(out[g.Pool], s.target(c.Domain, g, e.Evidence, old[id]))
+		}
+	}
+	return out
+}
+
+func (s *state) target(d group.Domain, g group.Group, e group.Evidence, old *router.Target) *router.Target {
+	t := &router.Target{
+		Group: g.ID, Pool: g.Pool, Epoch: g.Epoch, Place: d.Place, Domain: d.Name, Address: g.Members[0].Address,
+		Ready: e.Ready, Running: e.Running, Queued: e.Queued, Slots: e.Slots,
+		Since: s.servingAt[group.SinceKey(g)], Sent: new(atomic.Int64),
+	}
+	if old != nil && old.Epoch == t.Epoch && old.Ready.Equal(t.Ready) {
+		t.Sent = old.Sent
+	}
+	return t
+}
+
+// heardAges is the relayed form of whom this daemon heard at the head's slots.
+func (s *Snapshot) heardAges(now time.Time, term time.Duration) []byte {
+	unit := term / cluster.AgeUnits
+	slots := s.Head.Slots()
+	out := make([]byte, len(slots))
+	for i, slot := range slots {
+		out[i] = cluster.UnknownAge
+		p := s.Peers[slot]
+		if p.HeardAt.IsZero() || p.Revision > s.Head.Revision {
+			continue
+		}
+		// Rounded up: a relayed hearing never gets younger.
+		if age := (max(now.Sub(p.HeardAt), 0) + unit - 1) / unit; age < cluster.UnknownAge {
+			out[i] = byte(age)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,214 @@
+// Package daemon wires one daemon together from its settings: the callers',
+// operators' and peers' listeners, the control loop and the duties.
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/admission"
+	"pearlanding/internal/api"
+	"pearlanding/internal/cluster"
+	"pearlanding/internal/control"
+	"pearlanding/internal/engine"
+	"pearlanding/internal/group"
+	"pearlanding/internal/ledger"
+	"pearlanding/internal/operator"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/revision"
+	"pearlanding/internal/router"
+	"pearlanding/internal/settings"
+	"pearlanding/internal/telemetry"
+	"pearlanding/internal/upstream"
+)
+
+// Daemon is one running daemon. Create with New, then Run.
+type Daemon struct {
+	settings   settings.Settings
+	log        *zap.Logger
+	control    *control.Control
+	membership *membership
+	ledger     *ledger.Ledger
+	api        *api.API
+	callers    *server.Hertz
+	operators  *server.Hertz
+	peers      *cluster.Peers
+	manager    *group.Manager
+	prober     *group.Prober
+}
+
+// Time constants that are not worth a setting.
+const (
+	connectTimeout = time.Second
+	slowStart      = 5 * time.Second
+	claimTimeout   = 3 * time.Second
+	compactAfter   = 64
+	// appendsPerSecond bounds the batches of one ledger shard.
+	appendsPerSecond = 20
+)
+
+// New wires a daemon over a platform store.
+func New(s settings.Settings, store platform.Store, log *zap.Logger) *Daemon {
+	tele := telemetry.New()
+	counted := platform.Counted(store, tele.Set)
+	incarnation := uuid.NewString()
+	gate := admission.NewGate()
+	log = log.With(zap.String("daemon", s.Daemon.Name))
+	cfg := control.Config{Slot: s.Daemon.Name, Incarnation: incarnation, SyncInterval: s.Timing.SyncInterval,
+		AdmissionLease: s.Timing.AdmissionLease, EvidenceAge: s.Timing.EvidenceAge}
+	d := &Daemon{settings: s, log: log, peers: cluster.NewPeers(s.Timing.SyncInterval * 2)}
+	d.control = control.New(cfg, func() cluster.DaemonLoad { return cluster.DaemonLoad{InUse: gate.InUse()} })
+	d.membership = &membership{
+		cfg: cfg, store: counted, control: d.control, peers: d.peers, log: log, started: time.Now(),
+		self: revision.Member{Incarnation: incarnation, Peer: s.Listen.Peers, Operator: s.Listen.Operators,
+			Place: s.Daemon.Place, Domain: s.Daemon.Domain},
+		timing: membershipTiming{sync: s.Timing.SyncInterval, lease: s.Timing.AdmissionLease, forgetAfter: s.Timing.ForgetAfter},
+	}
+	d.ledger = ledger.New(ledger.Config{
+		Store: counted, Shards: s.Ledger.Shards, Timeout: claimTimeout, AppendsPerSecond: appendsPerSecond,
+		Options: ledger.Options{MaxEntries: s.Ledger.MaxEntries, Retention: s.Ledger.Retention, CompactAfter: compactAfter},
+		Now:     time.Now, Forwarder: &forwarder{control: d.control, peers: d.peers},
+	})
+	d.api = api.New(api.Deps{
+		Settings: s, Control: d.control, Gate: gate, Ledger: d.ledger, Upstream: upstream.New(connectTimeout),
+		Router:    &router.Router{Policy: router.Policy(s.Routing.Policy), Subset: s.Routing.Subset, MaxAge: s.Timing.EvidenceAge, SlowStart: slowStart},
+		Telemetry: tele, Claimant: ledger.Claimant{Slot: s.Daemon.Name, Incarnation: incarnation}, Log: log,
+	})
+	d.callers = d.api.Server()
+	d.operators = operator.New(operator.Deps{Settings: s, Control: d.control, Store: counted, API: d.api,
+		Telemetry: tele, Offer: d.membership.offer, Log: log}).Server()
+	d.wireGroups(counted, incarnation)
+	d.gauges(tele)
+	return d
+}
+
+func (d *Daemon) wireGroups(store platform.Store, incarnation string) {
+	t, p := d.settings.Timing, d.settings.Planner
+	engines := engine.NewClient(t.OrderTimeout)
+	d.manager = group.NewManager(group.HolderConfig{
+		Self:  group.Holder{Slot: d.settings.Daemon.Name, Incarnation: incarnation},
+		Store: store, Engines: engines, View: d.control, Interval: t.ProbeInterval, Lease: t.DutyLease, Log: d.log,
+		Policy: group.Policy{
+			Rebuild: p.Policy == "rebuild", DowntimeWeight: p.DowntimeWeight, StrandedWeight: p.StrandedWeight,
+			Spares: p.SparesPerDomain, EvidenceAge: t.EvidenceAge, OrderTimeout: t.OrderTimeout, ReportLag: t.ReportLag,
+		},
+	})
+	d.prober = &group.Prober{Engines: engines, View: d.control, Interval: t.ProbeInterval, MaxAge: t.EvidenceAge}
+}
+
+func (d *Daemon) gauges(tele *telemetry.Telemetry) {
+	tele.Gauge("pearlanding_requests_in_flight", func() float64 { return float64(d.api.InFlight()) })
+	tele.Gauge("pearlanding_config_revision", func() float64 { return float64(d.control.Snapshot().Head.Revision) })
+	tele.Gauge("pearlanding_config_accepted", func() float64 { return float64(d.control.Snapshot().AcceptedUpTo) })
+	tele.Gauge("pearlanding_peers_alive", func() float64 { return float64(len(d.control.Snapshot().Live)) })
+	tele.Gauge("pearlanding_admitting", func() float64 {
+		if d.control.Snapshot().MayAdmit(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	tele.Gauge("pearlanding_accelerators_not_serving", func() float64 {
+		n := 0
+		for _, c := range d.control.Snapshot().Domains {
+			n += c.Domain.NotServing()
+		}
+		return float64(n)
+	})
+	tele.Gauge("pearlanding_replicas_missing", func() float64 { return float64(missingReplicas(d.control.Snapshot())) })
+}
+
+// missingReplicas is how many wanted replicas don't serve now.
+func missingReplicas(snap *control.Snapshot) int {
+	missing := 0
+	for _, p := range snap.Pools {
+		missing += max(0, p.Replicas-len(snap.Targets[p.Name]))
+	}
+	return missing
+}
+
+// Ready waits until the daemon admits requests.
+func (d *Daemon) Ready(ctx context.Context) error {
+	_, err := d.control.Await(ctx, func(s *control.Snapshot) bool { return s.MayAdmit(time.Now()) })
+	return err
+}
+
+// Control gives access to the control state.
+func (d *Daemon) Control() *control.Control { return d.control }
+
+// Run serves until ctx ends, then stops in order: it admits nothing new,
+// finishes what it has, gives up its slot and ends. It returns early when its
+// slot is taken by another process or a listener fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.Listen.Peers)
+	if err != nil {
+		return errors.Annotate(err, "peers' listener")
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	failed := make(chan error, 4)
+	var wg sync.WaitGroup
+	start := func(run func(context.Context)) { wg.Go(func() { run(background) }) }
+	start(d.control.Run)
+	start(d.ledger.Run)
+	start(d.membership.syncLoop)
+	start(d.membership.pollLoop)
+	start(d.membership.acceptLoop)
+	start(d.manager.Run)
+	start(d.prober.Run)
+	start(func(ctx context.Context) {
+		report(failed, cluster.Serve(ctx, listener, &peerHandler{d.control, d.ledger}))
+	})
+	registering, stopRegistering := context.WithCancel(background)
+	wg.Go(func() { report(failed, d.membership.registerLoop(registering)) })
+	go func() { report(failed, d.callers.Run()) }()
+	go func() { report(failed, d.operators.Run()) }()
+	d.log.Info("serving", zap.String("callers", d.settings.Listen.Callers), zap.String("operators", d.settings.Listen.Operators),
+		zap.String("peers", d.settings.Listen.Peers))
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-failed:
+	}
+	stopRegistering()
+	d.stop(background)
+	cancel()
+	listener.Close()
+	d.peers.Close()
+	wg.Wait()
+	return err
+}
+
+func report(failed chan<- error, err error) {
+	if err != nil {
+		failed <- err
+	}
+}
+
+// stop is the clean end: no new requests, those in progress finished within the
+// drain deadline, the slot given up.
+func (d *Daemon) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.DrainDeadline)
+	defer cancel()
+	d.control.Stop(ctx)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, claimTimeout)
+	d.membership.leave(leaveCtx)
+	cancelLeave()
+	d.log.Info("stopping", zap.Int64("in_flight", d.api.InFlight()))
+	for d.api.InFlight() > 0 && sleep(ctx, drainPoll) {
+	}
+	if left := d.api.InFlight(); left > 0 {
+		d.log.Warn("drain deadline passed; requests are cut", zap.Int64("in_flight", left))
+	}
+	for _, s := range []*server.Hertz{d.callers, d.operators} {
+		_ = s.Close()
+	}
+}
+
+// drainPoll is how often a stopping daemon looks whether it has finished.
+const drainPoll = 20 * time.Millisecond
--- /dev/null
+++ b/internal/daemon/membership.go
@@ -0,0 +1,254 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/cluster"
+	"pearlanding/internal/control"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/revision"
+)
+
+// membership keeps this daemon in the registry and in touch with its peers and
+// the platform. Its loops only carry messages; all deciding is in control.
+type membership struct {
+	cfg     control.Config
+	self    revision.Member
+	timing  membershipTiming
+	store   platform.Store
+	control *control.Control
+	peers   *cluster.Peers
+	log     *zap.Logger
+	started time.Time
+}
+
+type membershipTiming struct {
+	sync        time.Duration
+	lease       time.Duration
+	forgetAfter time.Duration
+}
+
+// Fan-out of one sync round: everybody while there are few daemons, some at
+// random beyond.
+const syncFanOut = 8
+
+// syncLoop exchanges with peers every interval until ctx ends.
+func (m *membership) syncLoop(ctx context.Context) {
+	ticker := time.NewTicker(m.timing.sync)
+	defer ticker.Stop()
+	for {
+		m.syncRound(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *membership) syncRound(ctx context.Context) {
+	snap := m.control.Snapshot()
+	var others []string
+	for slot := range snap.Peers {
+		if slot != m.cfg.Slot {
+			others = append(others, slot)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	request := m.control.Request()
+	for _, slot := range others[:min(len(others), syncFanOut)] {
+		go m.syncOne(ctx, slot, snap.Peers[slot].Peer, request)
+	}
+}
+
+func (m *membership) syncOne(ctx context.Context, slot, address string, request cluster.SyncRequest) {
+	sent := time.Now()
+	var reply cluster.SyncReply
+	err := m.peers.Call(ctx, address, cluster.MethodSync, request, &reply)
+	switch {
+	case err == nil && reply.Slot == slot:
+		m.control.Synced(reply, sent)
+	case errors.Is(err, cluster.ErrRefused):
+		m.control.Refused(slot, sent)
+	}
+}
+
+// pollLoop reads the head from the platform whenever no fresher evidence has
+// come by way of a peer, so that the platform's load does not grow with the
+// number of daemons.
+func (m *membership) pollLoop(ctx context.Context) {
+	for {
+		wait := m.timing.lease/4 + time.Duration(rand.Int64N(int64(m.timing.lease/8)))
+		if time.Since(m.control.Snapshot().PlatformAsOf) >= wait {
+			m.poll(ctx)
+		}
+		if !sleep(ctx, m.timing.sync/2+time.Duration(rand.Int64N(int64(m.timing.sync/2)))) {
+			return
+		}
+	}
+}
+
+func (m *membership) poll(ctx context.Context) {
+	sent := time.Now()
+	head, version, err := revision.Read(ctx, m.store)
+	if err != nil {
+		return
+	}
+	m.control.ObserveHead(ctx, head, version, sent)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ErrSuperseded: another process has taken this daemon's slot.
+const ErrSuperseded = errors.ConstError("daemon: slot was taken by another process")
+
+// registerLoop joins the registry and joins again when the slot was forgotten
+// while this daemon was silent. It returns when ctx ends or the slot was taken.
+func (m *membership) registerLoop(ctx context.Context) error {
+	joined := false
+	for {
+		snap := m.control.Snapshot()
+		holder, exists := snap.Head.Members[m.cfg.Slot]
+		switch {
+		case snap.Registered:
+			joined = true
+		case joined && exists && holder.Incarnation != m.cfg.Incarnation:
+			return errors.Annotatef(ErrSuperseded, "%s at %s", m.cfg.Slot, holder.Peer)
+		default:
+			m.join(ctx)
+		}
+		if !sleep(ctx, m.timing.sync) {
+			return nil
+		}
+	}
+}
+
+// join takes the slot. A slot that stands at another address may still be held
+// by a running process: it is removed first, and taken only once that removal is
+// accepted, when the process has surely lost its lease.
+func (m *membership) join(ctx context.Context) {
+	sent := time.Now()
+	head, version, err := revision.Commit(ctx, m.store, func(h revision.Head) (revision.Head, error) {
+		old, exists := h.Members[m.cfg.Slot]
+		switch {
+		case exists && old.Incarnation == m.cfg.Incarnation:
+			return h, revision.ErrUnchanged
+		case exists && old.Peer != m.self.Peer:
+			return h.WithoutMember(m.cfg.Slot, false), nil
+		case fenced(h, m.cfg.Slot):
+			return h, revision.ErrUnchanged
+		}
+		return h.WithMember(m.cfg.Slot, m.self), nil
+	})
+	if err != nil && !errors.Is(err, revision.ErrUnchanged) {
+		m.log.Info("registry not reachable", zap.Error(err))
+		return
+	}
+	m.adopt(ctx, head, version, sent)
+}
+
+func fenced(h revision.Head, slot string) bool {
+	for _, s := range h.Fenced {
+		if s == slot {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt applies a head that this daemon wrote or read, and offers it to all.
+func (m *membership) adopt(ctx context.Context, head revision.Head, version uint64, sent time.Time) {
+	m.control.ObserveHead(ctx, head, version, sent)
+	m.offer(ctx, head, version)
+}
+
+// offer pushes a head to every registered peer and notes who has applied it.
+func (m *membership) offer(ctx context.Context, head revision.Head, version uint64) {
+	for slot, member := range head.Members {
+		if slot == m.cfg.Slot {
+			continue
+		}
+		go func() {
+			var reply cluster.OfferReply
+			offered := cluster.HeadCopy{Version: version, Head: head}
+			if m.peers.Call(ctx, member.Peer, cluster.MethodOffer, offered, &reply) == nil {
+				m.control.Acknowledged(reply)
+			}
+		}()
+	}
+}
+
+// acceptLoop records accepted revisions in the head and forgets silent slots,
+// while that duty falls to this daemon.
+func (m *membership) acceptLoop(ctx context.Context) {
+	for sleep(ctx, m.timing.sync) {
+		snap := m.control.Snapshot()
+		if !snap.Registered || !snap.Owns("accept", 1) {
+			continue
+		}
+		if snap.AcceptedUpTo >= snap.Head.Revision && snap.Head.Accepted < snap.Head.Revision {
+			m.recordAccepted(ctx, snap.Head.Revision)
+		}
+		m.forgetSilent(ctx, snap)
+	}
+}
+
+func (m *membership) recordAccepted(ctx context.Context, accepted uint64) {
+	sent := time.Now()
+	head, version, err := revision.Commit(ctx, m.store, func(h revision.Head) (revision.Head, error) {
+		if h.Revision != accepted || h.Accepted >= accepted {
+			return h, revision.ErrUnchanged
+		}
+		return h.WithAccepted(), nil
+	})
+	if err == nil {
+		m.control.ObserveHead(ctx, head, version, sent)
+	}
+}
+
+func (m *membership) forgetSilent(ctx context.Context, snap *control.Snapshot) {
+	now := time.Now()
+	for slot, p := range snap.Peers {
+		last := p.HeardAt
+		if last.Before(m.started) {
+			last = m.started
+		}
+		if slot == m.cfg.Slot || now.Sub(last) < m.timing.forgetAfter {
+			continue
+		}
+		m.log.Info("daemon forgotten", zap.String("slot", slot), zap.Duration("silent", now.Sub(last)))
+		m.remove(ctx, slot, p.Incarnation, false)
+		return
+	}
+}
+
+// remove takes a slot out of the registry if that incarnation still holds it.
+func (m *membership) remove(ctx context.Context, slot, incarnation string, stopped bool) {
+	sent := time.Now()
+	head, version, err := revision.Commit(ctx, m.store, func(h revision.Head) (revision.Head, error) {
+		if h.Members[slot].Incarnation != incarnation {
+			return h, revision.ErrUnchanged
+		}
+		return h.WithoutMember(slot, stopped), nil
+	})
+	if err == nil {
+		m.adopt(ctx, head, version, sent)
+	}
+}
+
+// leave gives up this daemon's own slot; it must have stopped admitting.
+func (m *membership) leave(ctx context.Context) { m.remove(ctx, m.cfg.Slot, m.cfg.Incarnation, true) }
--- /dev/null
+++ b/internal/daemon/peer.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/cluster"
+	"pearlanding/internal/control"
+	"pearlanding/internal/ledger"
+)
+
+// peerHandler answers other daemons.
+type peerHandler struct {
+	control *control.Control
+	ledger  *ledger.Ledger
+}
+
+// Sync implements cluster.Handler.
+func (h *peerHandler) Sync(ctx context.Context, req cluster.SyncRequest) (cluster.SyncReply, error) {
+	return h.control.Sync(ctx, req)
+}
+
+// Offer implements cluster.Handler.
+func (h *peerHandler) Offer(ctx context.Context, head cluster.HeadCopy) (cluster.OfferReply, error) {
+	return h.control.Offer(ctx, head)
+}
+
+// Append implements cluster.Handler: it batches a peer's records with our own.
+func (h *peerHandler) Append(ctx context.Context, req cluster.AppendRequest) (cluster.AppendReply, error) {
+	entries, err := h.ledger.AppendHere(ctx, req.Shard, req.Records)
+	if errors.Is(err, ledger.ErrFull) {
+		return cluster.AppendReply{Full: true}, nil
+	}
+	return cluster.AppendReply{Entries: entries}, err
+}
+
+// forwarder hands ledger records to the shard's preferred daemon.
+type forwarder struct {
+	control *control.Control
+	peers   *cluster.Peers
+}
+
+// Forward implements ledger.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, shard int, records []ledger.Record) ([]ledger.Entry, bool, error) {
+	snap := f.control.Snapshot()
+	preferred := cluster.Rank(ledger.Duty(shard), snap.Live, 1)
+	if len(preferred) == 0 || preferred[0] == snap.Slot {
+		return nil, false, nil
+	}
+	var reply cluster.AppendReply
+	request := cluster.AppendRequest{Shard: shard, Records: records}
+	err := f.peers.Call(ctx, snap.Peers[preferred[0]].Peer, cluster.MethodAppend, request, &reply)
+	if err == nil && reply.Full {
+		err = ledger.ErrFull
+	}
+	return reply.Entries, true, err
+}
--- /dev/null
+++ b/internal/embedded/embedded.go
@@ -0,0 +1,241 @@
+// Package embedded runs the whole system in one process on loopback: stand-ins
+// and daemons. It serves `pearlanding dev` and the tests.
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/control"
+	"pearlanding/internal/daemon"
+	"pearlanding/internal/findings"
+	"pearlanding/internal/operator"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/settings"
+	"pearlanding/internal/standin"
+	"pearlanding/internal/standin/platformfake"
+	"pearlanding/internal/standin/servicefake"
+)
+
+// What the embedded configuration is called.
+const (
+	Token    = "harbour-tug-dispatch"
+	Service  = "app-portuario"
+	Model    = "berthing-plan"
+	Pool     = "pearl-despacho@1"
+	Place    = "rio-grande"
+	Domain   = "rg-a"
+	ChatBody = `{"model":"berthing-plan","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Berth the Aurora at pier 4"}]}`
+	// tokenDigest is the SHA-256 of Token.
+	tokenDigest = "3f7bd4c40261ca99349b91a82fa20efee68b632f7d069df13f85f4d0daf11134"
+)
+
+// Options describe the embedded system.
+type Options struct {
+	Daemons int
+	// VMs is the number of engine VMs; 0 means 5: a group of four and a spare.
+	VMs       int
+	GroupSize int // 0 means 4
+	Replicas  int // 0 means 1
+	Slots     int // of each engine; 0 means 8
+	TokenTime time.Duration
+	// Adjust changes the INI settings of each daemon, as lines "section.key".
+	Adjust map[string]string
+	Log    *zap.Logger
+}
+
+// Running is one daemon of the system.
+type Running struct {
+	*daemon.Daemon
+	Settings settings.Settings
+	Stop     context.CancelFunc // clean stop
+	Done     chan error
+}
+
+// System is a running embedded system.
+type System struct {
+	Options     Options
+	Platform    *platformfake.Store
+	PlatformURL string
+	VMs         []standin.VM
+	Service     *servicefake.Service
+	ServiceAt   string
+	Daemons     []*Running
+	ctx         context.Context
+}
+
+// Start brings the stand-ins and daemons up; all end with ctx.
+func Start(ctx context.Context, o Options) (*System, error) {
+	o.VMs, o.GroupSize, o.Replicas = orDefault(o.VMs, 5), orDefault(o.GroupSize, 4), orDefault(o.Replicas, 1)
+	if o.TokenTime == 0 {
+		o.TokenTime = 10 * time.Millisecond
+	}
+	s := &System{Options: o, Platform: platformfake.New(0, 0), Service: servicefake.New(Service), ctx: ctx}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.PlatformURL = "http://" + listener.Addr().String()
+	go func() { _ = standin.Serve(ctx, listener, s.Platform.Handler()) }()
+	if err := s.startUpstreams(ctx); err != nil {
+		return nil, err
+	}
+	for range o.Daemons {
+		if _, err := s.AddDaemon(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func orDefault(n, def int) int {
+	if n == 0 {
+		return def
+	}
+	return n
+}
+
+func (s *System) startUpstreams(ctx context.Context) error {
+	var err error
+	s.VMs, err = standin.StartEngines(ctx, standin.EngineSet{Prefix: "rg-vm-", Count: s.Options.VMs, Place: Place, Domain: Domain,
+		Slots: s.Options.Slots, TokenTime: s.Options.TokenTime, Weights: s.Platform.Weights})
+	if err != nil {
+		return err
+	}
+	var rows []platform.VM
+	for _, vm := range s.VMs {
+		rows = append(rows, vm.Row)
+	}
+	s.Platform.SetVMs(rows)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.ServiceAt = listener.Addr().String()
+	go func() { _ = standin.Serve(ctx, listener, s.Service.Handler()) }()
+	return nil
+}
+
+// AddDaemon starts one more daemon.
+func (s *System) AddDaemon() (*Running, error) {
+	text := s.settingsText(len(s.Daemons) + 1)
+	var list findings.List
+	parsed := settings.Parse("embedded.ini", []byte(text), &list)
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	log := s.Options.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	d := daemon.New(parsed, platform.NewClient(s.PlatformURL, parsed.Platform.Timeout), log)
+	r := &Running{Daemon: d, Settings: parsed, Stop: stop, Done: make(chan error, 1)}
+	go func() { r.Done <- d.Run(ctx) }()
+	s.Daemons = append(s.Daemons, r)
+	return r, nil
+}
+
+// freePort finds a port that is free now.
+func freePort() int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (s *System) settingsText(n int) string {
+	values := map[string]map[string]string{
+		"daemon": {"name": fmt.Sprintf("entry-%d", n), "place": Place, "domain": Domain},
+		"listen": {
+			"callers":   fmt.Sprintf("127.0.0.1:%d", freePort()),
+			"operators": fmt.Sprintf("127.0.0.1:%d", freePort()),
+			"peers":     fmt.Sprintf("127.0.0.1:%d", freePort()),
+		},
+		"platform": {"url": s.PlatformURL},
+	}
+	for at, value := range s.Options.Adjust {
+		section, key := splitAt(at)
+		if values[section] == nil {
+			values[section] = map[string]string{}
+		}
+		values[section][key] = value
+	}
+	text := ""
+	for section, keys := range values {
+		text += "[" + section + "]\n"
+		for key, value := range keys {
+			text += key + " = " + value + "\n"
+		}
+	}
+	return text
+}
+
+func splitAt(at string) (section, key string) {
+	for i := range at {
+		if at[i] == '.' {
+			return at[:i], at[i+1:]
+		}
+	}
+	return at, ""
+}
+
+// Configuration is the embedded configuration as an operator would write it.
+func (s *System) Configuration() string {
+	return fmt.Sprintf(`[template pearl-despacho]
+model = despacho-70b
+version = 1
+vms = %d
+replicas = %d
+places = %s
+weight_gb = 0.1
+
+[service %s]
+instances = %s@%s
+at_most_once = POST
+
+[workspace despacho]
+token_sha256 = %s
+places = %s
+class = urgent
+max_concurrent = 10000
+services = %s
+
+[workspace despacho model %s]
+template = pearl-despacho
+`, s.Options.GroupSize, s.Options.Replicas, Place, Service, Place, s.ServiceAt, tokenDigest, Place, Service, Model)
+}
+
+// Operator returns a client of a daemon's operators' interface.
+func (r *Running) Operator() *operator.Client {
+	return operator.NewClient(r.Settings.Listen.Operators, "", "embedded")
+}
+
+// WaitServing applies the configuration and waits until every daemon admits
+// requests and sees all replicas serve.
+func (s *System) WaitServing(ctx context.Context) error {
+	for _, d := range s.Daemons {
+		if err := d.Ready(ctx); err != nil {
+			return errors.Annotate(err, "daemon not ready")
+		}
+	}
+	if _, err := s.Daemons[0].Operator().Apply(ctx, "embedded.ini", []byte(s.Configuration())); err != nil {
+		return errors.Annotate(err, "configuration")
+	}
+	for _, d := range s.Daemons {
+		_, err := d.Control().Await(ctx, func(snap *control.Snapshot) bool {
+			return len(snap.Targets[Pool]) >= s.Options.Replicas && snap.MayAdmit(time.Now())
+		})
+		if err != nil {
+			return errors.Annotate(err, "replicas not serving")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/catalog"
+	"pearlanding/internal/findings"
+	"pearlanding/internal/problem"
+)
+
+// Client calls a daemon's operators' interface.
+type Client struct {
+	base  string
+	token string
+	user  string
+	http  *http.Client
+}
+
+// NewClient returns a client for the operators' listener at address (IP:port).
+// user names who makes changes; token may be empty on loopback.
+func NewClient(address, token, user string) *Client {
+	return &Client{base: "http://" + address, token: token, user: user, http: &http.Client{Timeout: callTimeout + 5*time.Second}}
+}
+
+// Refused is a problem that the daemon answered with.
+type Refused struct {
+	problem.Problem
+	Findings  []findings.Finding `json:"-"`
+	Conflicts []catalog.Conflict `json:"-"`
+	ChangeID  string             `json:"-"`
+}
+
+// ErrNoAnswer: the call was sent and no whole answer came; it may have been done.
+const ErrNoAnswer = errors.ConstError("operator: no answer")
+
+// Apply puts the entries of an INI text in place.
+func (c *Client) Apply(ctx context.Context, file string, text []byte) (ChangeResult, error) {
+	var out ChangeResult
+	return out, c.call(ctx, http.MethodPost, "/operator/v1/apply?file="+url.QueryEscape(file), text, &out)
+}
+
+// Delete removes an entry at its current revision.
+func (c *Client) Delete(ctx context.Context, ref catalog.Ref, revision uint64) (ChangeResult, error) {
+	var out ChangeResult
+	path := "/operator/v1/config/" + string(ref.Kind) + "/" + ref.Name + "?revision=" + strconv.FormatUint(revision, 10)
+	return out, c.call(ctx, http.MethodDelete, path, nil, &out)
+}
+
+// Change asks what became of a change.
+func (c *Client) Change(ctx context.Context, id string) (ChangeResult, error) {
+	var out ChangeResult
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/changes/"+url.PathEscape(id), nil, &out)
+}
+
+// Entry returns an entry as INI text.
+func (c *Client) Entry(ctx context.Context, ref catalog.Ref) (string, error) {
+	var out []byte
+	err := c.call(ctx, http.MethodGet, "/operator/v1/config/"+string(ref.Kind)+"/"+ref.Name, nil, &out)
+	return string(out), err
+}
+
+// Entries lists the entries of a kind.
+func (c *Client) Entries(ctx context.Context, kind catalog.Kind) ([]EntryBrief, error) {
+	var out []EntryBrief
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/config/"+string(kind), nil, &out)
+}
+
+// SetIntent drains, stops or resumes a VM.
+func (c *Client) SetIntent(ctx context.Context, vm, verb string) (IntentResult, error) {
+	var out IntentResult
+	return out, c.call(ctx, http.MethodPost, "/operator/v1/vms/"+url.PathEscape(vm)+"/"+verb, nil, &out)
+}
+
+// VMs lists the upstream VMs.
+func (c *Client) VMs(ctx context.Context) ([]VMView, error) {
+	var out []VMView
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/vms", nil, &out)
+}
+
+// Groups lists the groups.
+func (c *Client) Groups(ctx context.Context) ([]GroupView, error) {
+	var out []GroupView
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/groups", nil, &out)
+}
+
+// Status returns the system as the asked daemon knows it.
+func (c *Client) Status(ctx context.Context) (StatusView, error) {
+	var out StatusView
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/status", nil, &out)
+}
+
+// Explain returns the raw JSON of what the daemon keeps of a request.
+func (c *Client) Explain(ctx context.Context, requestID string) ([]byte, error) {
+	var out []byte
+	return out, c.call(ctx, http.MethodGet, "/operator/v1/explain/"+url.PathEscape(requestID), nil, &out)
+}
+
+// call makes one call; out is a *[]byte for the raw body, or filled from JSON.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	req.Header.Set(headerOperator, c.user)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.WithType(err, ErrNoAnswer)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.WithType(err, ErrNoAnswer)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(resp.StatusCode, data)
+	}
+	if raw, ok := out.(*[]byte); ok {
+		*raw = data
+		return nil
+	}
+	return errors.Trace(json.Unmarshal(data, out))
+}
+
+// refused reads a problem with its typed extra.
+func refused(status int, data []byte) error {
+	var wire struct {
+		problem.Problem
+		Extra json.RawMessage `json:"extra"`
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return errors.Errorf("daemon answered %d", status)
+	}
+	out := &Refused{Problem: wire.Problem}
+	switch wire.Code {
+	case problem.CodeInvalid:
+		_ = json.Unmarshal(wire.Extra, &out.Findings)
+	case problem.CodeConflict:
+		_ = json.Unmarshal(wire.Extra, &out.Conflicts)
+	case problem.CodeUnknownWrite:
+		var id struct {
+			ChangeID string `json:"change_id"`
+		}
+		_ = json.Unmarshal(wire.Extra, &id)
+		out.ChangeID = id.ChangeID
+	}
+	return out
+}
+
+// Error implements error.
+func (r *Refused) Error() string { return r.Problem.Error() }
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,145 @@
+// Package operator is the operators' interface over HTTP: changes of the
+// configuration, intents for VMs, and views of the system. Any daemon serves it.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/api"
+	"pearlanding/internal/control"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/problem"
+	"pearlanding/internal/revision"
+	"pearlanding/internal/settings"
+	"pearlanding/internal/telemetry"
+)
+
+// Deps is what the interface works with.
+type Deps struct {
+	Settings  settings.Settings
+	Control   *control.Control
+	Store     platform.Store
+	API       *api.API
+	Telemetry *telemetry.Telemetry
+	// Offer pushes a head that was written here to all peers.
+	Offer func(ctx context.Context, head revision.Head, version uint64)
+	Log   *zap.Logger
+}
+
+// Operator serves operators. Safe for concurrent use.
+type Operator struct{ Deps }
+
+// New returns the interface over its dependencies.
+func New(d Deps) *Operator { return &Operator{d} }
+
+// Limits of the operators' interface.
+const (
+	maxBody     = 1 << 20
+	readTimeout = 10 * time.Second
+	// callTimeout bounds one operation; a change waits for its acceptance within.
+	callTimeout = 15 * time.Second
+)
+
+// Server returns the HTTP server for operators, not yet listening.
+func (o *Operator) Server() *server.Hertz {
+	h := server.New(
+		server.WithHostPorts(o.Settings.Listen.Operators), server.WithTransport(standard.NewTransporter),
+		server.WithReadTimeout(readTimeout), server.WithMaxRequestBodySize(maxBody),
+		server.WithExitWaitTime(time.Millisecond), server.WithDisablePrintRoute(true),
+		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	)
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	h.GET("/metrics", o.read(o.metrics))
+	v1 := h.Group("/operator/v1")
+	v1.POST("/apply", o.change(o.apply))
+	v1.GET("/changes/:id", o.read(o.findChange))
+	v1.GET("/config/:kind", o.read(o.listEntries))
+	v1.GET("/config/:kind/:name", o.read(o.getEntry))
+	v1.DELETE("/config/:kind/:name", o.change(o.deleteEntry))
+	v1.GET("/vms", o.read(o.listVMs))
+	v1.POST("/vms/:name/:intent", o.change(o.setIntent))
+	v1.GET("/groups", o.read(o.listGroups))
+	v1.GET("/status", o.read(o.status))
+	v1.GET("/explain/:id", o.read(o.explain))
+	return h
+}
+
+// handler serves one authorised call, or returns why not.
+type handler func(ctx context.Context, c *app.RequestContext) *problem.Problem
+
+// read wraps a handler that changes nothing; either role may call it.
+func (o *Operator) read(serve handler) app.HandlerFunc {
+	return o.wrap(serve, o.Settings.Operators.ReadTokenSHA256, o.Settings.Operators.ChangeTokenSHA256)
+}
+
+// change wraps a handler that changes something; only the change role may.
+func (o *Operator) change(serve handler) app.HandlerFunc {
+	return o.wrap(serve, o.Settings.Operators.ChangeTokenSHA256)
+}
+
+func (o *Operator) wrap(serve handler, digests ...string) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		p := o.authorise(c, digests)
+		if p == nil {
+			p = serve(ctx, c)
+		}
+		if p == nil {
+			return
+		}
+		if after := p.RetryAfterSeconds(); after != "" {
+			c.Response.Header.Set("Retry-After", after)
+		}
+		c.Data(p.Status, problem.ContentType, p.Body())
+	}
+}
+
+// authorise compares the digest of the bearer token in constant time. With no
+// change token set, everybody on loopback may do everything.
+func (o *Operator) authorise(c *app.RequestContext, digests []string) *problem.Problem {
+	if o.Settings.Operators.ChangeTokenSHA256 == "" {
+		return nil
+	}
+	token, _ := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	got := []byte(hex.EncodeToString(sum[:]))
+	for _, want := range digests {
+		if want != "" && subtle.ConstantTimeCompare(got, []byte(want)) == 1 {
+			return nil
+		}
+	}
+	if token == "" {
+		return problem.New(http.StatusUnauthorized, problem.CodeUnauthorized, "an operator's bearer token is required")
+	}
+	return problem.New(http.StatusForbidden, problem.CodeForbidden, "this token may not do that")
+}
+
+func (o *Operator) metrics(_ context.Context, c *app.RequestContext) *problem.Problem {
+	var buf bytes.Buffer
+	o.Telemetry.Write(&buf)
+	c.Data(http.StatusOK, "text/plain; charset=utf-8", buf.Bytes())
+	return nil
+}
+
+func (o *Operator) explain(_ context.Context, c *app.RequestContext) *problem.Problem {
+	e, ok := o.API.Explain(c.Param("id"))
+	if !ok {
+		return problem.New(http.StatusNotFound, problem.CodeNotFound, "this daemon keeps nothing of that request")
+	}
+	c.JSON(http.StatusOK, e)
+	return nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,80 @@
+// Package platform is the client side of the platform's object API: versioned
+// objects with conditional updates and watches, and the lagging list of VMs.
+//
+// Guarantees this package relies on: a Get returns the current object; a write
+// with a version is applied only when that version is still current; versions
+// only grow. List, Watch and VMs may lag.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// MaxValueBytes is the largest value the platform holds.
+const MaxValueBytes = 1 << 20
+
+// Errors of the object API. Compare with errors.Is.
+const (
+	// ErrNotFound: no such object; nothing was applied.
+	ErrNotFound = errors.ConstError("platform: object not found")
+	// ErrConflict: the version given is not the current one, or the object to
+	// create exists already; nothing was applied.
+	ErrConflict = errors.ConstError("platform: version conflict")
+	// ErrUnavailable: the platform could not be reached or refused the call;
+	// nothing was applied.
+	ErrUnavailable = errors.ConstError("platform: unavailable")
+	// ErrUnknownOutcome: the write was sent and no whole answer came back; it
+	// may have been applied. Read back before anything else.
+	ErrUnknownOutcome = errors.ConstError("platform: outcome unknown")
+	// ErrTooLarge: the value exceeds MaxValueBytes; nothing was applied.
+	ErrTooLarge = errors.ConstError("platform: value too large")
+)
+
+// Object is one versioned value. Version is the platform-wide revision of its
+// last write.
+type Object struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// VMState is what the platform's list says of a VM.
+type VMState string
+
+// States of a VM in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one row of the platform's list of upstream VMs.
+type VM struct {
+	Name         string  `json:"name"`
+	Place        string  `json:"place"`
+	Domain       string  `json:"domain"`
+	Address      string  `json:"address"`
+	Accelerators int     `json:"accelerators"`
+	State        VMState `json:"state"`
+}
+
+// Store is the object API. All methods are safe for concurrent use.
+type Store interface {
+	// Get returns the current object or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns the objects below prefix in key order; it may lag.
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Create writes an object that must not exist and returns its version.
+	Create(ctx context.Context, key string, value []byte) (uint64, error)
+	// Update replaces the object if version is current and returns the new version.
+	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
+	// Delete removes the object if version is current.
+	Delete(ctx context.Context, key string, version uint64) error
+	// Watch waits until an object below prefix has a version above after, or
+	// until the platform ends the wait, and returns those objects.
+	Watch(ctx context.Context, prefix string, after uint64) ([]Object, error)
+	// VMs returns the lagging list of the VMs of a fabric domain; "" means all.
+	VMs(ctx context.Context, domain string) ([]VM, error)
+}
--- /dev/null
+++ b/internal/problem/problem.go
@@ -0,0 +1,118 @@
+// Package problem is what callers and operators get instead of an answer:
+// RFC 9457 problem details with a stable code, whether the request may have run,
+// and when to come back.
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome says whether a refused request may have run.
+type Outcome string
+
+// Outcomes.
+const (
+	NotRun     Outcome = "not_run"
+	MayHaveRun Outcome = "may_have_run"
+)
+
+// Code is the stable name of a refusal; docs/operations/refusals.md lists all.
+type Code string
+
+// Codes.
+const (
+	CodeUnauthorized      Code = "unauthorized"
+	CodeForbidden         Code = "forbidden"
+	CodeBadRequest        Code = "bad_request"
+	CodeBodyTooLarge      Code = "body_too_large"
+	CodeNoSuchModel       Code = "model_not_found"
+	CodeNoSuchService     Code = "service_not_found"
+	CodeNotFound          Code = "not_found"
+	CodeNoKey             Code = "idempotency_key_missing"
+	CodeKeyReused         Code = "idempotency_key_reused"
+	CodeKeyExpired        Code = "idempotency_key_expired"
+	CodeInProgress        Code = "request_in_progress"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeLedgerFull        Code = "ledger_full"
+	CodeLedgerUnavailable Code = "ledger_unavailable"
+	CodeNoReplica         Code = "no_replica_serving"
+	CodeOverloaded        Code = "overloaded"
+	CodeWorkspaceLimit    Code = "workspace_limit"
+	CodeStale             Code = "configuration_not_current"
+	CodeStopping          Code = "daemon_stopping"
+	CodeUpstreamFailed    Code = "upstream_failed"
+	CodeDeadline          Code = "deadline_exceeded"
+	CodeAnswerTooLarge    Code = "answer_too_large"
+	CodeCallerGone        Code = "caller_gone"
+	CodeConflict          Code = "conflict"
+	CodeInvalid           Code = "invalid_configuration"
+	CodePlatform          Code = "platform_unavailable"
+	CodeUnknownWrite      Code = "write_outcome_unknown"
+)
+
+// ContentType of problem details.
+const ContentType = "application/problem+json"
+
+// Problem is one refusal. It is an error.
+type Problem struct {
+	Type       string        `json:"type"`
+	Title      string        `json:"title"`
+	Status     int           `json:"status"`
+	Detail     string        `json:"detail,omitempty"`
+	Code       Code          `json:"code"`
+	Outcome    Outcome       `json:"outcome"`
+	RequestID  string        `json:"request_id,omitempty"`
+	RetryAfter time.Duration `json:"-"` // 0: coming back does not help by itself
+	Extra      any           `json:"extra,omitempty"`
+}
+
+// New returns a refusal of a request that was not run.
+func New(status int, code Code, format string, args ...any) *Problem {
+	return &Problem{
+		Type: "urn:pearlanding:problem:" + string(code), Title: http.StatusText(status), Status: status,
+		Code: code, Detail: fmt.Sprintf(format, args...), Outcome: NotRun,
+	}
+}
+
+// After sets when to come back.
+func (p *Problem) After(d time.Duration) *Problem {
+	p.RetryAfter = d
+	return p
+}
+
+// MayRun marks the request as one that may have run.
+func (p *Problem) MayRun() *Problem {
+	p.Outcome = MayHaveRun
+	return p
+}
+
+// With attaches a machine-readable detail.
+func (p *Problem) With(extra any) *Problem {
+	p.Extra = extra
+	return p
+}
+
+// Error implements error.
+func (p *Problem) Error() string { return fmt.Sprintf("%s (%s): %s", p.Code, p.Outcome, p.Detail) }
+
+// Body is the JSON form.
+func (p *Problem) Body() []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return []byte(`{"code":"internal","outcome":"may_have_run"}`)
+	}
+	return data
+}
+
+// RetryAfterSeconds is the value of the Retry-After header, "" for none.
+func (p *Problem) RetryAfterSeconds() string {
+	if p.RetryAfter <= 0 {
+		return ""
+	}
+	return strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds())))
+}
--- /dev/null
+++ b/internal/standin/enginefake/answer.go
@@ -0,0 +1,61 @@
+package enginefake
+
+import "encoding/json"
+
+// The shapes of the answers are those callers' clients already read.
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *text   `json:"delta,omitempty"`
+	Message      *text   `json:"message,omitempty"`
+	Text         *string `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type text struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Completion int `json:"completion_tokens"`
+}
+
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// chunk is one streamed part of an answer.
+func chunk(g *generation, token, finish string) []byte {
+	c := choice{}
+	if finish != "" {
+		c.FinishReason = &finish
+	}
+	out := answer{ID: g.id, Model: g.Model}
+	if g.chat {
+		out.Object, c.Delta = "chat.completion.chunk", &text{Content: token}
+	} else {
+		out.Object, c.Text = "text_completion", &token
+	}
+	out.Choices = []choice{c}
+	data, _ := json.Marshal(out)
+	return data
+}
+
+// whole is an answer in one piece.
+func whole(g *generation, content string) []byte {
+	finish := "length"
+	c := choice{FinishReason: &finish}
+	out := answer{ID: g.id, Model: g.Model, Usage: &usage{Completion: g.MaxTokens - g.from}}
+	if g.chat {
+		out.Object, c.Message = "chat.completion", &text{Role: "assistant", Content: content}
+	} else {
+		out.Object, c.Text = "text_completion", &content
+	}
+	out.Choices = []choice{c}
+	data, _ := json.Marshal(out)
+	return data
+}
--- /dev/null
+++ b/internal/standin/engines.go
@@ -0,0 +1,120 @@
+// Package standin runs the stand-ins as servers: platform, engines, service.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/platform"
+	"pearlanding/internal/standin/enginefake"
+)
+
+// Serve answers on the listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		<-ctx.Done()
+		srv.Close()
+	}()
+	if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+// EngineSet describes stand-in VMs of one fabric domain on consecutive ports.
+type EngineSet struct {
+	Prefix    string // VM names are PREFIX1, PREFIX2, ...
+	Count     int
+	FirstPort int // 0: any free ports
+	Place     string
+	Domain    string
+	Slots     int
+	TokenTime time.Duration
+	// Platform is the stand-in platform's URL, for weights and the VM list; "" if
+	// Weights is given.
+	Platform string
+	Weights  func(ctx context.Context, megabytes int) error
+}
+
+// accelerators of each stand-in VM.
+const accelerators = 2
+
+// VM is one started stand-in VM.
+type VM struct {
+	Row    platform.VM
+	Engine *enginefake.Engine
+}
+
+// StartEngines starts the VMs; they stop with ctx.
+func StartEngines(ctx context.Context, set EngineSet) ([]VM, error) {
+	fetch := set.Weights
+	if fetch == nil && set.Platform != "" {
+		fetch = weightsOver(set.Platform)
+	}
+	var out []VM
+	for i := range set.Count {
+		port := 0
+		if set.FirstPort > 0 {
+			port = set.FirstPort + i
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		row := platform.VM{Name: fmt.Sprintf("%s%d", set.Prefix, i+1), Place: set.Place, Domain: set.Domain,
+			Address: listener.Addr().String(), Accelerators: accelerators, State: platform.VMLive}
+		e := enginefake.New(enginefake.Options{VM: row.Name, Address: row.Address, Slots: set.Slots,
+			TokenTime: set.TokenTime, FetchWeights: fetch})
+		go func() { _ = Serve(ctx, listener, e.Handler()) }()
+		out = append(out, VM{Row: row, Engine: e})
+	}
+	return out, nil
+}
+
+// weightsOver fetches weights from a stand-in platform.
+func weightsOver(base string) func(context.Context, int) error {
+	return func(ctx context.Context, megabytes int) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/v1/weights?megabytes=%d", base, megabytes), nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return errors.Errorf("weight store answered %d", resp.StatusCode)
+		}
+		return nil
+	}
+}
+
+// Enlist puts a VM into the stand-in platform's list.
+func Enlist(ctx context.Context, base string, vm platform.VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, base+"/fake/vms", bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("platform answered %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platformfake/store.go
@@ -0,0 +1,293 @@
+// Package platformfake is a small stand-in for the platform: the object API,
+// the lagging list of VMs and the rate-limited weight store, with faults that
+// tests and shells switch on.
+package platformfake
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pearlanding/internal/platform"
+)
+
+// Faults are the injectable faults. The zero value is a healthy platform.
+type Faults struct {
+	// Outage makes every call fail with ErrUnavailable.
+	Outage bool `json:"outage"`
+	// Slow delays each call.
+	SlowMS int `json:"slow_ms"`
+	// LoseAnswers applies that many further writes but loses their answers.
+	LoseAnswers int `json:"lose_answers"`
+	// ListLag makes List and VMs answer as of that long ago.
+	ListLagMS int `json:"list_lag_ms"`
+}
+
+// Store is the stand-in's state; it implements platform.Store directly so that
+// tests need no network.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platform.Object
+	changed  chan struct{}
+	faults   Faults
+	vms      []vmVersion
+	writes   *rate.Limiter
+	calls    map[string]int
+	weights  *rate.Limiter
+}
+
+type vmVersion struct {
+	at   time.Time
+	list []platform.VM
+}
+
+// watchWait is how long a watch waits before it answers with nothing.
+const watchWait = 15 * time.Second
+
+// New returns an empty platform. writesPerSecond limits writes (0: no limit);
+// weightsGBPerSecond limits the weight store (0: no limit).
+func New(writesPerSecond int, weightsGBPerSecond float64) *Store {
+	s := &Store{objects: map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+	if writesPerSecond > 0 {
+		s.writes = rate.NewLimiter(rate.Limit(writesPerSecond), writesPerSecond)
+	}
+	if weightsGBPerSecond > 0 {
+		s.weights = rate.NewLimiter(rate.Limit(weightsGBPerSecond*mbPerGB), mbPerGB)
+	}
+	return s
+}
+
+// mbPerGB: the weight store's limiter counts in megabytes.
+const mbPerGB = 1000
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetVMs publishes a new list of VMs.
+func (s *Store) SetVMs(list []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(s.vms, vmVersion{at: time.Now(), list: append([]platform.VM(nil), list...)})
+}
+
+// SetVMState changes the state of one VM in the list; "" removes it.
+func (s *Store) SetVMState(name string, state platform.VMState) {
+	s.mu.Lock()
+	var next []platform.VM
+	for _, vm := range s.currentVMs() {
+		if vm.Name == name {
+			if state == "" {
+				continue
+			}
+			vm.State = state
+		}
+		next = append(next, vm)
+	}
+	s.mu.Unlock()
+	s.SetVMs(next)
+}
+
+// AddVM adds a VM to the list or replaces the one of that name.
+func (s *Store) AddVM(vm platform.VM) {
+	s.mu.Lock()
+	next := []platform.VM{vm}
+	for _, old := range s.currentVMs() {
+		if old.Name != vm.Name {
+			next = append(next, old)
+		}
+	}
+	sort.Slice(next, func(i, j int) bool { return next[i].Name < next[j].Name })
+	s.mu.Unlock()
+	s.SetVMs(next)
+}
+
+func (s *Store) currentVMs() []platform.VM {
+	if len(s.vms) == 0 {
+		return nil
+	}
+	return s.vms[len(s.vms)-1].list
+}
+
+// Calls returns how often each kind of call was made so far.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// enter counts the call and applies slowness and outage.
+func (s *Store) enter(ctx context.Context, kind string) error {
+	s.mu.Lock()
+	s.calls[kind]++
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.SlowMS > 0 {
+		select {
+		case <-time.After(time.Duration(faults.SlowMS) * time.Millisecond):
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	if faults.Outage {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.enter(ctx, "get"); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[key]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if err := s.enter(ctx, "list"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.above(prefix, 0), nil
+}
+
+func (s *Store) above(prefix string, after uint64) []platform.Object {
+	var out []platform.Object
+	for key, obj := range s.objects {
+		if strings.HasPrefix(key, prefix) && obj.Version > after {
+			out = append(out, obj)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+// Create implements platform.Store.
+func (s *Store) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	return s.apply(ctx, "create", key, func(_ platform.Object, exists bool) bool { return !exists }, value)
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	current := func(old platform.Object, exists bool) bool { return exists && old.Version == version }
+	return s.apply(ctx, "update", key, current, value)
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, version uint64) error {
+	current := func(old platform.Object, exists bool) bool { return exists && old.Version == version }
+	_, err := s.apply(ctx, "delete", key, current, nil)
+	return err
+}
+
+// apply performs one conditional write; a nil value deletes.
+func (s *Store) apply(ctx context.Context, kind, key string, allowed func(platform.Object, bool) bool, value []byte) (uint64, error) {
+	if err := s.enter(ctx, kind); err != nil {
+		return 0, err
+	}
+	if len(value) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writes != nil && !s.writes.Allow() {
+		return 0, platform.ErrUnavailable
+	}
+	old, exists := s.objects[key]
+	if !allowed(old, exists) {
+		return 0, platform.ErrConflict
+	}
+	s.revision++
+	if value == nil {
+		delete(s.objects, key)
+	} else {
+		s.objects[key] = platform.Object{Key: key, Version: s.revision, Value: append([]byte(nil), value...)}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, platform.ErrUnknownOutcome
+	}
+	return s.revision, nil
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Object, error) {
+	if err := s.enter(ctx, "watch"); err != nil {
+		return nil, err
+	}
+	deadline := time.After(watchWait)
+	for {
+		s.mu.Lock()
+		out, changed := s.above(prefix, after), s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, platform.ErrUnavailable
+		}
+	}
+}
+
+// VMs implements platform.Store, as of the list lag ago.
+func (s *Store) VMs(ctx context.Context, domain string) ([]platform.VM, error) {
+	if err := s.enter(ctx, "vms"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asOf := time.Now().Add(-time.Duration(s.faults.ListLagMS) * time.Millisecond)
+	var out []platform.VM
+	for _, v := range s.vms {
+		if v.at.After(asOf) {
+			break
+		}
+		out = v.list
+	}
+	return slices.DeleteFunc(slices.Clone(out), func(vm platform.VM) bool { return domain != "" && vm.Domain != domain }), nil
+}
+
+// Weights waits until the weight store has delivered megabytes of weights.
+func (s *Store) Weights(ctx context.Context, megabytes int) error {
+	if err := s.enter(ctx, "weights"); err != nil {
+		return err
+	}
+	if s.weights == nil {
+		return nil
+	}
+	for megabytes > 0 {
+		step := min(megabytes, mbPerGB)
+		if err := s.weights.WaitN(ctx, step); err != nil {
+			return platform.ErrUnavailable
+		}
+		megabytes -= step
+	}
+	return nil
+}
