Acceptance: property test over the real control state; two faults of the design found and mended

Cause: a rapid simulation of 2 to 4 daemons (kills, restarts, pauses, cuts, outages, removals, delayed answers) refuted the first rule. (1) 'Accounted for' counted registered slots only, so a removed daemon's peers were not missed and its lease never ended; base and fenced slots count now. (2) A quorum that acknowledged and then died no longer stops a cut-off daemon, which sees only refused connections; the decider must hear the same processes again a fence time later. (3) A refusal seen before the change says nothing about a process started since; it must be later than the decider's own adoption of the revision. Ruled out: the fence time being too short (the runs fail at any length).

--- a/cmd/pearlanding/operate.go
+++ b/cmd/pearlanding/operate.go
@@ -68,6 +68,13 @@
 		result, err := f.client().Change(ctx, *id)
 		return f.changeResult(result, err)
 	}))
+	forget := app.Command("daemon", "Work on the system's own daemons.").
+		Command("forget", "Take a daemon out of the registry whose process has stopped for good.")
+	slot := forget.Arg("name", "Name of the daemon.").Required().String()
+	forget.Action(run(func(ctx context.Context) int {
+		result, err := f.client().ForgetDaemon(ctx, *slot)
+		return f.changeResult(result, err)
+	}))
 	addVM(app, run, f)
 	addViews(app, run, f)
 }
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -108,14 +108,13 @@
 		c.record(resp.StatusCode, resp.Header.Get("Content-Type"), body, a.Settings.Ledger.MaxBodyBytes)
 	}
 	for name, values := range resp.Header {
-		if slices.Contains(hopByHop, name) {
+		if slices.Contains(hopByHop, name) || name == HeaderRequestID || name == "Content-Type" {
 			continue
 		}
 		for _, v := range values {
 			x.c.Response.Header.Add(name, v)
 		}
 	}
-	x.c.Response.Header.Set(HeaderRequestID, x.id)
 	x.c.Response.Header.Set(HeaderPlace, d.place)
 	x.c.Data(resp.StatusCode, resp.Header.Get("Content-Type"), body)
 	return nil
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -105,8 +104,8 @@
 
 // ObserveHead hands in a head as read from the platform by a read sent at asOf.
 func (c *Control) ObserveHead(ctx context.Context, head revision.Head, version uint64, asOf time.Time) {
-	c.call(ctx, func(s *state, _ time.Time) {
-		s.observeHead(head, version)
+	c.call(ctx, func(s *state, now time.Time) {
+		s.observeHead(head, version, now)
 		if version >= s.headVersion {
 			s.platformRead(asOf)
 		}
@@ -115,23 +114,23 @@
 
 // Offer applies a head that a peer wrote, and answers once traffic sees it.
 func (c *Control) Offer(ctx context.Context, h cluster.HeadCopy) (cluster.OfferReply, error) {
-	c.call(ctx, func(s *state, _ time.Time) { s.observeHead(h.Head, h.Version) })
+	c.call(ctx, func(s *state, now time.Time) { s.observeHead(h.Head, h.Version, now) })
 	snap, err := c.Await(ctx, func(s *Snapshot) bool { return s.HeadVersion >= h.Version })
 	return cluster.OfferReply{Slot: snap.Slot, Incarnation: snap.Incarnation, Revision: snap.Head.Revision}, err
 }
 
 // Acknowledged notes a peer's answer to an offer that was sent at the given time.
 func (c *Control) Acknowledged(r cluster.OfferReply) {
-	c.post(func(s *state, _ time.Time) {
+	c.post(func(s *state, now time.Time) {
 		if s.head.Members[r.Slot].Incarnation == r.Incarnation {
-			s.acks.Note(r.Slot, r.Revision)
+			s.acks.Note(r.Slot, r.Incarnation, r.Revision, now)
 		}
 	})
 }
 
 // Synced hands in a peer's reply to a request sent at the given time.
 func (c *Control) Synced(r cluster.SyncReply, sent time.Time) {
-	c.post(func(s *state, _ time.Time) { s.synced(r, sent) })
+	c.post(func(s *state, now time.Time) { s.synced(r, sent, now) })
 }
 
 // Refused notes that a slot's address refused a connection.
@@ -162,68 +161,13 @@
 
 // Sync answers a peer from the newest snapshot.
 func (c *Control) Sync(_ context.Context, req cluster.SyncRequest) (cluster.SyncReply, error) {
-	snap, now := c.Snapshot(), time.Now()
-	out := cluster.SyncReply{
-		Slot: snap.Slot, Incarnation: snap.Incarnation, Revision: snap.Head.Revision,
-		HeadVersion: snap.HeadVersion, PlatformAge: -1, Load: c.load(),
-	}
-	if req.HeadVersion < snap.HeadVersion {
-		out.Head = &cluster.HeadCopy{Version: snap.HeadVersion, Head: snap.Head}
-	}
-	if !snap.PlatformAsOf.IsZero() {
-		out.PlatformAge = ageMS(now, snap.PlatformAsOf)
-	}
-	if now.Sub(snap.PlatformAsOf) > c.cfg.AdmissionLease/2 {
-		out.HeardAges = snap.heardAges(now, c.cfg.AdmissionLease)
-	}
-	for name, copied := range snap.Domains {
-		report := cluster.DomainReport{Name: name, Version: copied.Version, Evidence: c.evidence(snap, copied.Domain, now)}
-		if req.Domains[name] < copied.Version {
-			if data, err := json.Marshal(copied.Domain); err == nil {
-				report.Domain = data
-			}
-		}
-		if len(report.Domain) > 0 || len(report.Evidence) > 0 {
-			out.Domains = append(out.Domains, report)
-		}
-	}
-	return out, nil
-}
-
-// ageMS rounds an age up to whole milliseconds: a relayed fact never gets younger.
-func ageMS(now, at time.Time) int64 {
-	return int64((now.Sub(at) + time.Millisecond - 1) / time.Millisecond)
-}
-
-// evidence lists what is worth relaying of a domain's groups.
-func (c *Control) evidence(snap *Snapshot, d group.Domain, now time.Time) []cluster.EvidenceReport {
-	var out []cluster.EvidenceReport
-	for id := range d.Groups {
-		e, known := snap.Evidence[id]
-		if !known {
-			continue
-		}
-		age := int64(-1)
-		if !e.Ready.IsZero() {
-			age = ageMS(now, e.Ready)
-		}
-		if age > c.cfg.EvidenceAge.Milliseconds() && len(e.Lost) == 0 && len(e.Leaving) == 0 {
-			continue
-		}
-		out = append(out, cluster.EvidenceReport{AgeMS: age, Evidence: e})
-	}
-	return out
+	reply := c.Snapshot().reply(req, time.Now(), c.cfg)
+	reply.Load = c.load()
+	return reply, nil
 }
 
 // Request is what this daemon asks a peer.
-func (c *Control) Request() cluster.SyncRequest {
-	snap := c.Snapshot()
-	versions := make(map[string]uint64, len(snap.Domains))
-	for name, copied := range snap.Domains {
-		versions[name] = copied.Version
-	}
-	return cluster.SyncRequest{Slot: snap.Slot, HeadVersion: snap.HeadVersion, Domains: versions}
-}
+func (c *Control) Request() cluster.SyncRequest { return c.Snapshot().request() }
 
 // The methods below are group.View.
 
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,277 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pearlanding/internal/cluster"
+	"pearlanding/internal/revision"
+)
+
+// The simulation drives the real control state of a few daemons with random
+// event orders on a virtual clock: configuration changes, exchanges that take
+// time, partitions, platform outages, kills, restarts, pauses and removals. The
+// invariant is the promise: once any daemon knows a revision as accepted, no
+// process admits requests under an older one.
+
+const (
+	simLease = 2 * time.Second
+	simSync  = 250 * time.Millisecond
+)
+
+type simNode struct {
+	cfg     Config
+	state   *state
+	snap    *Snapshot
+	running bool
+	paused  bool
+}
+
+type sim struct {
+	t          *rapid.T
+	now        time.Time
+	head       revision.Head
+	version    uint64
+	outage     bool
+	nodes      []*simNode
+	cutPeer    map[[2]int]bool
+	cutStore   map[int]bool
+	accepted   uint64
+	births     int
+	inFlight   []simReply
+	acceptedBy string
+}
+
+// simReply is an answer on its way.
+type simReply struct {
+	to    int
+	owner *state // the process that asked
+	reply cluster.SyncReply
+	sent  time.Time
+}
+
+func newSim(t *rapid.T, n int) *sim {
+	s := &sim{t: t, now: time.Unix(1000, 0), head: revision.NewHead(), cutPeer: map[[2]int]bool{}, cutStore: map[int]bool{}}
+	for i := range n {
+		s.nodes = append(s.nodes, &simNode{cfg: Config{Slot: fmt.Sprintf("d%d", i), SyncInterval: simSync, AdmissionLease: simLease, EvidenceAge: time.Second}})
+		s.boot(i)
+	}
+	return s
+}
+
+func (s *sim) boot(i int) {
+	n := s.nodes[i]
+	s.births++
+	n.cfg.Incarnation = fmt.Sprintf("inc%d", s.births)
+	n.state, n.running, n.paused = newState(n.cfg, s.now), true, false
+	n.snap = nil
+	s.refresh(i)
+	s.join(i)
+}
+
+func (s *sim) refresh(i int) {
+	n := s.nodes[i]
+	n.snap = n.state.snapshot(s.now, n.snap)
+	if n.snap.AcceptedUpTo > s.accepted {
+		s.accepted, s.acceptedBy = n.snap.AcceptedUpTo, n.cfg.Slot
+	}
+}
+
+func (s *sim) canStore(i int) bool { return s.up(i) && !s.outage && !s.cutStore[i] }
+func (s *sim) up(i int) bool       { return s.nodes[i].running && !s.nodes[i].paused }
+
+// write makes one conditional update from a linearizable read.
+func (s *sim) write(i int, next revision.Head) {
+	s.head = next
+	s.version++
+	s.read(i)
+}
+
+func (s *sim) read(i int) {
+	n := s.nodes[i]
+	n.state.observeHead(s.head, s.version, s.now)
+	n.state.platformRead(s.now)
+	s.refresh(i)
+}
+
+func (s *sim) join(i int) {
+	n := s.nodes[i]
+	if s.canStore(i) && s.head.Members[n.cfg.Slot].Incarnation != n.cfg.Incarnation {
+		s.write(i, s.head.WithMember(n.cfg.Slot, revision.Member{Incarnation: n.cfg.Incarnation, Peer: n.cfg.Slot}))
+	}
+}
+
+func (s *sim) pick() int { return rapid.IntRange(0, len(s.nodes)-1).Draw(s.t, "node") }
+
+func (s *sim) advance() {
+	ms := rapid.SampledFrom([]int{10, 100, 250, 600, 1100, 2600}).Draw(s.t, "ms")
+	s.now = s.now.Add(time.Duration(ms) * time.Millisecond)
+	for i := range s.nodes {
+		if s.up(i) {
+			s.refresh(i)
+		}
+	}
+}
+
+func (s *sim) change() {
+	if i := s.pick(); s.canStore(i) {
+		s.write(i, s.head.WithDoc(s.head.Doc, revision.Change{}))
+	}
+}
+
+func (s *sim) poll() {
+	if i := s.pick(); s.canStore(i) {
+		s.join(i)
+		s.read(i)
+	}
+}
+
+// ask sends a sync request; the answer is made now and delivered later or never.
+func (s *sim) ask() {
+	i, j := s.pick(), s.pick()
+	if i == j || !s.up(i) {
+		return
+	}
+	asker := s.nodes[i].state
+	switch peer := s.nodes[j]; {
+	case !peer.running:
+		asker.refused(peer.cfg.Slot, s.now)
+		s.refresh(i)
+	case peer.paused || s.cutPeer[[2]int{min(i, j), max(i, j)}]:
+	default:
+		s.refresh(j)
+		reply := peer.snap.reply(s.nodes[i].snap.request(), s.now, peer.cfg)
+		s.inFlight = append(s.inFlight, simReply{to: i, owner: asker, reply: reply, sent: s.now})
+		if rapid.Bool().Draw(s.t, "at once") {
+			s.deliver()
+		}
+	}
+}
+
+// syncAll lets every pair that can exchange do so at once.
+func (s *sim) syncAll() {
+	for i := range s.nodes {
+		for j := range s.nodes {
+			if i == j || !s.up(i) || s.nodes[j].paused || s.cutPeer[[2]int{min(i, j), max(i, j)}] {
+				continue
+			}
+			if !s.nodes[j].running {
+				s.nodes[i].state.refused(s.nodes[j].cfg.Slot, s.now)
+			} else {
+				s.refresh(j)
+				s.nodes[i].state.synced(s.nodes[j].snap.reply(s.nodes[i].snap.request(), s.now, s.nodes[j].cfg), s.now, s.now)
+			}
+			s.refresh(i)
+		}
+	}
+}
+
+func (s *sim) deliver() {
+	if len(s.inFlight) == 0 {
+		return
+	}
+	r := s.inFlight[0]
+	s.inFlight = s.inFlight[1:]
+	if n := s.nodes[r.to]; s.up(r.to) && n.state == r.owner {
+		n.state.synced(r.reply, r.sent, s.now)
+		s.refresh(r.to)
+	}
+}
+
+func (s *sim) toggleCut() {
+	i, j := s.pick(), s.pick()
+	key := [2]int{min(i, j), max(i, j)}
+	s.cutPeer[key] = !s.cutPeer[key]
+}
+
+func (s *sim) toggleStore() {
+	i := s.pick()
+	s.cutStore[i] = !s.cutStore[i]
+}
+
+func (s *sim) kill()    { s.nodes[s.pick()].running = false }
+func (s *sim) restart() { s.boot(s.pick()) }
+
+func (s *sim) togglePause() {
+	i := s.pick()
+	s.nodes[i].paused = !s.nodes[i].paused
+	if s.up(i) {
+		s.refresh(i)
+	}
+}
+
+func (s *sim) recordAccepted() {
+	i := s.pick()
+	if s.canStore(i) && s.nodes[i].snap.AcceptedUpTo >= s.head.Revision && s.head.Accepted < s.head.Revision {
+		s.write(i, s.head.WithAccepted())
+	}
+}
+
+// remove takes a silent slot out without any word that it has stopped.
+func (s *sim) remove() {
+	i, j := s.pick(), s.pick()
+	if _, member := s.head.Members[s.nodes[j].cfg.Slot]; i != j && member && s.canStore(i) {
+		s.write(i, s.head.WithoutMember(s.nodes[j].cfg.Slot, false))
+	}
+}
+
+// check is the invariant: what is accepted is in force wherever requests are
+// admitted. A paused process counts, since it may wake at any moment.
+func (s *sim) check(t *rapid.T) {
+	for _, n := range s.nodes {
+		if n.running && n.snap.MayAdmit(s.now) && n.snap.Head.Revision < s.accepted {
+			t.Fatalf("%s (paused %t) admits under revision %d; %d was accepted by %s",
+				n.cfg.Slot, n.paused, n.snap.Head.Revision, s.accepted, s.acceptedBy)
+		}
+	}
+}
+
+// TestAcceptedIsInForceEverywhere is promise 8: an accepted configuration is in
+// force everywhere and never reverts.
+func TestAcceptedIsInForceEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.IntRange(2, 4).Draw(t, "daemons"))
+		act := func(f func()) func(*rapid.T) {
+			return func(t *rapid.T) { s.t = t; f() }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":               s.check,
+			"advance":        act(s.advance),
+			"advance again":  act(s.advance),
+			"change":         act(s.change),
+			"poll":           act(s.poll),
+			"ask":            act(s.ask),
+			"sync all":       act(s.syncAll),
+			"deliver":        act(s.deliver),
+			"cut peers":      act(s.toggleCut),
+			"cut store":      act(s.toggleStore),
+			"outage":         act(func() { s.outage = !s.outage }),
+			"kill":           act(s.kill),
+			"restart":        act(s.restart),
+			"pause":          act(s.togglePause),
+			"accept":         act(s.recordAccepted),
+			"remove":         act(s.remove),
+			"revision grows": act(s.neverBack),
+		})
+	})
+}
+
+// neverBack hands a node an old head, as a lagging read would, and checks that
+// nothing is undone.
+func (s *sim) neverBack() {
+	i := s.pick()
+	n := s.nodes[i]
+	if !s.up(i) {
+		return
+	}
+	before := n.state.head.Revision
+	old := s.head
+	old.Revision = uint64(rapid.IntRange(0, int(s.head.Revision)).Draw(s.t, "old"))
+	n.state.observeHead(old, rapid.Uint64Range(0, n.state.headVersion).Draw(s.t, "version"), s.now)
+	if n.state.head.Revision < before {
+		s.t.Fatalf("revision went back from %d to %d", before, n.state.head.Revision)
+	}
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -18,6 +18,8 @@
 	State    PeerState
 	Revision uint64 // applied, as last heard
 	HeardAt  time.Time
+	// Refused: its address refuses connections, so no process serves there.
+	Refused bool
 }
 
 // Snapshot is the control state at one moment. It is never changed after it was
@@ -62,7 +64,7 @@
 // from the previous one.
 func (s *state) snapshot(now time.Time, previous *Snapshot) *Snapshot {
 	s.lease.Renew(now, s.cfg.AdmissionLease, s.head, s.cfg.Slot, s.heard)
-	verdict, waiting := s.acks.Decide(now, s.head, s.cfg.AdmissionLease)
+	verdict, waiting := s.acks.Decide(now, s.head, s.cfg.AdmissionLease, s.cfg.Slot, s.heard)
 	if verdict == revision.VerdictAccepted && s.headVersion > 0 {
 		s.decided = max(s.decided, s.head.Revision)
 	}
@@ -97,7 +99,7 @@
 		if slot == s.cfg.Slot {
 			h.Revision, h.At = s.head.Revision, now
 		}
-		out[slot] = Peer{Member: m, State: s.peerState(slot, now), Revision: h.Revision, HeardAt: h.At}
+		out[slot] = Peer{Member: m, State: s.peerState(slot, now), Revision: h.Revision, HeardAt: h.At, Refused: h.Refused.After(h.At)}
 	}
 	return out
 }
@@ -160,22 +162,3 @@
 	}
 	return t
 }
-
-// heardAges is the relayed form of whom this daemon heard at the head's slots.
-func (s *Snapshot) heardAges(now time.Time, term time.Duration) []byte {
-	unit := term / cluster.AgeUnits
-	slots := s.Head.Slots()
-	out := make([]byte, len(slots))
-	for i, slot := range slots {
-		out[i] = cluster.UnknownAge
-		p := s.Peers[slot]
-		if p.HeardAt.IsZero() || p.Revision > s.Head.Revision {
-			continue
-		}
-		// Rounded up: a relayed hearing never gets younger.
-		if age := (max(now.Sub(p.HeardAt), 0) + unit - 1) / unit; age < cluster.UnknownAge {
-			out[i] = byte(age)
-		}
-	}
-	return out
-}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -53,14 +53,14 @@
 
 // observeHead adopts a head copy if it is newer. An older one never undoes
 // anything, whatever a lagging read returned.
-func (s *state) observeHead(head revision.Head, version uint64) {
+func (s *state) observeHead(head revision.Head, version uint64, now time.Time) {
 	if version <= s.headVersion || head.Revision < s.head.Revision {
 		return
 	}
 	s.head, s.headVersion = head, version
 	s.decided = max(s.decided, head.Accepted)
 	if s.registered() {
-		s.acks.Note(s.cfg.Slot, head.Revision)
+		s.acks.Note(s.cfg.Slot, s.cfg.Incarnation, head.Revision, now)
 	}
 	for slot := range s.heard {
 		if _, member := head.Members[slot]; !member {
@@ -78,16 +78,16 @@
 // platformRead notes that the platform's head at asOf was no newer than ours.
 func (s *state) platformRead(asOf time.Time) { s.lease.PlatformRead(asOf) }
 
-// synced folds a peer's reply to a request sent at the given time.
-func (s *state) synced(r cluster.SyncReply, sent time.Time) {
+// synced folds at now a peer's reply to a request sent at the given time.
+func (s *state) synced(r cluster.SyncReply, sent, now time.Time) {
 	if r.Head != nil {
-		s.observeHead(r.Head.Head, r.Head.Version)
+		s.observeHead(r.Head.Head, r.Head.Version, now)
 	}
 	if s.head.Members[r.Slot].Incarnation != r.Incarnation {
 		return // a process that does not hold the slot counts for nothing
 	}
 	s.hear(r.Slot, revision.Hearing{Incarnation: r.Incarnation, Revision: r.Revision, At: sent})
-	s.acks.Note(r.Slot, r.Revision)
+	s.acks.Note(r.Slot, r.Incarnation, r.Revision, now)
 	s.loads[r.Slot] = r.Load
 	if r.PlatformAge >= 0 && r.HeadVersion <= s.headVersion {
 		s.platformRead(sent.Add(-time.Duration(r.PlatformAge) * time.Millisecond))
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -149,7 +150,7 @@
 			return h, revision.ErrUnchanged
 		case exists && old.Peer != m.self.Peer:
 			return h.WithoutMember(m.cfg.Slot, false), nil
-		case fenced(h, m.cfg.Slot):
+		case slices.Contains(h.Fenced, m.cfg.Slot):
 			return h, revision.ErrUnchanged
 		}
 		return h.WithMember(m.cfg.Slot, m.self), nil
@@ -161,15 +162,6 @@
 	m.adopt(ctx, head, version, sent)
 }
 
-func fenced(h revision.Head, slot string) bool {
-	for _, s := range h.Fenced {
-		if s == slot {
-			return true
-		}
-	}
-	return false
-}
-
 // adopt applies a head that this daemon wrote or read, and offers it to all.
 func (m *membership) adopt(ctx context.Context, head revision.Head, version uint64, sent time.Time) {
 	m.control.ObserveHead(ctx, head, version, sent)
@@ -231,7 +223,7 @@
 			continue
 		}
 		m.log.Info("daemon forgotten", zap.String("slot", slot), zap.Duration("silent", now.Sub(last)))
-		m.remove(ctx, slot, p.Incarnation, false)
+		m.remove(ctx, slot, p.Incarnation, p.Refused)
 		return
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -55,6 +55,12 @@
 	return out, c.call(ctx, http.MethodDelete, path, nil, &out)
 }
 
+// ForgetDaemon takes a stopped daemon out of the registry.
+func (c *Client) ForgetDaemon(ctx context.Context, slot string) (ChangeResult, error) {
+	var out ChangeResult
+	return out, c.call(ctx, http.MethodDelete, "/operator/v1/daemons/"+url.PathEscape(slot), nil, &out)
+}
+
 // Change asks what became of a change.
 func (c *Client) Change(ctx context.Context, id string) (ChangeResult, error) {
 	var out ChangeResult
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/catalog"
+	"pearlanding/internal/control"
 	"pearlanding/internal/findings"
 	"pearlanding/internal/platform"
 	"pearlanding/internal/problem"
@@ -88,6 +90,22 @@
 	})
 }
 
+// forgetDaemon takes a daemon out of the registry on the operator's word that
+// its process has stopped for good; changes no longer wait for it.
+func (o *Operator) forgetDaemon(ctx context.Context, c *app.RequestContext) *problem.Problem {
+	slot := c.Param("slot")
+	snap := o.Control.Snapshot()
+	if p, ok := snap.Peers[slot]; ok && p.State == control.PeerAlive {
+		return problem.New(http.StatusConflict, problem.CodeConflict, "%s answers: stop it first", slot)
+	}
+	return o.commit(ctx, c, func(h revision.Head, _ revision.Change) (revision.Head, error) {
+		if _, member := h.Members[slot]; !member && !slices.Contains(h.Fenced, slot) {
+			return h, revision.ErrUnchanged
+		}
+		return h.WithoutMember(slot, true), nil
+	})
+}
+
 // commit writes a change and waits until it is in force everywhere.
 func (o *Operator) commit(ctx context.Context, c *app.RequestContext, edit func(revision.Head, revision.Change) (revision.Head, error)) *problem.Problem {
 	start := time.Now()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -69,6 +69,7 @@
 	v1.GET("/config/:kind", o.read(o.listEntries))
 	v1.GET("/config/:kind/:name", o.read(o.getEntry))
 	v1.DELETE("/config/:kind/:name", o.change(o.deleteEntry))
+	v1.DELETE("/daemons/:slot", o.change(o.forgetDaemon))
 	v1.GET("/vms", o.read(o.listVMs))
 	v1.POST("/vms/:name/:intent", o.change(o.setIntent))
 	v1.GET("/groups", o.read(o.listGroups))
--- a/internal/revision/head.go
+++ b/internal/revision/head.go
@@ -4,9 +4,10 @@
 // registry of daemons. A change is one conditional update of the head. It is
 // accepted once no daemon can still admit requests under an older revision:
 //
-//   - every registered daemon has acknowledged it; or
-//   - a majority has, and the fence time has passed since, in which the others
-//     must have lost their admission lease or learned the revision.
+//   - every registered daemon has acknowledged it or refuses connections, that
+//     is, its process is gone; or
+//   - a majority has, and lived on for the fence time, in which the others must
+//     have lost their admission lease or learned the revision.
 //
 // A daemon admits requests only while its lease holds (see Lease). Quorums are
 // counted over two registries, the one of the last accepted revision and the
@@ -108,13 +109,14 @@
 }
 
 // WithoutMember returns the head after a slot was given up. stopped says that
-// the slot's daemon has stopped admitting for good, by its own word; otherwise
-// it may still run and is fenced by time.
+// the slot's daemon has stopped admitting for good, by its own or an operator's
+// word; otherwise it may still run and is fenced by time.
 func (h Head) WithoutMember(slot string, stopped bool) Head {
 	h.Members = cloneMembers(h.Members)
 	delete(h.Members, slot)
+	h.Fenced = slices.DeleteFunc(slices.Clone(h.Fenced), func(s string) bool { return s == slot })
 	if !stopped {
-		h.Fenced = append(slices.Clone(h.Fenced), slot)
+		h.Fenced = append(h.Fenced, slot)
 	}
 	h.Revision++
 	return h
--- a/internal/revision/lease.go
+++ b/internal/revision/lease.go
@@ -1,6 +1,9 @@
 package revision
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Hearing is the last a daemon heard from one peer. Times are on the daemon's
 // own monotonic clock and are those of the moment the question was sent, so the
@@ -12,6 +15,9 @@
 	Refused     time.Time // last time its address refused a connection
 }
 
+// stopped tells whether the last try to reach the peer found no process.
+func (h Hearing) stopped() bool { return h.Refused.After(h.At) }
+
 // Lease is a daemon's right to admit requests under its revision. The zero
 // value holds nothing.
 type Lease struct {
@@ -72,10 +78,12 @@
 	}
 }
 
-// accountedFor tells whether every registered peer was heard or refused a
-// connection since the given time; oldest is lowered to the oldest of these.
+// accountedFor tells whether every other daemon that could take part in accepting
+// a newer revision was heard or refused a connection since the given time; oldest
+// is lowered to the oldest of these. Slots of the base and fenced ones that are no
+// longer registered can't be reached, so with any of them nothing is known.
 func accountedFor(head Head, self string, heard map[string]Hearing, since time.Time, oldest *time.Time) bool {
-	for slot := range head.Members {
+	for _, slot := range slices.Concat(head.Slots(), head.Base, head.Fenced) {
 		if slot == self {
 			continue
 		}
@@ -84,7 +92,7 @@
 		if h.Refused.After(last) {
 			last = h.Refused
 		}
-		if last.IsZero() || last.Before(since) || h.Revision > head.Revision {
+		if _, registered := head.Members[slot]; !registered || last.IsZero() || last.Before(since) || h.Revision > head.Revision {
 			return false
 		}
 		if last.Before(*oldest) {
