Ledger: a stale view could be built from numbers written again; property test and fix

Cause: deletes of rolled-up numbers may be partial, so a stale daemon can create a batch in a hole while later numbers still stand; another stale reader took that batch for the log's, missed the claim that had stood there, went on to the true end, and granted the key a second time.

--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -54,13 +54,17 @@
 
 // shard is one shard as seen up to seq. One goroutine owns it.
 type shard struct {
-	id      int
-	store   platform.Store
-	opts    Options
-	now     func() time.Time
-	loaded  bool
-	seq     uint64 // last batch folded
-	upTo    uint64 // of the last snapshot known
+	id     int
+	store  platform.Store
+	opts   Options
+	now    func() time.Time
+	loaded bool
+	seq    uint64 // last batch folded
+	upTo   uint64 // of the last snapshot known
+	// good is up to where the view is surely the log's. Beyond, it was read from
+	// numbers that may have been deleted and written again by a stale daemon; the
+	// next confirm shows whether they can have been.
+	good    uint64
 	entries map[string]Entry
 }
 
@@ -75,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	s.seq, s.upTo, s.entries, s.loaded = snap.UpTo, snap.UpTo, snap.Entries, true
+	s.adopt(snap)
 	objects, err := s.store.List(ctx, logPrefix(s.id))
 	if err != nil {
 		return nil // only slower
@@ -188,7 +192,9 @@
 // confirm makes sure that the number just written was not one that the log had
 // been rolled up past: a create there succeeds but says nothing. The snapshot
 // is written before the numbers it covers are deleted, so reading it after the
-// create shows this without fail.
+// create shows this without fail. It also shows whether the view was read from
+// numbers that had been rolled up: then the view is built anew, and finds our
+// batch at its number.
 func (s *shard) confirm(ctx context.Context, b batch, seq uint64) (bool, error) {
 	snap, _, err := s.readSnapshot(ctx)
 	if err != nil {
@@ -199,8 +205,13 @@
 		s.loaded = false
 		return s.adoptIfCovered(snap, b)
 	}
+	if snap.UpTo > s.good {
+		s.loaded = false
+		return false, nil
+	}
 	s.upTo = snap.UpTo
 	s.foldBatch(b)
+	s.good = s.seq
 	return true, nil
 }
 
@@ -213,10 +224,15 @@
 			return false, nil
 		}
 	}
-	s.seq, s.upTo, s.entries, s.loaded = snap.UpTo, snap.UpTo, snap.Entries, true
+	s.adopt(snap)
 	return true, nil
 }
 
+// adopt starts the view from a snapshot.
+func (s *shard) adopt(snap snapshot) {
+	s.seq, s.upTo, s.good, s.entries, s.loaded = snap.UpTo, snap.UpTo, snap.UpTo, snap.Entries, true
+}
+
 // full tells whether a claim of a new key must be refused.
 func (s *shard) full(r Record) bool {
 	if r.Kind != KindClaim || len(s.entries) < s.opts.MaxEntries {
--- /dev/null
+++ b/internal/ledger/shard_test.go
@@ -0,0 +1,278 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"pearlanding/internal/platform"
+	"pearlanding/internal/standin/platformfake"
+)
+
+// The simulation lets a few daemons work on one shard through the real code over
+// the stand-in platform. Before and after each platform call another daemon may
+// run a whole operation, a write may lose its answer, be refused, or arrive only
+// later. The judge counts which attempts were told that they may dispatch.
+
+type ledgerSim struct {
+	t       *rapid.T
+	store   *platformfake.Store
+	daemons []*shard
+	depth   int
+	births  int
+	delayed []func()
+	// granted holds, by key, the attempt that may dispatch and has not been
+	// settled as not run.
+	granted map[string]string
+	// claimed holds granted claims still to be settled.
+	claimed []Record
+}
+
+// faulty is the store as one daemon sees it.
+type faulty struct {
+	*platformfake.Store
+	sim *ledgerSim
+}
+
+func (f *faulty) Get(ctx context.Context, key string) (platform.Object, error) {
+	f.sim.interleave()
+	obj, err := f.Store.Get(ctx, key)
+	f.sim.interleave()
+	return obj, err
+}
+
+func (f *faulty) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	return f.write(func() (uint64, error) { return f.Store.Create(ctx, key, value) })
+}
+
+func (f *faulty) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	return f.write(func() (uint64, error) { return f.Store.Update(ctx, key, version, value) })
+}
+
+func (f *faulty) Delete(ctx context.Context, key string, version uint64) error {
+	_, err := f.write(func() (uint64, error) { return 0, f.Store.Delete(ctx, key, version) })
+	return err
+}
+
+func (f *faulty) write(apply func() (uint64, error)) (uint64, error) {
+	f.sim.interleave()
+	defer f.sim.interleave()
+	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "lost", "late", "refused"}).Draw(f.sim.t, "write") {
+	case "lost":
+		_, _ = apply()
+		return 0, platform.ErrUnknownOutcome
+	case "late":
+		f.sim.delayed = append(f.sim.delayed, func() { _, _ = apply() })
+		return 0, platform.ErrUnknownOutcome
+	case "refused":
+		return 0, platform.ErrUnavailable
+	}
+	return apply()
+}
+
+// interleave lets something else happen between two platform calls.
+func (s *ledgerSim) interleave() {
+	if s.depth >= 2 {
+		return
+	}
+	s.depth++
+	defer func() { s.depth-- }()
+	switch rapid.SampledFrom([]string{"", "", "", "claim", "settle", "arrive"}).Draw(s.t, "meanwhile") {
+	case "claim":
+		s.claim()
+	case "settle":
+		s.settle()
+	case "arrive":
+		s.arrive()
+	}
+}
+
+func (s *ledgerSim) boot(i int) {
+	opts := Options{MaxEntries: 50, Retention: time.Hour, CompactAfter: 2}
+	s.daemons[i] = newShard(0, &faulty{s.store, s}, opts, time.Now)
+}
+
+func (s *ledgerSim) pick() int { return rapid.IntRange(0, len(s.daemons)-1).Draw(s.t, "daemon") }
+
+// appendAs runs one append of a daemon that is not in the middle of another.
+func (s *ledgerSim) appendAs(i int, r Record) (Entry, error) {
+	d := s.daemons[i]
+	if d == nil {
+		return Entry{}, errors.New("busy")
+	}
+	s.daemons[i] = nil
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	entries, err := d.append(ctx, []Record{r})
+	if err != nil {
+		d.loaded = false
+	} else {
+		d.compact(ctx)
+	}
+	s.daemons[i] = d
+	if err != nil {
+		return Entry{}, err
+	}
+	return entries[0], nil
+}
+
+func (s *ledgerSim) claim() {
+	s.births++
+	key := fmt.Sprintf("w/k%d", rapid.IntRange(0, 2).Draw(s.t, "key"))
+	r := Record{Kind: KindClaim, Key: key, Attempt: fmt.Sprintf("a%d", s.births)}
+	e, err := s.appendAs(s.pick(), r)
+	if err != nil || e.Attempt != r.Attempt || e.Result.Status != StatusClaimed {
+		return
+	}
+	if other, held := s.granted[key]; held {
+		s.t.Fatalf("key %s granted to %s while %s holds it", key, r.Attempt, other)
+	}
+	s.granted[key] = r.Attempt
+	s.claimed = append(s.claimed, r)
+}
+
+// settle records the end of a granted claim; only "not run" frees the key, and
+// only once somebody may have seen it recorded.
+func (s *ledgerSim) settle() {
+	if len(s.claimed) == 0 {
+		return
+	}
+	r := s.claimed[0]
+	s.claimed = s.claimed[1:]
+	status := rapid.SampledFrom([]Status{StatusDone, StatusUnknown, StatusNotRun}).Draw(s.t, "status")
+	if status == StatusNotRun {
+		delete(s.granted, r.Key) // it will never be dispatched from here on
+	}
+	_, _ = s.appendAs(s.pick(), Record{Kind: KindOutcome, Key: r.Key, Attempt: r.Attempt, Result: Result{Status: status}})
+}
+
+func (s *ledgerSim) arrive() {
+	if len(s.delayed) > 0 {
+		f := s.delayed[0]
+		s.delayed = s.delayed[1:]
+		f()
+	}
+}
+
+// TestClaimIsGrantedOnce is promise 5: a key is granted to one attempt only, but
+// after that attempt is recorded as not run.
+func TestClaimIsGrantedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &ledgerSim{t: t, store: platformfake.New(0, 0), granted: map[string]string{}, daemons: make([]*shard, 3)}
+		for i := range s.daemons {
+			s.boot(i)
+		}
+		act := func(f func()) func(*rapid.T) {
+			return func(t *rapid.T) { s.t = t; f() }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":       act(s.claim),
+			"claim again": act(s.claim),
+			"settle":      act(s.settle),
+			"arrive":      act(s.arrive),
+			"restart":     act(func() { s.boot(s.pick()) }),
+		})
+	})
+}
+
+// newTestLedger runs a ledger over a store until the test ends.
+func newTestLedger(t *testing.T, store platform.Store, maxEntries int) *Ledger {
+	t.Helper()
+	l := New(Config{Store: store, Shards: 1, Timeout: time.Second, AppendsPerSecond: 1000,
+		Options: Options{MaxEntries: maxEntries, Retention: time.Hour, CompactAfter: 4}, Now: time.Now})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l
+}
+
+func claimOf(key, attempt string) Record { return Record{Key: key, Attempt: attempt} }
+
+func TestRepeatGetsRecordedOutcomeThroughAnotherDaemon(t *testing.T) {
+	store := platformfake.New(0, 0)
+	one, two := newTestLedger(t, store, 100), newTestLedger(t, store, 100)
+	ctx := context.Background()
+	_, granted, err := one.Claim(ctx, claimOf("w/k", "a"))
+	must.NoError(t, err)
+	must.True(t, granted)
+	must.NoError(t, one.Settle(ctx, "w/k", "a", Result{Status: StatusDone, HTTPStatus: 200, Body: []byte("tug sent")}))
+	e, granted, err := two.Claim(ctx, claimOf("w/k", "b"))
+	must.NoError(t, err)
+	must.False(t, granted)
+	must.Eq(t, "tug sent", string(e.Result.Body))
+}
+
+func TestPlatformOutageRefusesClaimAtOnce(t *testing.T) {
+	store := platformfake.New(0, 0)
+	l := newTestLedger(t, store, 100)
+	store.SetFaults(platformfake.Faults{Outage: true})
+	_, granted, err := l.Claim(context.Background(), claimOf("w/k", "a"))
+	must.ErrorIs(t, err, ErrUnavailable)
+	must.False(t, granted)
+}
+
+func TestFullShardRefusesNewKeysAndKeepsOldOnes(t *testing.T) {
+	l := newTestLedger(t, platformfake.New(0, 0), 3)
+	ctx := context.Background()
+	for i := range 3 {
+		_, granted, err := l.Claim(ctx, claimOf(fmt.Sprintf("w/%d", i), "a"))
+		must.NoError(t, err)
+		must.True(t, granted)
+	}
+	_, _, err := l.Claim(ctx, claimOf("w/new", "b"))
+	must.ErrorIs(t, err, ErrFull)
+	_, granted, err := l.Claim(ctx, claimOf("w/0", "b"))
+	must.NoError(t, err)
+	must.False(t, granted)
+}
+
+func TestForgetKeepsWhatMayStillBeRepeated(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := newShard(0, platformfake.New(0, 0), Options{Retention: time.Hour}, func() time.Time { return now })
+	old, young := uuidAt(now.Add(-2*time.Hour)), uuidAt(now.Add(-62*time.Minute))
+	s.entries = map[string]Entry{
+		"w/" + old:   {Result: Result{Status: StatusDone}},
+		"w/" + young: {Result: Result{Status: StatusDone}}, // within the clock skew
+		"w/timeless": {Result: Result{Status: StatusDone}},
+		"w/not-run":  {Result: Result{Status: StatusNotRun}},
+	}
+	s.forget()
+	must.MapNotContainsKey(t, s.entries, "w/"+old)
+	must.MapNotContainsKey(t, s.entries, "w/not-run")
+	must.MapContainsKey(t, s.entries, "w/"+young)
+	must.MapContainsKey(t, s.entries, "w/timeless")
+	must.True(t, Expired(old, now, time.Hour))
+	must.True(t, Expired(young, now, time.Hour))
+	must.False(t, Expired("timeless", now, time.Hour))
+}
+
+// uuidAt makes a version 7 UUID that carries the time.
+func uuidAt(at time.Time) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-000000000000", ms>>16, ms&0xffff)
+}
+
+// BenchmarkAppend gives the slope of claims per batch for docs/CAPACITY.md.
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("batch=%d", n), func(b *testing.B) {
+			s := newShard(0, platformfake.New(0, 0), Options{MaxEntries: 1 << 30, Retention: time.Hour, CompactAfter: 64}, time.Now)
+			b.ReportAllocs()
+			for i := range b.N {
+				records := make([]Record, n)
+				for j := range records {
+					records[j] = Record{Kind: KindClaim, Key: fmt.Sprintf("w/%d-%d", i%4000, j), Attempt: "0123456789abcdef0123456789abcdef"}
+				}
+				if _, err := s.append(context.Background(), records); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/models/config.pml
+++ b/models/config.pml
@@ -8,49 +8,62 @@
  * victim's own lease need be kept. Time goes in ticks: the admission lease is TERM
  * ticks, the fence FENCE. Each event is one atomic step, in any order. Names are
  * those of package revision: PlatformRead, Renew (platform, majority, accounted),
- * Note, Decide. At most FAULTS kills, restarts, cuts, heals and turns of the
- * platform happen.
+ * Note, Decide. Kills and restarts come without bound. A cut, a pause, a lost answer or
+ * a platform outage is an event that does not happen: any number of them may fail
+ * to happen for any time.
+ *
+ * Variants, each of which must hold:
+ *   +DNEWCOMER         the decider joined after the victim last learned anything:
+ *                      the victim knows two helpers and not the decider
  *
  * Mutants, each of which must be refuted:
  *   -DNO_FENCE         the quorum need not live on for the fence time
- *   -DMAY_DIE          the fence time is waited, but the quorum may die in it
+ *   -DNEWCOMER_MAY_DIE the fence time is waited, but the quorum may die in it
  *   -DNO_QUORUM        the fence time alone is enough
  *   -DOLD_REFUSAL      a refusal from before the change counts as stopped
  *   -DACCOUNTED_STARTS "accounted for" may start a lease, not only extend one
  *   -DLEASE_FROM_NOW   a lease is counted from its renewal, not its evidence
  */
+#ifdef NEWCOMER_MAY_DIE
+#define NEWCOMER
+#define MAY_DIE
+#endif
 #define DECIDER 0
 #define HELPER 1
 #define VICTIM 2
+#ifdef NEWCOMER
+#define HELPER2 3
+#define FIRST HELPER2   /* whom the victim knows, with HELPER */
+#define PROCS 4
+#else
+#define FIRST DECIDER
+#define PROCS 3
+#endif
+#ifdef NEWCOMER
 #define TERM 2
 #define FENCE 3
-#define STALE TERM      /* an age that counts no more */
-#ifndef FAULTS
-#define FAULTS 4
-#endif
-#ifndef TICKS
-#define TICKS 7
+#else
+#define TERM 3
+#define FENCE 4
 #endif
+#define STALE TERM      /* an age that counts no more */
 
-bit head, accepted, outage;
-bit rev[3], alive[3], store[3];
-bit link[3];            /* link[k]: the two daemons other than k reach each other */
-byte faults, ticks;
+bit head, accepted;
+bit rev[PROCS], alive[PROCS];
 
 /* the victim's lease and evidence */
 byte lease;             /* ticks it still holds */
-byte heardAge[2];       /* age of its last hearing of DECIDER, HELPER */
-byte refusedAge[2];     /* age of its last refused connection */
+byte heardAge[PROCS];   /* age of its last hearing of FIRST, HELPER */
+byte refusedAge[PROCS];     /* age of its last refused connection */
 
 /* what the decider knows */
-bit acked[3];           /* this process has revision 1 */
-byte ackAge[3];         /* ticks since that was noted, up to FENCE */
-bit livedOn[3];         /* it was heard again a fence time later */
-bit gone[3];            /* it refused a connection since the decider has revision 1 */
+bit acked[PROCS];           /* this process has revision 1 */
+byte ackAge[PROCS];         /* ticks since that was noted, up to FENCE */
+bit livedOn[PROCS];         /* it was heard again a fence time later */
+bit gone[PROCS];            /* it refused a connection since the decider has revision 1 */
 
 byte x, y, a;
 
-#define LINK(p, q) link[3 - (p) - (q)]
 #define MIN(p, q) ((p) < (q) -> (p) : (q))
 #define MAX(p, q) ((p) > (q) -> (p) : (q))
 #define SEEN(p) MIN(heardAge[p], refusedAge[p])
@@ -65,11 +78,11 @@
 
 /* Renew, of the victim: a majority is itself and one more, not ahead */
 inline renew() {
-  a = MIN(heardAge[DECIDER], heardAge[HELPER]);
+  a = MIN(heardAge[FIRST], heardAge[HELPER]);
   if
   :: a < STALE -> extend(a)
   :: else ->
-       a = MAX(SEEN(DECIDER), SEEN(HELPER));
+       a = MAX(SEEN(FIRST), SEEN(HELPER));
 #ifdef ACCOUNTED_STARTS
        if :: a < STALE -> extend(a) :: else -> skip fi
 #else
@@ -93,10 +106,24 @@
   if :: p == VICTIM -> lease = TERM :: else -> skip fi
 }
 
+/* with a fourth daemon, only the helpers die: the decider must live to decide, and
+ * a dead victim admits nothing */
+#ifdef NEWCOMER
+#define MORTAL(p) (p == HELPER || p == HELPER2)
+#else
+#define MORTAL(p) true
+#endif
+
+#ifdef NEWCOMER
+#define CAN_ASK(p, q) !(p == VICTIM && q == DECIDER)
+#else
+#define CAN_ASK(p, q) true
+#endif
+
 /* p asks q */
 inline sync(p, q) {
   if
-  :: alive[q] && LINK(p, q) ->
+  :: alive[q] ->
        if :: rev[q] -> learn(p) :: else -> skip fi;
        if :: p == VICTIM -> heardAge[q] = 0 :: else -> skip fi;
        if
@@ -111,25 +138,31 @@
 #else
        if :: p == DECIDER && rev[p] -> gone[q] = 1 :: else -> skip fi
 #endif
-  :: else -> skip
-  fi;
-  if :: p == VICTIM -> renew() :: else -> skip fi
+  fi
 }
 
 #ifdef NO_QUORUM
-#define QUORUM true
+#define LIVED(p) true
 #else
 #ifdef NO_FENCE
-#define QUORUM (acked[HELPER] || acked[VICTIM])
+#define LIVED(p) acked[p]
 #else
 #ifdef MAY_DIE
-#define QUORUM (acked[HELPER] && ackAge[HELPER] == FENCE || acked[VICTIM] && ackAge[VICTIM] == FENCE)
+#define LIVED(p) (acked[p] && ackAge[p] == FENCE)
 #else
-#define QUORUM (livedOn[HELPER] || livedOn[VICTIM])
+#define LIVED(p) livedOn[p]
 #endif
 #endif
 #endif
-#define ACCOUNTED ((acked[HELPER] || gone[HELPER]) && (acked[VICTIM] || gone[VICTIM]))
+#define KNOWN(p) (acked[p] || gone[p])
+#ifdef NEWCOMER
+/* two of three of the base, three of four now, the decider among these */
+#define QUORUM (LIVED(HELPER) && LIVED(HELPER2) || LIVED(HELPER) && LIVED(VICTIM) || LIVED(HELPER2) && LIVED(VICTIM))
+#define ACCOUNTED (KNOWN(HELPER) && KNOWN(HELPER2) && KNOWN(VICTIM))
+#else
+#define QUORUM (LIVED(HELPER) || LIVED(VICTIM))
+#define ACCOUNTED (KNOWN(HELPER) && KNOWN(VICTIM))
+#endif
 #ifdef NO_FENCE
 #define DECIDE (rev[DECIDER] && (ACCOUNTED || QUORUM))
 #else
@@ -139,14 +172,13 @@
 inline older(age) { if :: age < STALE -> age++ :: else -> skip fi }
 
 inline tick() {
-  older(heardAge[0]); older(heardAge[1]); older(refusedAge[0]); older(refusedAge[1]);
+  older(heardAge[FIRST]); older(heardAge[HELPER]); older(refusedAge[FIRST]); older(refusedAge[HELPER]);
   a = 0;
   do
-  :: a < 3 -> if :: acked[a] && ackAge[a] < FENCE -> ackAge[a]++ :: else -> skip fi; a++
+  :: a < PROCS -> if :: acked[a] && ackAge[a] < FENCE -> ackAge[a]++ :: else -> skip fi; a++
   :: else -> break
   od;
-  if :: lease > 0 -> lease-- :: else -> skip fi;
-  ticks++
+  if :: lease > 0 -> lease-- :: else -> skip fi
 }
 
 inline kill(p) {
@@ -156,7 +188,7 @@
   :: p == DECIDER ->           /* what it knew dies with it */
        a = 0;
        do
-       :: a < 3 -> acked[a] = 0; ackAge[a] = 0; livedOn[a] = 0; gone[a] = 0; a++
+       :: a < PROCS -> acked[a] = 0; ackAge[a] = 0; livedOn[a] = 0; gone[a] = 0; a++
        :: else -> break
        od
   :: else -> skip
@@ -169,7 +201,7 @@
 inline restart(p) {
   alive[p] = 1; rev[p] = 0;
   if
-  :: p == VICTIM -> heardAge[0] = STALE; heardAge[1] = STALE; refusedAge[0] = STALE; refusedAge[1] = STALE
+  :: p == VICTIM -> heardAge[FIRST] = STALE; heardAge[HELPER] = STALE; refusedAge[FIRST] = STALE; refusedAge[HELPER] = STALE
   :: else -> skip
   fi;
   acked[p] = 0; ackAge[p] = 0; livedOn[p] = 0;
@@ -178,29 +210,27 @@
 
 init {
   atomic {
-    heardAge[0] = STALE; heardAge[1] = STALE; refusedAge[0] = STALE; refusedAge[1] = STALE;
+    heardAge[FIRST] = STALE; heardAge[HELPER] = STALE; refusedAge[FIRST] = STALE; refusedAge[HELPER] = STALE;
     a = 0;
     do
-    :: a < 3 -> alive[a] = 1; store[a] = 1; link[a] = 1; a++
+    :: a < PROCS -> alive[a] = 1; a++
     :: else -> break
     od;
     lease = TERM
   }
   do
   :: atomic {
-       select(x : 0 .. 2);
+       select(x : 0 .. PROCS - 1);
+       select(y : 0 .. PROCS - 1);
        if
-       :: alive[x] && store[x] && !outage && !head -> head = 1; platformRead(x)
-       :: alive[x] && store[x] && !outage -> platformRead(x)
-       :: alive[x] -> y = (x + 1) % 3; sync(x, y)
-       :: alive[x] -> y = (x + 2) % 3; sync(x, y)
+       :: alive[x] && !head -> head = 1; platformRead(x)
+       :: alive[x] -> platformRead(x)
+       :: alive[x] && x != y && CAN_ASK(x, y) -> sync(x, y)
+       :: alive[VICTIM] -> renew()
        :: DECIDE -> accepted = 1
-       :: ticks < TICKS -> tick()
-       :: faults < FAULTS && alive[x] -> kill(x); faults++
-       :: faults < FAULTS && !alive[x] && store[x] && !outage -> restart(x); faults++
-       :: faults < FAULTS -> store[x] = !store[x]; faults++
-       :: faults < FAULTS -> link[x] = !link[x]; faults++
-       :: faults < FAULTS -> outage = !outage; faults++
+       :: true -> tick()
+       :: alive[x] && MORTAL(x) -> kill(x)
+       :: !alive[x] -> restart(x)
        fi;
        x = 0; y = 0; a = 0;
        assert(!(accepted && alive[VICTIM] && lease > 0 && !rev[VICTIM]))
