--- a/internal/group/holder.go
+++ b/internal/group/holder.go
@@ -206,7 +206,7 @@
 	sortDomains(all)
 	return Input{
 		Domain: h.current.Domain, Pools: pools, Want: Allocate(pools, all)[h.domain], List: h.list,
-		Probes: h.probes, Evidence: h.cfg.View.Evidence(), Since: h.since, Now: now,
+		Probes: h.probes, Evidence: h.cfg.View.Evidence(), Since: h.since, OrderFrom: h.orderAt, Now: now,
 	}
 }
 
--- a/internal/group/life.go
+++ b/internal/group/life.go
@@ -14,7 +14,7 @@
 const (
 	StateLoading   State = "loading"   // members are reserved and being ordered
 	StateServing   State = "serving"   // every member was read back at this epoch
-	StateSuspended State = "suspended" // the epoch is over: a member was lost
+	StateSuspended State = "suspended" // the epoch is over: members are released
 	StateDraining  State = "draining"  // no new work, finishing what it has
 	StateRetiring  State = "retiring"  // members are being released
 	StateReleased  State = "released"  // gone: no longer in the object
@@ -28,6 +28,7 @@
 	TriggerVerified   Trigger = "verified"    // all members read back
 	TriggerMemberLost Trigger = "member-lost" // dead, restarted or reassigned
 	TriggerDrain      Trigger = "drain"       // a member is to leave, or surplus
+	TriggerFinished   Trigger = "finished"    // a draining group has nothing left
 	TriggerReplace    Trigger = "replace"     // a new epoch with another member
 	TriggerRetire     Trigger = "retire"      // give the VMs up
 	TriggerReleased   Trigger = "released"    // all members read back idle
@@ -39,8 +40,8 @@
 // Next returns the state after a trigger, by the group's state machine:
 //
 //	loading ─verified→ serving ─member-lost→ suspended ─replace→ loading
-//	serving ─drain→ draining ─replace→ loading, ─retire→ retiring
-//	any but released ─retire→ retiring ─released→ released
+//	serving ─drain→ draining ─finished→ suspended
+//	loading, suspended, draining ─retire→ retiring ─released→ released
 func Next(s State, t Trigger) (State, error) {
 	m := newMachine(s)
 	if err := m.FireCtx(context.Background(), t); err != nil {
@@ -63,7 +64,7 @@
 		Permit(TriggerRetire, StateRetiring)
 	m.Configure(StateDraining).
 		Permit(TriggerMemberLost, StateSuspended).
-		Permit(TriggerReplace, StateLoading).
+		Permit(TriggerFinished, StateSuspended).
 		Permit(TriggerRetire, StateRetiring)
 	m.Configure(StateRetiring).
 		Permit(TriggerReleased, StateReleased)
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -42,7 +42,9 @@
 	Evidence map[string]Evidence // by group id
 	// Since is when this holder first saw the group's epoch in its state.
 	Since map[string]time.Time
-	Now   time.Time
+	// OrderFrom is from when no order of an earlier holder can land any more.
+	OrderFrom time.Time
+	Now       time.Time
 }
 
 // SinceKey names one epoch of a group in one state.
@@ -166,6 +168,10 @@
 		p.fire(g, TriggerMemberLost, "member "+e.Lost[0]+" lost")
 		return
 	}
+	if g.State == StateDraining && p.quiet(g) && p.surplus(g.Pool) <= 0 {
+		p.fire(g, TriggerFinished, g.Reason)
+		return
+	}
 	if g.State == StateServing && (p.d.Departing(g) || len(e.Leaving) > 0 && e.Epoch == g.Epoch) {
 		p.fire(g, TriggerDrain, "a member is leaving")
 	}
@@ -212,6 +218,23 @@
 	return p.fresh(p.in.Probes[m.VM]) && !p.in.Probes[m.VM].Status.Leaving && !p.d.VMs[m.VM].departing()
 }
 
+// rested tells whether a VM has answered "no assignment" for so long that no
+// daemon can hold evidence of an earlier epoch any more. A VM enters an epoch only
+// from rest: a member that went straight from one epoch to the next would leave
+// the others behind at the old one, and a daemon with an old copy of the domain
+// would still dispatch to them. Rest counts only from when no order of an earlier
+// holder can land: such an order could end it unseen.
+func (p *planner) rested(vm string) bool {
+	from := p.in.Probes[vm].IdleSince
+	if from.IsZero() {
+		return false
+	}
+	if from.Before(p.in.OrderFrom) {
+		from = p.in.OrderFrom
+	}
+	return p.in.Now.Sub(from) >= p.policy.settle()
+}
+
 // free lists the VMs that can join a group now: live, answering, idle for so
 // long that nobody can still dispatch to them, and in no group. Those that have
 // the wanted weights loaded come first.
@@ -222,7 +245,7 @@
 		if _, used := p.d.GroupOf(name); used || record.departing() || probe.Status.Leaving || !p.fresh(probe) {
 			continue
 		}
-		if probe.IdleSince.IsZero() || p.in.Now.Sub(probe.IdleSince) < p.policy.settle() {
+		if !p.rested(name) {
 			continue
 		}
 		out = append(out, name)
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -9,14 +9,14 @@
 	"pearlanding/internal/engine"
 )
 
-// repair gives suspended and finished draining groups a new epoch in which the
-// lost or leaving members are replaced and the loaded ones stay. What returns
-// most to service per replaced member comes first.
+// repair gives suspended groups a new epoch in which the lost or leaving members
+// are replaced and the loaded ones stay, once all that stay have come to rest.
+// What returns most to service per replaced member comes first.
 func (p *planner) repair() {
 	var broken []Group
 	for _, id := range p.d.GroupIDs() {
 		g := p.d.Groups[id]
-		if (g.State == StateSuspended && p.elapsed(g, p.policy.settle())) || (g.State == StateDraining && p.quiet(g)) {
+		if g.State == StateSuspended && p.elapsed(g, p.policy.settle()) && p.membersRested(g) {
 			broken = append(broken, g)
 		}
 	}
@@ -28,6 +28,16 @@
 	}
 }
 
+// membersRested tells whether every member that can stay is at rest.
+func (p *planner) membersRested(g Group) bool {
+	for _, m := range g.Members {
+		if p.keepable(m) && !p.rested(m.VM) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *planner) repairOne(g Group, broken []Group) {
 	if current, exists := p.d.Groups[g.ID]; !exists || current.Epoch != g.Epoch || current.State != g.State {
 		return // given up for another group in this pass
@@ -199,7 +209,7 @@
 
 // Orders lists what the engines must be told so that the domain as written comes
 // true: assignments of loading groups, and releases of VMs that hold one they
-// should not. An engine that already stands so gets no order.
+// should not: those in no group, and members of groups whose epoch is over. An engine that already stands so gets no order.
 func Orders(d Domain, probes map[string]Probe) map[string]*engine.Assignment {
 	out := map[string]*engine.Assignment{}
 	for _, name := range d.VMNames() {
@@ -214,7 +224,7 @@
 			if !assigned(probe.Status.Assignment, g, rank) {
 				out[name] = g.Assignment(rank)
 			}
-		case (!used || g.State == StateRetiring) && probe.Status.Assignment != nil:
+		case (!used || g.State == StateRetiring || g.State == StateSuspended) && probe.Status.Assignment != nil:
 			out[name] = nil
 		}
 	}
