--- a/cmd/pearlanding/serve.go
+++ b/cmd/pearlanding/serve.go
@@ -6,7 +6,6 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -42,10 +41,8 @@
 	return exitOK
 }
 
-// newLogger logs to standard error; the HTTP library's own lines are silenced,
-// what matters of them is logged by us with the request's id.
+// newLogger logs to standard error.
 func newLogger(level string) (*zap.Logger, error) {
-	hlog.SetLevel(hlog.LevelFatal)
 	return telemetry.Logger(level, zapcore.Lock(os.Stderr))
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -54,8 +55,13 @@
 	appendsPerSecond = 20
 )
 
+// quietHTTP silences the HTTP library's own lines, once for the process; what
+// matters of them is logged by us with the request's id.
+var quietHTTP = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // New wires a daemon over a platform store.
 func New(s settings.Settings, store platform.Store, log *zap.Logger) *Daemon {
+	quietHTTP()
 	tele := telemetry.New()
 	counted := platform.Counted(store, tele.Set)
 	incarnation := uuid.NewString()
--- /dev/null
+++ b/internal/embedded/answers_test.go
@@ -0,0 +1,144 @@
+package embedded
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/problem"
+	"pearlanding/internal/standin/enginefake"
+	"pearlanding/internal/standin/servicefake"
+)
+
+func TestWholePath(t *testing.T) {
+	s := start(t, Options{Daemons: 2})
+	for _, d := range s.Daemons {
+		r := send(d, chatPath, chat("berth", 12, true))
+		text, whole := streamed(r.body)
+		must.True(t, whole)
+		must.Eq(t, answerTo("berth", 12), text)
+		must.Eq(t, Place, r.header.Get("Pearlanding-Place"))
+		must.NotEq(t, "", r.header.Get("Pearlanding-Epoch"))
+
+		r = send(d, chatPath, chat("berth", 12, false))
+		must.Eq(t, http.StatusOK, r.status)
+		must.StrContains(t, r.body, answerTo("berth", 12))
+	}
+	t.Run("refusals", func(t *testing.T) { refusals(t, s.Daemons[0]) })
+	t.Run("crossed and cut", func(t *testing.T) { crossedAndCut(t, s) })
+	t.Run("at most once", func(t *testing.T) { atMostOnce(t, s) })
+	judge(t, s)
+}
+
+func refusals(t *testing.T, d *Running) {
+	for _, tc := range []struct {
+		path, body string
+		headers    []string
+		status     int
+		code       problem.Code
+	}{
+		{chatPath, `{`, nil, 400, problem.CodeBadRequest},
+		{chatPath, `{"model":"berthing-plan"}`, nil, 400, problem.CodeBadRequest},
+		{chatPath, `{"model":"other","messages":[]}`, nil, 404, problem.CodeNoSuchModel},
+		{chatPath, chat("x", 1, false), []string{"Authorization", "Bearer wrong"}, 401, problem.CodeUnauthorized},
+		{chatPath, chat("x", 1, false), []string{"Pearlanding-Repeat", "never"}, 400, problem.CodeNoKey},
+		{chatPath, chat("x", 1, false), []string{"Pearlanding-Resume-From", "x"}, 400, problem.CodeBadRequest},
+		{"/services/other/x", "", nil, 404, problem.CodeNoSuchService},
+		{"/services/" + Service + "/x", "", nil, 400, problem.CodeNoKey},
+		{"/nowhere", "", nil, 404, problem.CodeNotFound},
+	} {
+		r := send(d, tc.path, tc.body, tc.headers...)
+		must.Eq(t, tc.status, r.status, must.Sprint(tc.path, tc.body))
+		must.Eq(t, tc.code, r.problem.Code)
+		must.Eq(t, problem.NotRun, r.problem.Outcome)
+	}
+}
+
+// crossedAndCut: with one replica only, what can't be completed is told as such.
+func crossedAndCut(t *testing.T, s *System) {
+	d, engine := s.Daemons[0], lead(t, s).Engine
+	engine.SetFaults(enginefake.Faults{CrossNext: true})
+	r := send(d, chatPath, chat("crossed", 4, false))
+	must.Eq(t, http.StatusBadGateway, r.status)
+	must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
+
+	engine.SetFaults(enginefake.Faults{CutAfterTokens: 3})
+	r = send(d, chatPath, chat("cut", 9, true))
+	text, whole := streamed(r.body)
+	must.False(t, whole)
+	must.Eq(t, answerTo("cut", 3), text)
+	must.Error(t, r.err, must.Sprint("a cut stream must not end as a whole one does"))
+	must.StrContains(t, r.body, "event: error")
+
+	engine.SetFaults(enginefake.Faults{CutAfterTokens: 3})
+	r = send(d, chatPath, chat("cut", 9, false))
+	must.Eq(t, http.StatusBadGateway, r.status)
+
+	r = send(d, chatPath, chat("cut", 9, true), "Pearlanding-Resume-From", "3")
+	text, whole = streamed(r.body)
+	must.True(t, whole)
+	must.Eq(t, strings.TrimPrefix(answerTo("cut", 9), answerTo("cut", 3)), text)
+}
+
+func atMostOnce(t *testing.T, s *System) {
+	path := "/services/" + Service + "/crew-calls"
+	t.Run("repeat gets the recorded answer", func(t *testing.T) {
+		first := send(s.Daemons[0], path, `{"tug":"Atlas"}`, "Idempotency-Key", "k1")
+		must.Eq(t, http.StatusOK, first.status)
+		second := send(s.Daemons[1], path, `{"tug":"Atlas"}`, "Idempotency-Key", "k1")
+		must.Eq(t, first.body, second.body)
+		must.Eq(t, "true", second.header.Get("Pearlanding-Replayed"))
+		other := send(s.Daemons[1], path, `{"tug":"Other"}`, "Idempotency-Key", "k1")
+		must.Eq(t, problem.CodeKeyReused, other.problem.Code)
+	})
+	t.Run("lost answer is never sent again", func(t *testing.T) {
+		s.Service.SetFaults(servicefake.Faults{CutNext: 1})
+		r := send(s.Daemons[0], path, `{}`, "Idempotency-Key", "k2")
+		must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
+		for _, d := range s.Daemons {
+			r = send(d, path, `{}`, "Idempotency-Key", "k2")
+			must.Eq(t, problem.CodeOutcomeUnknown, r.problem.Code)
+			must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
+		}
+	})
+	t.Run("same key through both daemons at once", func(t *testing.T) {
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				send(s.Daemons[i%2], path, `{}`, "Idempotency-Key", fmt.Sprintf("race-%d", i/6))
+			})
+		}
+		wg.Wait()
+	})
+	t.Run("model request", func(t *testing.T) {
+		first := send(s.Daemons[0], chatPath, chat("once", 5, true), "Idempotency-Key", "m1", "Pearlanding-Repeat", "never")
+		_, whole := streamed(first.body)
+		must.True(t, whole)
+		again := send(s.Daemons[1], chatPath, chat("once", 5, true), "Idempotency-Key", "m1", "Pearlanding-Repeat", "never")
+		one, _ := streamed(first.body)
+		two, _ := streamed(again.body)
+		must.Eq(t, one, two)
+		must.Eq(t, "true", again.header.Get("Pearlanding-Replayed"))
+	})
+	for key, runs := range s.Service.Runs() {
+		must.Eq(t, 1, runs, must.Sprint("runs of", key))
+	}
+}
+
+// TestResumeElsewhere: with a second replica a cut stream is completed there, and
+// the caller gets exactly the tokens it misses.
+func TestResumeElsewhere(t *testing.T) {
+	s := start(t, Options{Daemons: 1, VMs: 4, GroupSize: 2, Replicas: 2})
+	for _, vm := range s.VMs {
+		vm.Engine.SetFaults(enginefake.Faults{CutAfterTokens: 5}) // the rest of three is not cut
+	}
+	r := send(s.Daemons[0], chatPath, chat("resume", 8, true))
+	text, whole := streamed(r.body)
+	must.True(t, whole, must.Sprint(r.body))
+	must.Eq(t, answerTo("resume", 8), text)
+	judge(t, s)
+}
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -62,7 +62,7 @@
 	Options     Options
 	Platform    *platformfake.Store
 	PlatformURL string
-	VMs         []standin.VM
+	VMs         []*standin.VM
 	Service     *servicefake.Service
 	ServiceAt   string
 	Daemons     []*Running
--- /dev/null
+++ b/internal/embedded/faults_test.go
@@ -0,0 +1,227 @@
+package embedded
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/control"
+	"pearlanding/internal/group"
+	"pearlanding/internal/operator"
+	"pearlanding/internal/platform"
+	"pearlanding/internal/problem"
+	"pearlanding/internal/standin/enginefake"
+	"pearlanding/internal/standin/platformfake"
+)
+
+// TestPlatformOutage: serving goes on through an outage that outlasts every lease;
+// what needs the platform is refused at once as not run, and comes back with it.
+func TestPlatformOutage(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	s.Platform.SetFaults(platformfake.Faults{Outage: true})
+	began := time.Now()
+	lease := s.Daemons[0].Settings.Timing.AdmissionLease
+	await(t, s.Daemons[0], "outage longer than two leases", func(*control.Snapshot) bool { return time.Since(began) > 2*lease })
+	for _, d := range s.Daemons {
+		r := send(d, chatPath, chat("outage", 4, false))
+		must.Eq(t, http.StatusOK, r.status, must.Sprint(r.body))
+		r = send(d, "/services/"+Service+"/x", "{}", "Idempotency-Key", "outage")
+		must.Eq(t, problem.CodeLedgerUnavailable, r.problem.Code)
+		must.Eq(t, problem.NotRun, r.problem.Outcome)
+		must.NotEq(t, "", r.header.Get("Retry-After"))
+	}
+	// Half of the daemons die in the outage: the others go on.
+	s.Daemons[2].Stop()
+	<-s.Daemons[2].Done
+	s.Daemons[2].Done <- nil
+	began = time.Now()
+	await(t, s.Daemons[0], "two leases without a daemon", func(*control.Snapshot) bool { return time.Since(began) > 2*lease })
+	r := send(s.Daemons[0], chatPath, chat("outage", 4, false))
+	must.Eq(t, http.StatusOK, r.status, must.Sprint(r.body))
+
+	s.Platform.SetFaults(platformfake.Faults{})
+	await(t, s.Daemons[0], "platform back", func(snap *control.Snapshot) bool { return time.Since(snap.PlatformAsOf) < lease })
+	r = send(s.Daemons[0], "/services/"+Service+"/x", "{}", "Idempotency-Key", "outage")
+	must.Eq(t, http.StatusOK, r.status, must.Sprint(r.body))
+	must.Eq(t, 1, s.Service.Runs()["outage"])
+}
+
+// TestMemberDeath reports the times from a VM's death to: group not dispatched to,
+// group declared down, group serving again; and that another group never served
+// partly assembled. The times are logged, the verdict does not rest on them.
+func TestMemberDeath(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	d := s.Daemons[0]
+	victim := vmAt(t, s, d.Control().Snapshot().Domains[Domain].Domain.Groups[Domain+".1"].Members[2].Address)
+	died := time.Now()
+	victim.Kill()
+	await(t, d, "not dispatched to", func(snap *control.Snapshot) bool {
+		list := snap.Targets[Pool]
+		return len(list) == 0 || time.Since(list[0].Ready) > d.Settings.Timing.EvidenceAge
+	})
+	undispatched := time.Since(died)
+	await(t, d, "declared down", func(snap *control.Snapshot) bool {
+		return snap.Domains[Domain].Domain.Groups[Domain+".1"].State != group.StateServing
+	})
+	down := time.Since(died)
+	snap := await(t, d, "serving again", func(snap *control.Snapshot) bool {
+		return len(snap.Targets[Pool]) == 1 && snap.Targets[Pool][0].Epoch > 1
+	})
+	t.Logf("VM death to: last possible dispatch %v, declared down %v, serving again %v", undispatched, down, time.Since(died))
+	must.Eq(t, Domain+".1", snap.Targets[Pool][0].Group)
+	r := send(d, chatPath, chat("again", 9, false))
+	must.Eq(t, http.StatusOK, r.status, must.Sprint(r.body))
+
+	// The dead one comes back as though nothing had happened: it joins nothing.
+	must.NoError(t, victim.Boot())
+	r = send(d, chatPath, chat("again", 9, false))
+	must.Eq(t, http.StatusOK, r.status)
+	judge(t, s)
+}
+
+// leaves runs a request through a leave and asserts that it is not cut, that no
+// new work is sent, and that the group serves again without the VM.
+func leaves(t *testing.T, s *System, leave func(vm string)) {
+	t.Helper()
+	d := s.Daemons[1]
+	target := d.Control().Snapshot().Targets[Pool][0]
+	vm := vmAt(t, s, target.Address)
+	var wg sync.WaitGroup
+	var long reply
+	wg.Go(func() { long = send(d, chatPath, chat("long", 200, true)) })
+	await(t, d, "request in progress", func(*control.Snapshot) bool { return vm.Engine.Status().Running > 0 })
+	visible := time.Now()
+	leave(vm.Row.Name)
+	for _, daemon := range s.Daemons {
+		await(t, daemon, "no new work", func(snap *control.Snapshot) bool {
+			list := snap.Targets[Pool]
+			return len(list) == 0 || list[0].Epoch != target.Epoch
+		})
+	}
+	t.Logf("leave to no new work at every daemon: %v", time.Since(visible))
+	r := send(d, chatPath, chat("refused", 2, false))
+	must.True(t, r.status == http.StatusOK || r.problem.Outcome == problem.NotRun)
+	wg.Wait()
+	text, whole := streamed(long.body)
+	must.True(t, whole, must.Sprint("a planned stop cut a request", long.err))
+	must.Eq(t, answerTo("long", 200), text)
+	snap := await(t, d, "serving without it", func(snap *control.Snapshot) bool {
+		return len(snap.Targets[Pool]) == 1 && snap.Targets[Pool][0].Epoch > target.Epoch
+	})
+	for _, m := range snap.Domains[Domain].Domain.Groups[snap.Targets[Pool][0].Group].Members {
+		must.NotEq(t, vm.Row.Name, m.VM)
+	}
+	judge(t, s)
+}
+
+func TestLeaveByOperator(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	leaves(t, s, func(vm string) {
+		// Two operators drain the same VM at once: both are told it is draining.
+		var wg sync.WaitGroup
+		for _, d := range s.Daemons[:2] {
+			wg.Go(func() {
+				_, err := d.Operator().SetIntent(context.Background(), vm, "drain")
+				must.NoError(t, err)
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func TestLeaveByPlatformList(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	leaves(t, s, func(vm string) { s.Platform.SetVMState(vm, platform.VMLeaving) })
+}
+
+// TestLeaveByEngineInOutage: an engine that says it is leaving gets nothing new
+// though the platform is down.
+func TestLeaveByEngineInOutage(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	s.Platform.SetFaults(platformfake.Faults{Outage: true})
+	vm := lead(t, s)
+	visible := time.Now()
+	vm.Engine.SetFaults(enginefake.Faults{Leaving: true})
+	for _, d := range s.Daemons {
+		await(t, d, "no new work", func(snap *control.Snapshot) bool { return len(snap.Targets[Pool]) == 0 })
+	}
+	t.Logf("leave to no new work at every daemon: %v", time.Since(visible))
+	r := send(s.Daemons[0], chatPath, chat("x", 2, false))
+	must.Eq(t, problem.CodeNoReplica, r.problem.Code)
+}
+
+// TestDaemonStopCutsNothing: a stopped daemon finishes its streams, and is out of
+// the registry before it ends.
+func TestDaemonStopCutsNothing(t *testing.T) {
+	s := start(t, Options{Daemons: 2})
+	d := s.Daemons[1]
+	var wg sync.WaitGroup
+	var long reply
+	wg.Go(func() { long = send(d, chatPath, chat("stop", 150, true)) })
+	vm := lead(t, s)
+	await(t, d, "request in progress", func(*control.Snapshot) bool { return vm.Engine.Status().Running > 0 })
+	d.Stop()
+	await(t, s.Daemons[0], "left the registry", func(snap *control.Snapshot) bool { return len(snap.Peers) == 1 })
+	r := send(d, chatPath, chat("late", 2, false))
+	must.True(t, r.err != nil || r.problem.Code == problem.CodeStopping, must.Sprint(r))
+	wg.Wait()
+	must.NoError(t, <-d.Done)
+	d.Done <- nil
+	text, whole := streamed(long.body)
+	must.True(t, whole)
+	must.Eq(t, answerTo("stop", 150), text)
+}
+
+// TestConfigurationRace: of two operators who edit the same entry one wins, and
+// the other is told; a change is in force at every daemon when it is accepted.
+func TestConfigurationRace(t *testing.T) {
+	s := start(t, Options{Daemons: 3})
+	ctx := context.Background()
+	ref, err := s.Daemons[0].Operator().Entry(ctx, ref("template", "pearl-despacho"))
+	must.NoError(t, err)
+	var wg sync.WaitGroup
+	verdicts := make([]error, 2)
+	results := make([]operator.ChangeResult, 2)
+	for i := range 2 {
+		edited := strings.Replace(ref, "priority = 5", "priority = "+string('7'+byte(i)), 1)
+		wg.Go(func() {
+			results[i], verdicts[i] = s.Daemons[i].Operator().Apply(ctx, "edit.ini", []byte(edited))
+		})
+	}
+	wg.Wait()
+	must.True(t, (verdicts[0] == nil) != (verdicts[1] == nil), must.Sprint(verdicts))
+	for i, err := range verdicts {
+		if err == nil {
+			must.Eq(t, "accepted", string(results[i].Verdict))
+			for _, d := range s.Daemons {
+				must.Eq(t, 7+i, d.Control().Snapshot().Head.Doc.Templates["pearl-despacho"].Priority)
+			}
+			continue
+		}
+		var refused *operator.Refused
+		must.True(t, errors.As(err, &refused))
+		must.Eq(t, problem.CodeConflict, refused.Code)
+		must.SliceLen(t, 1, refused.Conflicts)
+	}
+}
+
+// TestConfigurationWithLostAnswer: the platform's answer to the write is lost; the
+// change is found again and accepted once.
+func TestConfigurationWithLostAnswer(t *testing.T) {
+	s := start(t, Options{Daemons: 2})
+	ctx := context.Background()
+	text, err := s.Daemons[0].Operator().Entry(ctx, ref("template", "pearl-despacho"))
+	must.NoError(t, err)
+	before := s.Daemons[0].Control().Snapshot().Head.Revision
+	s.Platform.SetFaults(platformfake.Faults{LoseAnswers: 1})
+	result, err := s.Daemons[0].Operator().Apply(ctx, "edit.ini", []byte(strings.Replace(text, "priority = 5", "priority = 8", 1)))
+	must.NoError(t, err)
+	must.Eq(t, "accepted", string(result.Verdict))
+	must.Eq(t, before+1, result.Revision)
+}
--- a/internal/standin/engines.go
+++ b/internal/standin/engines.go
@@ -47,19 +47,41 @@
 // accelerators of each stand-in VM.
 const accelerators = 2
 
-// VM is one started stand-in VM.
+// VM is one stand-in VM.
 type VM struct {
 	Row    platform.VM
 	Engine *enginefake.Engine
+	ctx    context.Context
+	stop   context.CancelFunc
+}
+
+// Kill makes the VM vanish: its connections are cut, new ones refused.
+func (vm *VM) Kill() { vm.stop() }
+
+// Boot brings a killed VM back at its address with a new boot id.
+func (vm *VM) Boot() error {
+	vm.Engine.Restart()
+	listener, err := net.Listen("tcp", vm.Row.Address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	vm.serve(listener)
+	return nil
+}
+
+func (vm *VM) serve(listener net.Listener) {
+	ctx, stop := context.WithCancel(vm.ctx)
+	vm.stop = stop
+	go func() { _ = Serve(ctx, listener, vm.Engine.Handler()) }()
 }
 
 // StartEngines starts the VMs; they stop with ctx.
-func StartEngines(ctx context.Context, set EngineSet) ([]VM, error) {
+func StartEngines(ctx context.Context, set EngineSet) ([]*VM, error) {
 	fetch := set.Weights
 	if fetch == nil && set.Platform != "" {
 		fetch = weightsOver(set.Platform)
 	}
-	var out []VM
+	var out []*VM
 	for i := range set.Count {
 		port := 0
 		if set.FirstPort > 0 {
@@ -73,8 +95,9 @@
 			Address: listener.Addr().String(), Accelerators: accelerators, State: platform.VMLive}
 		e := enginefake.New(enginefake.Options{VM: row.Name, Address: row.Address, Slots: set.Slots,
 			TokenTime: set.TokenTime, FetchWeights: fetch})
-		go func() { _ = Serve(ctx, listener, e.Handler()) }()
-		out = append(out, VM{Row: row, Engine: e})
+		vm := &VM{Row: row, Engine: e, ctx: ctx}
+		vm.serve(listener)
+		out = append(out, vm)
 	}
 	return out, nil
 }
