A member whose process is gone ends the epoch at once

Cause: a refused connection was treated like silence, so a killed VM was declared lost only after the evidence age. A process that refuses, or answers with another boot id or assignment, has surely ended the epoch. Ruled out: shortening the rest time (models/group.pml, NO_SETTLE).

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -142,7 +142,7 @@
 		for _, id := range c.Domain.GroupIDs() {
 			g := c.Domain.Groups[id]
 			e, known := s.evidence[id]
-			if g.State != group.StateServing || !known || e.Epoch != g.Epoch || len(e.Leaving) > 0 || c.Domain.Departing(g) {
+			if g.State != group.StateServing || !known || e.Epoch != g.Epoch || e.Over || len(e.Leaving) > 0 || c.Domain.Departing(g) {
 				continue
 			}
 			out[g.Pool] = append(out[g.Pool], s.target(c.Domain, g, e.Evidence, old[id]))
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -220,13 +220,17 @@
 
 // observeEvidence keeps the evidence of the current epoch that is ready latest. A
 // prober that misses a member counts for nothing while another still sees the
-// whole group ready; that a member is leaving counts whoever saw it.
+// whole group ready; that a member is leaving, or that the epoch is surely over,
+// counts whoever saw it.
 func (s *state) observeEvidence(e group.Evidence, learned time.Time) {
 	old, known := s.evidence[e.Group]
 	if known && old.Epoch > e.Epoch {
 		return
 	}
-	if known && old.Epoch == e.Epoch && e.Ready.Before(old.Ready) && learned.Sub(old.Ready) < s.cfg.EvidenceAge {
+	if known && old.Epoch == e.Epoch && old.Over {
+		return
+	}
+	if known && old.Epoch == e.Epoch && !e.Over && e.Ready.Before(old.Ready) && learned.Sub(old.Ready) < s.cfg.EvidenceAge {
 		old.Leaving = unionStrings(old.Leaving, e.Leaving)
 		s.evidence[e.Group] = old
 		return
--- a/internal/group/evidence.go
+++ b/internal/group/evidence.go
@@ -13,6 +13,8 @@
 	At       time.Time // zero: never answered
 	FailedAt time.Time // last unanswered probe since At; zero: none
 	Failures int       // unanswered probes in a row
+	// Refused: the last probe found no process at the address.
+	Refused bool
 	// IdleSince is since when every answer said "no assignment", same boot id.
 	IdleSince time.Time
 	// QuietSince is since when every answer said "nothing running or queued".
@@ -36,13 +38,14 @@
 	if quiet && p.QuietSince.IsZero() {
 		p.QuietSince = sent
 	}
-	p.Status, p.At, p.FailedAt, p.Failures = s, sent, time.Time{}, 0
+	p.Status, p.At, p.FailedAt, p.Failures, p.Refused = s, sent, time.Time{}, 0, false
 	return p
 }
 
-// Failed folds an unanswered probe sent at the given time.
-func (p Probe) Failed(sent time.Time) Probe {
-	p.FailedAt = sent
+// Failed folds an unanswered probe sent at the given time; refused says that the
+// connection was refused.
+func (p Probe) Failed(sent time.Time, refused bool) Probe {
+	p.FailedAt, p.Refused = sent, refused
 	p.Failures++
 	return p
 }
@@ -57,14 +60,18 @@
 	Running int       `json:"running"`
 	Queued  int       `json:"queued"`
 	Slots   int       `json:"slots"`
+	// Over: the epoch is surely over, since some member's process is gone or
+	// answers with another boot id or assignment. This never becomes untrue.
+	Over bool `json:"over,omitempty"`
 	// Lost names members that are dead, restarted or no longer at this epoch.
 	Lost []string `json:"lost,omitempty"`
 	// Leaving names members whose engines say they are leaving.
 	Leaving []string `json:"leaving,omitempty"`
 }
 
-// lostFailures is how many unanswered probes in a row make a member lost when
-// its last answer is also older than the evidence age.
+// lostFailures is how many unanswered probes in a row make a member lost: at once
+// when its address refuses connections, else when its last answer is also older
+// than the evidence age.
 const lostFailures = 2
 
 // Assess makes evidence for a serving or draining group from probes by VM.
@@ -72,8 +79,9 @@
 	e := Evidence{Group: g.ID, Epoch: g.Epoch, Ready: now}
 	for rank, m := range g.Members {
 		p := probes[m.VM]
-		if lost(g, rank, p, now, maxAge) {
+		if isLost, sure := lost(g, rank, p, now, maxAge); isLost {
 			e.Lost = append(e.Lost, m.VM)
+			e.Over = e.Over || sure
 		}
 		if p.Status.Leaving {
 			e.Leaving = append(e.Leaving, m.VM)
@@ -90,15 +98,18 @@
 	return e
 }
 
-// lost tells whether the member of a rank ended this epoch.
-func lost(g Group, rank int, p Probe, now time.Time, maxAge time.Duration) bool {
-	if p.At.IsZero() && p.Failures == 0 {
-		return false // not probed yet
+// lost tells whether the member of a rank ended this epoch, and whether that is
+// sure or only silence.
+func lost(g Group, rank int, p Probe, now time.Time, maxAge time.Duration) (isLost, sure bool) {
+	switch {
+	case p.Failures == 0:
+		isLost = !p.At.IsZero() && !memberReady(g, rank, p.Status)
+		return isLost, isLost
+	case p.Refused:
+		isLost = p.Failures >= lostFailures
+		return isLost, isLost
 	}
-	if p.Failures == 0 {
-		return !memberReady(g, rank, p.Status)
-	}
-	return p.Failures >= lostFailures && now.Sub(p.At) > maxAge
+	return p.Failures >= lostFailures && now.Sub(p.At) > maxAge, false
 }
 
 // memberReady tells whether a status shows the member ready at the epoch, with
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -177,9 +177,10 @@
 	}
 }
 
-// unreachable tells whether a probed VM has not answered for the evidence age.
+// unreachable tells whether a probed VM refuses connections or has not answered
+// for the evidence age.
 func (p *planner) unreachable(probe Probe) bool {
-	return probe.Failures >= lostFailures && p.in.Now.Sub(probe.At) > p.policy.EvidenceAge
+	return probe.Failures >= lostFailures && (probe.Refused || p.in.Now.Sub(probe.At) > p.policy.EvidenceAge)
 }
 
 // fresh tells whether the last answer is young enough to act on.
--- a/internal/group/prober.go
+++ b/internal/group/prober.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/engine"
 )
@@ -47,7 +50,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || status.VM != vm {
-				probes[vm] = probes[vm].Failed(sent)
+				probes[vm] = probes[vm].Failed(sent, errors.Is(err, syscall.ECONNREFUSED))
 				return
 			}
 			probes[vm] = probes[vm].Answered(status, sent)
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -107,7 +107,7 @@
 		if v.up && !v.frozen {
 			probes[name] = probes[name].Answered(v.engine.Status(), s.now)
 		} else {
-			probes[name] = probes[name].Failed(s.now)
+			probes[name] = probes[name].Failed(s.now, !v.up)
 		}
 	}
 }
