--- /dev/null
+++ b/internal/cluster/duty_test.go
@@ -0,0 +1,52 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestDutiesMoveOnlyFromTheSlotThatLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "slots")
+		var slots []string
+		for i := range n {
+			slots = append(slots, fmt.Sprintf("d%d", i))
+		}
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		before := NewDuties(slots)
+		after := NewDuties(append(append([]string(nil), slots[:gone]...), slots[gone+1:]...))
+		for i := range 50 {
+			duty := fmt.Sprintf("probe/%d", i)
+			owner := before.Owner(duty)
+			must.True(t, before.Owns(owner, duty, 1))
+			if owner != slots[gone] {
+				must.Eq(t, owner, after.Owner(duty))
+			}
+			must.False(t, after.Owns(slots[gone], duty, n))
+		}
+	})
+}
+
+func TestDutiesAreSpreadEvenly(t *testing.T) {
+	var slots []string
+	for i := range 9 {
+		slots = append(slots, fmt.Sprintf("entry-%d", i))
+	}
+	held := map[string]int{}
+	d := NewDuties(slots)
+	const duties = 9000
+	for i := range duties {
+		held[d.Owner(fmt.Sprintf("probe/rg-a.%d", i))]++
+	}
+	for slot, n := range held {
+		must.Between(t, 800, n, 1200, must.Sprint(slot))
+	}
+}
+
+func TestNobodyOwnsAmongNone(t *testing.T) {
+	must.Eq(t, "", NewDuties(nil).Owner("x"))
+	must.False(t, NewDuties(nil).Owns("a", "x", 1))
+}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -36,8 +36,8 @@
 	HeadVersion uint64    `json:"head_version"`
 	Head        *HeadCopy `json:"head,omitempty"`
 	// HeardAges relays when the peer last heard each slot of the head, in slot
-	// order, one byte each in AgeUnits of the admission lease. It is present only
-	// while the peer's platform evidence is old, and counts only for the same head.
+	// order, one byte each in AgeUnits of the admission lease. It counts only for
+	// the same head, and lets few exchanges keep many daemons known as alive.
 	HeardAges   []byte         `json:"heard_ages,omitempty"`
 	PlatformAge int64          `json:"platform_age_ms"` // -1: no evidence
 	Domains     []DomainReport `json:"domains,omitempty"`
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -1,15 +1,12 @@
 package cluster
 
 import (
-	"cmp"
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/creachadair/jrpc2/handler"
@@ -119,19 +116,3 @@
 	}
 	p.clients = map[string]*jrpc2.Client{}
 }
-
-// Rank returns the first n slots for a duty by rendezvous hashing, best first;
-// fewer if there are not so many. Removing a slot moves only what it held.
-func Rank(duty string, slots []string, n int) []string {
-	out := slices.Clone(slots)
-	score := func(slot string) uint64 { return xxhash.Sum64String(duty + "\x00" + slot) }
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b))
-	})
-	return out[:min(n, len(out))]
-}
-
-// Owns tells whether slot is among the first n for the duty.
-func Owns(slot, duty string, slots []string, n int) bool {
-	return slices.Contains(Rank(duty, slots, n), slot)
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,23 +38,37 @@
 // tick is how often the state is judged anew without any event.
 const tick = 50 * time.Millisecond
 
+// publishShare bounds the processor time that building snapshots may take: after
+// each, the loop gathers events for that many times as long as it took.
+const publishShare = 100
+
 // Run owns the control state until ctx ends.
 func (c *Control) Run(ctx context.Context) {
 	defer close(c.done)
 	s := newState(c.cfg, time.Now())
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	rest := time.NewTimer(0)
+	defer rest.Stop()
+	changed, rested := true, false
 	for {
 		select {
 		case event := <-c.events:
 			event(s, time.Now())
-			c.drain(s)
+			changed = true
 		case <-ticker.C:
 			s.prune()
+			changed = true
+		case <-rest.C:
+			rested = true
 		case <-ctx.Done():
 			return
 		}
-		c.publish(s)
+		if changed && rested {
+			c.drain(s)
+			rest.Reset(c.publish(s) * publishShare)
+			changed, rested = false, false
+		}
 	}
 }
 
@@ -70,10 +84,13 @@
 	}
 }
 
-func (c *Control) publish(s *state) {
+// publish builds and stores a snapshot and returns how long that took.
+func (c *Control) publish(s *state) time.Duration {
+	start := time.Now()
 	previous := c.current.Load()
-	c.current.Store(s.snapshot(time.Now(), previous))
+	c.current.Store(s.snapshot(start, previous))
 	close(previous.Changed)
+	return time.Since(start)
 }
 
 // post hands an event to the loop; it is dropped when the loop has ended.
@@ -84,8 +101,8 @@
 	}
 }
 
-// call runs an event and waits until its snapshot is out. False: the loop ended
-// or ctx did.
+// call runs an event and waits until it has run; its snapshot may follow a little
+// later. False: the loop ended or ctx did.
 func (c *Control) call(ctx context.Context, event func(*state, time.Time)) bool {
 	ran := make(chan struct{})
 	c.post(func(s *state, now time.Time) {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -40,6 +40,7 @@
 	// WaitingFor names the daemons that have not applied the head's revision.
 	WaitingFor []string
 	Live       []string
+	duties     cluster.Duties
 	Peers      map[string]Peer
 	Domains    map[string]group.Copy
 	Evidence   map[string]group.Evidence
@@ -58,7 +59,10 @@
 }
 
 // Owns tells whether this daemon is among the first n live ones for a duty.
-func (s *Snapshot) Owns(duty string, n int) bool { return cluster.Owns(s.Slot, duty, s.Live, n) }
+func (s *Snapshot) Owns(duty string, n int) bool { return s.duties.Owns(s.Slot, duty, n) }
+
+// Owner returns the live daemon that a duty falls to first.
+func (s *Snapshot) Owner(duty string) string { return s.duties.Owner(duty) }
 
 // snapshot builds the next snapshot; parts that can't have changed are taken
 // from the previous one.
@@ -81,6 +85,7 @@
 		out.ByDigest, out.Pools = digests(s.head.Doc), s.head.Doc.Pools()
 	}
 	out.Targets = s.targets(previous)
+	out.duties = cluster.NewDuties(out.Live)
 	return out
 }
 
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -28,9 +28,7 @@
 	if !s.PlatformAsOf.IsZero() {
 		out.PlatformAge = ageMS(now, s.PlatformAsOf)
 	}
-	if now.Sub(s.PlatformAsOf) > cfg.AdmissionLease/2 {
-		out.HeardAges = s.heardAges(now, cfg.AdmissionLease)
-	}
+	out.HeardAges = s.heardAges(now, cfg.AdmissionLease)
 	for name, copied := range s.Domains {
 		report := cluster.DomainReport{Name: name, Version: copied.Version, Evidence: s.evidenceReports(copied.Domain, now, cfg)}
 		if req.Domains[name] < copied.Version {
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -79,13 +79,21 @@
 	}
 }
 
-// pollLoop reads the head from the platform whenever no fresher evidence has
-// come by way of a peer, so that the platform's load does not grow with the
-// number of daemons.
+// pollers is how many daemons read the head first; the others only when no fresh
+// evidence reaches them.
+const pollers = 2
+
+// pollLoop reads the head from the platform when no fresher evidence has come by
+// way of a peer, so that the platform's load does not grow with the number of
+// daemons.
 func (m *membership) pollLoop(ctx context.Context) {
 	for {
-		wait := m.timing.lease/4 + time.Duration(rand.Int64N(int64(m.timing.lease/8)))
-		if time.Since(m.control.Snapshot().PlatformAsOf) >= wait {
+		snap := m.control.Snapshot()
+		wait := m.timing.lease / 2
+		if snap.Owns("poll", pollers) {
+			wait = m.timing.lease / 4
+		}
+		if time.Since(snap.PlatformAsOf) >= wait {
 			m.poll(ctx)
 		}
 		if !sleep(ctx, m.timing.sync/2+time.Duration(rand.Int64N(int64(m.timing.sync/2)))) {
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -44,13 +44,13 @@
 // Forward implements ledger.Forwarder.
 func (f *forwarder) Forward(ctx context.Context, shard int, records []ledger.Record) ([]ledger.Entry, bool, error) {
 	snap := f.control.Snapshot()
-	preferred := cluster.Rank(ledger.Duty(shard), snap.Live, 1)
-	if len(preferred) == 0 || preferred[0] == snap.Slot {
+	preferred := snap.Owner(ledger.Duty(shard))
+	if preferred == "" || preferred == snap.Slot {
 		return nil, false, nil
 	}
 	var reply cluster.AppendReply
 	request := cluster.AppendRequest{Shard: shard, Records: records}
-	err := f.peers.Call(ctx, snap.Peers[preferred[0]].Peer, cluster.MethodAppend, request, &reply)
+	err := f.peers.Call(ctx, snap.Peers[preferred].Peer, cluster.MethodAppend, request, &reply)
 	if err == nil && reply.Full {
 		err = ledger.ErrFull
 	}
