--- /dev/null
+++ b/internal/faultrun/run.go
@@ -0,0 +1,347 @@
+package faultrun
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/catalog"
+	"pearlanding/internal/operator"
+	"pearlanding/internal/problem"
+	"pearlanding/internal/standin/enginefake"
+)
+
+// Report is what one run did and which promises it found broken.
+type Report struct {
+	mu         sync.Mutex
+	Seed       uint64
+	Faults     []string
+	Streams    int
+	Whole      int
+	Calls      int
+	Answered   int
+	NotRun     int
+	MayHaveRun int
+	Accepted   int
+	Violations []string
+}
+
+func (r *Report) violation(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+}
+
+func (r *Report) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
+// run is one run under way.
+type run struct {
+	s      *system
+	report *Report
+	client *http.Client
+	// verdicts holds, by key, what callers were told last of at-most-once calls.
+	mu       sync.Mutex
+	verdicts map[string]string
+	accepted uint64
+	seen     map[int]uint64 // highest revision seen at each daemon
+}
+
+// startTime bounds the start, settleTime the mending at the end.
+const (
+	startTime  = 30 * time.Second
+	settleTime = 30 * time.Second
+)
+
+// Run makes one run. The error is for a run that could not be made; broken
+// promises are in the report.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	report := &Report{Seed: o.Seed}
+	s, err := startSystem(o)
+	if err != nil {
+		return report, err
+	}
+	defer s.stop()
+	r := &run{s: s, report: report, client: &http.Client{Timeout: 15 * time.Second}, verdicts: map[string]string{}, seen: map[int]uint64{}}
+	if err := r.prepare(ctx); err != nil {
+		return report, errors.Annotate(err, "the system did not begin to serve")
+	}
+	load, stopLoad := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for worker := range 4 {
+		wg.Go(func() { r.streams(load, worker) })
+		wg.Go(func() { r.calls(load, worker) })
+	}
+	wg.Go(func() { r.changes(load) })
+	inject(ctx, s, rand.New(rand.NewPCG(o.Seed, 1)), o.Duration, report)
+	err = r.serves(ctx, settleTime)
+	stopLoad()
+	wg.Wait()
+	if err != nil {
+		report.violation("after all faults were mended the system did not serve again: %v", err)
+	}
+	r.judge(ctx)
+	return report, nil
+}
+
+func (r *run) configuration() string {
+	digest := sha256.Sum256([]byte(token))
+	return fmt.Sprintf("[template m]\nmodel = m\nversion = 1\nvms = %d\nreplicas = %d\nplaces = rio-grande\n"+
+		"[service svc]\ninstances = rio-grande@%s\nat_most_once = POST\n"+
+		"[workspace w]\ntoken_sha256 = %x\nplaces = rio-grande\nservices = svc\n[workspace w model m]\ntemplate = m\n",
+		groupSize, len(domains), r.s.service, digest)
+}
+
+// prepare applies the configuration and waits until the system serves.
+func (r *run) prepare(ctx context.Context) error {
+	deadline := time.Now().Add(startTime)
+	for {
+		_, err := operator.NewClient(r.s.daemons[0].operators, "", "faultrun").Apply(ctx, "run.ini", []byte(r.configuration()))
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return r.serves(ctx, time.Until(deadline))
+}
+
+// serves waits until every daemon answers a whole stream.
+func (r *run) serves(ctx context.Context, within time.Duration) error {
+	deadline := time.Now().Add(within)
+	for i := range r.s.daemons {
+		for !r.stream(ctx, i, "is it serving", 3, false) {
+			if time.Now().After(deadline) {
+				return errors.Errorf("daemon %d gives no whole stream", i)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (r *run) post(ctx context.Context, daemon int, path, body, key string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.s.daemons[daemon].callers+path, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return r.client.Do(req)
+}
+
+// streams sends streamed model requests to any daemon.
+func (r *run) streams(ctx context.Context, worker int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		r.stream(ctx, rand.IntN(len(r.s.daemons)), fmt.Sprintf("prompt %d of %d", i, worker), 4+rand.IntN(40), true)
+	}
+}
+
+// stream sends one request and tells whether its answer was whole. An answer that
+// looks whole must be exactly right, and one that is not must not look whole.
+func (r *run) stream(ctx context.Context, daemon int, prompt string, tokens int, counted bool) bool {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+	if counted {
+		r.report.count(&r.report.Streams)
+	}
+	resp, err := r.post(ctx, daemon, "/v1/chat/completions", body, "")
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+	text, done := tokensOf(string(data))
+	want := enginefake.Answer("\n"+prompt, tokens)
+	switch {
+	case done && text != want:
+		r.report.violation("promise 3: a stream that ended as whole was not: %d bytes of %d", len(text), len(want))
+	case !done && err == nil:
+		r.report.violation("promise 3: a cut stream ended like a whole transfer")
+	case !strings.HasPrefix(want, text):
+		r.report.violation("promise 3: a cut stream held other tokens than its own")
+	}
+	if done && counted {
+		r.report.count(&r.report.Whole)
+	}
+	return done
+}
+
+func tokensOf(body string) (text string, done bool) {
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) == 1 {
+			text += chunk.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
+// calls sends at-most-once calls, each key up to three times through any daemon.
+func (r *run) calls(ctx context.Context, worker int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		key := fmt.Sprintf("key-%d-%d", worker, i)
+		verdict := "not_run"
+		for range 3 {
+			told := r.callOnce(ctx, key)
+			if told != "not_run" {
+				verdict = told
+			}
+			if told == "answered" {
+				break
+			}
+		}
+		r.mu.Lock()
+		r.verdicts[key] = verdict
+		r.mu.Unlock()
+	}
+}
+
+// callOnce makes one call and returns what the caller was told.
+func (r *run) callOnce(ctx context.Context, key string) string {
+	r.report.count(&r.report.Calls)
+	resp, err := r.post(ctx, rand.IntN(len(r.s.daemons)), "/services/svc/crew-calls", "{}", key)
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return "unknown"
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "unknown"
+	}
+	if resp.StatusCode == http.StatusOK {
+		r.report.count(&r.report.Answered)
+		return "answered"
+	}
+	var p problem.Problem
+	if json.Unmarshal(data, &p) != nil {
+		r.report.violation("a refusal without problem details: %d %s", resp.StatusCode, data)
+		return "unknown"
+	}
+	time.Sleep(20 * time.Millisecond)
+	if p.Outcome == problem.NotRun {
+		r.report.count(&r.report.NotRun)
+		return "not_run"
+	}
+	r.report.count(&r.report.MayHaveRun)
+	return "may_have_run"
+}
+
+// changes edits the template through any daemon, and after each acceptance asks
+// every daemon that answers whether it admits under an older revision.
+func (r *run) changes(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		client := operator.NewClient(r.s.daemons[rand.IntN(len(r.s.daemons))].operators, "", "faultrun")
+		callCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
+		if text, err := client.Entry(callCtx, templateRef); err == nil {
+			edited := strings.Replace(text, "priority = ", fmt.Sprintf("priority = %d\n;was ", i%10), 1)
+			if result, err := client.Apply(callCtx, "edit.ini", []byte(edited)); err == nil && result.Verdict == "accepted" {
+				r.report.count(&r.report.Accepted)
+				r.accepted = max(r.accepted, result.Revision)
+			}
+		}
+		cancel()
+		r.checkRevisions(ctx)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+func (r *run) checkRevisions(ctx context.Context) {
+	accepted := r.accepted
+	for i, d := range r.s.daemons {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		status, err := operator.NewClient(d.operators, "", "faultrun").Status(callCtx)
+		cancel()
+		if err != nil || !status.Admitting {
+			continue
+		}
+		if status.Revision < accepted {
+			r.report.violation("promise 8: daemon %d admits under revision %d after %d was accepted", i, status.Revision, accepted)
+		}
+		if status.Revision < r.seen[i] {
+			r.report.violation("promise 8: daemon %d went back from revision %d to %d", i, r.seen[i], status.Revision)
+		}
+		r.seen[i] = max(r.seen[i], status.Revision)
+	}
+}
+
+// judge reads the stand-ins' own records.
+func (r *run) judge(ctx context.Context) {
+	runs := map[string]int{}
+	if err := r.get(ctx, "http://"+r.s.service+"/fake/runs", &runs); err != nil {
+		r.report.violation("the service's record could not be read: %v", err)
+	}
+	for key, n := range runs {
+		if n > 1 {
+			r.report.violation("promise 5: %s ran %d times", key, n)
+		}
+	}
+	for key, verdict := range r.verdicts {
+		switch {
+		case verdict == "not_run" && runs[key] > 0:
+			r.report.violation("promise 4: %s was refused as not run, and ran", key)
+		case verdict == "answered" && runs[key] != 1:
+			r.report.violation("promise 5: %s was answered, and ran %d times", key, runs[key])
+		}
+	}
+	for _, e := range r.s.engines {
+		var served []enginefake.Served
+		if err := r.get(ctx, "http://"+e+"/fake/served", &served); err != nil {
+			r.report.violation("an engine's record could not be read: %v", err)
+		}
+		for _, one := range served {
+			if one.Partial && one.Whole {
+				r.report.violation("promise 1: group %s epoch %d served partly assembled", one.Group, one.Epoch)
+			}
+		}
+	}
+}
+
+func (r *run) get(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	return errors.Trace(json.NewDecoder(resp.Body).Decode(out))
+}
+
+var templateRef = catalog.Ref{Kind: catalog.KindTemplate, Name: "m"}
