--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -34,7 +34,8 @@
 // workspaceState is one workspace's usage at this daemon.
 type workspaceState struct {
 	inUse   atomic.Int64
-	limiter *rate.Limiter
+	mu      sync.Mutex
+	limiter *rate.Limiter // nil until a rate applies; starts with a full burst
 }
 
 // Gate counts what is in progress by workspace. Safe for concurrent use.
@@ -51,7 +52,7 @@
 	defer g.mu.Unlock()
 	s := g.workspaces[workspace]
 	if s == nil {
-		s = &workspaceState{limiter: rate.NewLimiter(rate.Inf, 1)}
+		s = &workspaceState{}
 		g.workspaces[workspace] = s
 	}
 	return s
@@ -77,7 +78,12 @@
 	if l.RatePerSecond <= 0 {
 		return 0
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	share := rate.Limit(l.RatePerSecond / float64(max(l.Daemons, 1)))
+	if s.limiter == nil {
+		s.limiter = rate.NewLimiter(share, max(1, int(share)))
+	}
 	if s.limiter.Limit() != share {
 		s.limiter.SetLimitAt(now, share)
 		s.limiter.SetBurstAt(now, max(1, int(share)))
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,87 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"pearlanding/internal/catalog"
+)
+
+func TestLimitFollowsDemand(t *testing.T) {
+	even := Limits{MaxConcurrent: 90, Daemons: 9, OthersInUse: 80}
+	must.Eq(t, 10, even.share())
+	alone := Limits{MaxConcurrent: 90, Daemons: 9, OthersInUse: 0}
+	must.Eq(t, 90, alone.share())
+}
+
+// TestGateNeverExceedsItsShare: what is inside never passes the share, and what
+// left is given back.
+func TestGateNeverExceedsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGate()
+		l := Limits{MaxConcurrent: rapid.IntRange(1, 20).Draw(t, "max"), Daemons: rapid.IntRange(1, 4).Draw(t, "daemons"),
+			OthersInUse: rapid.IntRange(0, 30).Draw(t, "others")}
+		var inside []func()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(inside) > 0 && rapid.Bool().Draw(t, "leave") {
+				inside[0]()
+				inside[0]() // leaving twice counts once
+				inside = inside[1:]
+				continue
+			}
+			leave, retry, ok := g.Enter("w", l, time.Unix(1, 0))
+			must.Eq(t, len(inside) < l.share(), ok)
+			if !ok {
+				must.Positive(t, retry)
+				continue
+			}
+			inside = append(inside, leave)
+			must.Eq(t, len(inside), g.InUse()["w"])
+		}
+	})
+}
+
+func TestRateTellsWhenToComeBack(t *testing.T) {
+	g, now := NewGate(), time.Unix(1, 0)
+	l := Limits{MaxConcurrent: 100, Daemons: 2, RatePerSecond: 4}
+	for range 2 { // the burst of this daemon's half
+		_, _, ok := g.Enter("w", l, now)
+		must.True(t, ok)
+	}
+	_, retry, ok := g.Enter("w", l, now)
+	must.False(t, ok)
+	must.Eq(t, 500*time.Millisecond, retry)
+	_, _, ok = g.Enter("w", l, now.Add(retry))
+	must.True(t, ok)
+}
+
+func TestUrgentIsShedLast(t *testing.T) {
+	for load := 0.0; load < 6; load += 0.1 {
+		_, patient := Shed(catalog.ClassPatient, load, time.Second)
+		_, normal := Shed(catalog.ClassNormal, load, time.Second)
+		retry, urgent := Shed(catalog.ClassUrgent, load, time.Second)
+		must.True(t, (!urgent || normal) && (!normal || patient))
+		must.Eq(t, urgent, retry > 0)
+	}
+	must.Greater(t, Priority(catalog.ClassPatient), Priority(catalog.ClassUrgent))
+}
+
+// TestRetriesStayWithinBudget: with every first try failing, attempts stay within
+// 1.1 times the requests and the saved burst.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	b := NewRetryBudget(0.1)
+	retries := 0
+	const requests = 10000
+	for range requests {
+		b.First()
+		for range 2 {
+			if b.Retry() {
+				retries++
+			}
+		}
+	}
+	must.LessEq(t, requests/10+budgetBurst, retries)
+}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -58,10 +58,13 @@
 
 // DomainReport relays a domain object, if the asker's is older, and evidence.
 type DomainReport struct {
-	Name     string           `json:"name"`
-	Version  uint64           `json:"version"`
-	Domain   json.RawMessage  `json:"domain,omitempty"`
-	Evidence []EvidenceReport `json:"evidence,omitempty"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Domain  json.RawMessage `json:"domain,omitempty"`
+	// Packed is evidence of all groups of that version; see package control.
+	Packed []byte `json:"packed,omitempty"`
+	// Wrong spells out the evidence that names lost or leaving members.
+	Wrong []EvidenceReport `json:"wrong,omitempty"`
 }
 
 // EvidenceReport is group evidence with its age.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,7 +40,7 @@
 
 // publishShare bounds the processor time that building snapshots may take: after
 // each, the loop gathers events for that many times as long as it took.
-const publishShare = 100
+const publishShare = 200
 
 // Run owns the control state until ctx ends.
 func (c *Control) Run(ctx context.Context) {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -148,7 +148,7 @@
 )
 
 // suspectAfter is how many sync intervals of silence make a peer suspect.
-const suspectAfter = 4
+const suspectAfter = 5
 
 // peerState judges a slot at now.
 func (s *state) peerState(slot string, now time.Time) PeerState {
@@ -209,7 +209,12 @@
 			s.observeDomain(r.Name, group.Copy{Version: r.Version, Domain: d}, sent)
 		}
 	}
-	for _, e := range r.Evidence {
+	if c := s.domains[r.Name]; c.Version == r.Version {
+		for _, e := range unpack(c.Domain, r.Packed, sent, s.cfg.EvidenceAge) {
+			s.observeEvidence(e, sent)
+		}
+	}
+	for _, e := range r.Wrong {
 		ev := e.Evidence
 		if e.AgeMS >= 0 {
 			ev.Ready = sent.Add(-time.Duration(e.AgeMS) * time.Millisecond)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pearlanding/internal/cluster"
-	"pearlanding/internal/group"
 )
 
 // request is what a daemon with this snapshot asks a peer.
@@ -30,13 +29,16 @@
 	}
 	out.HeardAges = s.heardAges(now, cfg.AdmissionLease)
 	for name, copied := range s.Domains {
-		report := cluster.DomainReport{Name: name, Version: copied.Version, Evidence: s.evidenceReports(copied.Domain, now, cfg)}
+		report := cluster.DomainReport{Name: name, Version: copied.Version, Wrong: wrong(copied.Domain, s.Evidence, now)}
+		if len(copied.Domain.Groups) > 0 {
+			report.Packed = pack(copied.Domain, s.Evidence, now, cfg.EvidenceAge)
+		}
 		if req.Domains[name] < copied.Version {
 			if data, err := json.Marshal(copied.Domain); err == nil {
 				report.Domain = data
 			}
 		}
-		if len(report.Domain) > 0 || len(report.Evidence) > 0 {
+		if len(report.Domain) > 0 || len(report.Packed) > 0 {
 			out.Domains = append(out.Domains, report)
 		}
 	}
@@ -48,26 +50,6 @@
 	return int64((now.Sub(at) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// evidenceReports lists what is worth relaying of a domain's groups.
-func (s *Snapshot) evidenceReports(d group.Domain, now time.Time, cfg Config) []cluster.EvidenceReport {
-	var out []cluster.EvidenceReport
-	for id := range d.Groups {
-		e, known := s.Evidence[id]
-		if !known {
-			continue
-		}
-		age := int64(-1)
-		if !e.Ready.IsZero() {
-			age = ageMS(now, e.Ready)
-		}
-		if age > cfg.EvidenceAge.Milliseconds() && len(e.Lost) == 0 && len(e.Leaving) == 0 {
-			continue
-		}
-		out = append(out, cluster.EvidenceReport{AgeMS: age, Evidence: e})
-	}
-	return out
-}
-
 // heardAges is the relayed form of whom this daemon heard at the head's slots.
 func (s *Snapshot) heardAges(now time.Time, term time.Duration) []byte {
 	unit := term / cluster.AgeUnits
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,6 +145,9 @@
 	return err
 }
 
+// InFlight is the number of callers' requests in progress.
+func (d *Daemon) InFlight() int64 { return d.api.InFlight() }
+
 // Control gives access to the control state.
 func (d *Daemon) Control() *control.Control { return d.control }
 
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -34,9 +34,9 @@
 	forgetAfter time.Duration
 }
 
-// Fan-out of one sync round: everybody while there are few daemons, some at
-// random beyond.
-const syncFanOut = 8
+// syncFanOut is how many peers, drawn at random, one round of exchanges asks;
+// hearings and evidence of the others come relayed.
+const syncFanOut = 4
 
 // syncLoop exchanges with peers every interval until ctx ends.
 func (m *membership) syncLoop(ctx context.Context) {
--- a/internal/embedded/answers_test.go
+++ b/internal/embedded/answers_test.go
@@ -18,7 +18,7 @@
 	s := start(t, Options{Daemons: 2})
 	for _, d := range s.Daemons {
 		r := send(d, chatPath, chat("berth", 12, true))
-		text, whole := streamed(r.body)
+		text, whole := enginefake.Streamed(r.body)
 		must.True(t, whole)
 		must.Eq(t, answerTo("berth", 12), text)
 		must.Eq(t, Place, r.header.Get("Pearlanding-Place"))
@@ -67,9 +67,16 @@
 	must.Eq(t, http.StatusBadGateway, r.status)
 	must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
 
+	for _, stream := range []bool{false, true} {
+		engine.SetFaults(enginefake.Faults{CrossBody: true})
+		r = send(d, chatPath, chat("crossed", 4, stream))
+		must.Eq(t, http.StatusBadGateway, r.status, must.Sprint(r.body))
+		must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
+	}
+
 	engine.SetFaults(enginefake.Faults{CutAfterTokens: 3})
 	r = send(d, chatPath, chat("cut", 9, true))
-	text, whole := streamed(r.body)
+	text, whole := enginefake.Streamed(r.body)
 	must.False(t, whole)
 	must.Eq(t, answerTo("cut", 3), text)
 	must.Error(t, r.err, must.Sprint("a cut stream must not end as a whole one does"))
@@ -80,7 +87,7 @@
 	must.Eq(t, http.StatusBadGateway, r.status)
 
 	r = send(d, chatPath, chat("cut", 9, true), "Pearlanding-Resume-From", "3")
-	text, whole = streamed(r.body)
+	text, whole = enginefake.Streamed(r.body)
 	must.True(t, whole)
 	must.Eq(t, strings.TrimPrefix(answerTo("cut", 9), answerTo("cut", 3)), text)
 }
@@ -117,11 +124,11 @@
 	})
 	t.Run("model request", func(t *testing.T) {
 		first := send(s.Daemons[0], chatPath, chat("once", 5, true), "Idempotency-Key", "m1", "Pearlanding-Repeat", "never")
-		_, whole := streamed(first.body)
+		_, whole := enginefake.Streamed(first.body)
 		must.True(t, whole)
 		again := send(s.Daemons[1], chatPath, chat("once", 5, true), "Idempotency-Key", "m1", "Pearlanding-Repeat", "never")
-		one, _ := streamed(first.body)
-		two, _ := streamed(again.body)
+		one, _ := enginefake.Streamed(first.body)
+		two, _ := enginefake.Streamed(again.body)
 		must.Eq(t, one, two)
 		must.Eq(t, "true", again.header.Get("Pearlanding-Replayed"))
 	})
@@ -138,7 +145,7 @@
 		vm.Engine.SetFaults(enginefake.Faults{CutAfterTokens: 5}) // the rest of three is not cut
 	}
 	r := send(s.Daemons[0], chatPath, chat("resume", 8, true))
-	text, whole := streamed(r.body)
+	text, whole := enginefake.Streamed(r.body)
 	must.True(t, whole, must.Sprint(r.body))
 	must.Eq(t, answerTo("resume", 8), text)
 	judge(t, s)
--- a/internal/embedded/faults_test.go
+++ b/internal/embedded/faults_test.go
@@ -108,7 +108,7 @@
 	r := send(d, chatPath, chat("refused", 2, false))
 	must.True(t, r.status == http.StatusOK || r.problem.Outcome == problem.NotRun)
 	wg.Wait()
-	text, whole := streamed(long.body)
+	text, whole := enginefake.Streamed(long.body)
 	must.True(t, whole, must.Sprint("a planned stop cut a request", long.err))
 	must.Eq(t, answerTo("long", 200), text)
 	snap := await(t, d, "serving without it", func(snap *control.Snapshot) bool {
@@ -170,10 +170,11 @@
 	await(t, s.Daemons[0], "left the registry", func(snap *control.Snapshot) bool { return len(snap.Peers) == 1 })
 	r := send(d, chatPath, chat("late", 2, false))
 	must.True(t, r.err != nil || r.problem.Code == problem.CodeStopping, must.Sprint(r))
-	wg.Wait()
 	must.NoError(t, <-d.Done)
 	d.Done <- nil
-	text, whole := streamed(long.body)
+	must.Eq(t, int64(0), d.InFlight(), must.Sprint("ended before its requests had"))
+	wg.Wait()
+	text, whole := enginefake.Streamed(long.body)
 	must.True(t, whole)
 	must.Eq(t, answerTo("stop", 150), text)
 }
--- a/internal/embedded/harness_test.go
+++ b/internal/embedded/harness_test.go
@@ -92,31 +92,7 @@
 	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, Model, stream, n, prompt)
 }
 
-// streamed joins the tokens of an event stream and tells whether it was whole.
-func streamed(body string) (text string, whole bool) {
-	for line := range strings.Lines(body) {
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			return text, true
-		}
-		var chunk struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) == 1 {
-			text += chunk.Choices[0].Delta.Content
-		}
-	}
-	return text, false
-}
-
-// prompt is what the stand-in engine sees of a chat with one message.
+// answerTo is the right answer to a chat with one message.
 func answerTo(prompt string, n int) string { return enginefake.Answer("\n"+prompt, n) }
 
 // lead returns the VM of rank 0 of the only serving group.
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -171,7 +171,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return false
 	}
-	text, done := tokensOf(string(data))
+	text, done := enginefake.Streamed(string(data))
 	want := enginefake.Answer("\n"+prompt, tokens)
 	switch {
 	case done && text != want:
@@ -187,29 +187,6 @@
 	return done
 }
 
-func tokensOf(body string) (text string, done bool) {
-	for line := range strings.Lines(body) {
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			return text, true
-		}
-		var chunk struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) == 1 {
-			text += chunk.Choices[0].Delta.Content
-		}
-	}
-	return text, false
-}
-
 // calls sends at-most-once calls, each key up to three times through any daemon.
 func (r *run) calls(ctx context.Context, worker int) {
 	for i := 0; ctx.Err() == nil; i++ {
--- a/internal/standin/enginefake/answer.go
+++ b/internal/standin/enginefake/answer.go
@@ -1,6 +1,9 @@
 package enginefake
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"strings"
+)
 
 // The shapes of the answers are those callers' clients already read.
 type choice struct {
@@ -59,3 +62,22 @@
 	data, _ := json.Marshal(out)
 	return data
 }
+
+// Streamed joins the tokens of an event stream as a caller's client would, and
+// tells whether the stream ended with its final marker.
+func Streamed(body string) (text string, whole bool) {
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var part answer
+		if json.Unmarshal([]byte(data), &part) == nil && len(part.Choices) == 1 && part.Choices[0].Delta != nil {
+			text += part.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
--- a/internal/standin/enginefake/http.go
+++ b/internal/standin/enginefake/http.go
@@ -138,7 +138,7 @@
 	e.served = append(e.served, Served{RequestID: g.id, Key: key, Group: a.Group, Epoch: a.Epoch, At: time.Now()})
 	record := len(e.served) - 1
 	faults := e.faults
-	e.faults.CrossNext, e.faults.CutAfterTokens = false, 0
+	e.faults.CrossNext, e.faults.CrossBody, e.faults.CutAfterTokens = false, false, 0
 	cached := e.cache.touch(xxhash.Sum64String(prefixOf(g.prompt())))
 	e.mu.Unlock()
 	defer func() {
@@ -156,6 +156,9 @@
 	if faults.CrossNext {
 		id = "crossed-" + id
 	}
+	if faults.CrossNext || faults.CrossBody {
+		g.id = "crossed-" + g.id
+	}
 	w.Header().Set(engine.HeaderRequestID, id)
 	step := e.opts.TokenTime + time.Duration(faults.SlowMS)*time.Millisecond
 	if !cached && !pause(ctx, prefillTokens*step) {
