Slow callers are given up; a lost race names its winner; every request's log fields

Cause: the HTTP library's read, write and idle timeouts are not in force on its standard transport: a connection with half a request stood open in a probe for as long as was waited (8 s at a limit of 0.5 s). Ruled out: a longer wait, the idle limit (the same with 0.5 s). Change: connections bound themselves (internal/connlimit): idle, a whole request, each write. Requests are logged with id, workspace, group, epoch: served at debug, refused at info.

--- a/cmd/pearlanding/operate.go
+++ b/cmd/pearlanding/operate.go
@@ -159,7 +159,7 @@
 		fmt.Fprintln(os.Stderr, " ", finding)
 	}
 	for _, c := range refused.Conflicts {
-		fmt.Fprintf(os.Stderr, "  %s %s: edited at revision %d, now at %d\n", c.Ref.Kind, c.Ref.Name, c.Expect, c.Current)
+		fmt.Fprintf(os.Stderr, "  %s %s: edited at revision %d, now at %d by %s\n", c.Ref.Kind, c.Ref.Name, c.Expect, c.Current, c.By)
 	}
 	switch {
 	case refused.Code == problem.CodeConflict:
--- a/internal/api/recent.go
+++ b/internal/api/recent.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"strings"
 	"sync"
 	"time"
 
@@ -25,14 +24,6 @@
 
 func (t *trail) add(at Attempt) { t.attempts = append(t.attempts, at) }
 
-func (t *trail) group() string {
-	names := make([]string, len(t.attempts))
-	for i, a := range t.attempts {
-		names[i] = a.Group
-	}
-	return strings.Join(names, ",")
-}
-
 // Explanation tells where a recent request went and why, or why it was refused.
 type Explanation struct {
 	RequestID string           `json:"request_id"`
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -78,14 +79,12 @@
 // InFlight is the number of requests in progress.
 func (a *API) InFlight() int64 { return a.inFlight.Load() }
 
-// Server returns the HTTP server for callers, not yet listening.
-func (a *API) Server() *server.Hertz {
+// Server returns the HTTP server for callers on the listener.
+func (a *API) Server(listener net.Listener) *server.Hertz {
 	l := a.Settings.Limits
 	h := server.New(
-		server.WithHostPorts(a.Settings.Listen.Callers),
-		server.WithTransport(standard.NewTransporter),
-		server.WithReadTimeout(l.ReadTimeout), server.WithWriteTimeout(l.WriteTimeout),
-		server.WithIdleTimeout(time.Minute), server.WithMaxRequestBodySize(2*l.MaxBodyBytes), // above it the library cuts off by itself
+		server.WithListener(listener), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(2*l.MaxBodyBytes), // above it the library cuts off by itself
 		server.WithMaxHeaderBytes(l.MaxHeaderBytes), server.WithExitWaitTime(time.Millisecond),
 		server.WithDisablePrintRoute(true), server.WithRemoveExtraSlash(false),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
@@ -145,11 +144,23 @@
 		}
 		if p != nil {
 			a.refuse(x, p)
+		} else {
+			a.Log.Debug("served", x.fields()...)
 		}
 		a.recent.add(x, p)
 	}
 }
 
+// fields are what every log line about a request carries; never a prompt or token.
+func (x *exchange) fields() []zap.Field {
+	fields := []zap.Field{zap.String("request_id", x.id), zap.String("workspace", x.workspace), zap.Duration("took", time.Since(x.start))}
+	if n := len(x.trail.attempts); n > 0 {
+		last := x.trail.attempts[n-1]
+		fields = append(fields, zap.String("group", last.Group), zap.Uint64("epoch", last.Epoch), zap.Int("attempts", n))
+	}
+	return fields
+}
+
 // maxRequestID bounds a caller's own request id.
 const maxRequestID = 100
 
@@ -202,8 +213,8 @@
 func (a *API) refuse(x *exchange, p *problem.Problem) {
 	p.RequestID = x.id
 	a.Telemetry.Refused(x.workspace, p)
-	a.Log.Info("refused", zap.String("request_id", x.id), zap.String("workspace", x.workspace), zap.String("code", string(p.Code)),
-		zap.String("outcome", string(p.Outcome)), zap.Int("status", p.Status), zap.String("group", x.trail.group()))
+	a.Log.Info("refused", append(x.fields(), zap.String("code", string(p.Code)), zap.String("outcome", string(p.Outcome)),
+		zap.Int("status", p.Status), zap.String("detail", p.Detail))...)
 	if x.replied {
 		return
 	}
--- a/internal/catalog/merge.go
+++ b/internal/catalog/merge.go
@@ -7,6 +7,7 @@
 	Ref     Ref    `json:"ref"`
 	Expect  uint64 `json:"expect"`  // the revision the editor had seen, 0: none
 	Current uint64 `json:"current"` // the entry's revision now
+	By      string `json:"by"`      // who made that revision, if still known
 }
 
 // Merge puts the edit's entries into doc under the new revision. It returns the
--- /dev/null
+++ b/internal/connlimit/connlimit_test.go
@@ -0,0 +1,68 @@
+package connlimit
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+)
+
+// pair returns a bounded connection and its peer.
+func pair(t *testing.T, l Limits) (net.Conn, net.Conn) {
+	t.Helper()
+	listener, err := Listen("127.0.0.1:0", l)
+	must.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { peer.Close() })
+	c, err := listener.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c, peer
+}
+
+const long = time.Hour
+
+func TestIdlePeerIsGivenUp(t *testing.T) {
+	c, _ := pair(t, Limits{Idle: time.Millisecond, Read: long, Write: long})
+	_, err := c.Read(make([]byte, 1))
+	must.True(t, errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+func TestRequestThatIsNotSentWholeIsGivenUp(t *testing.T) {
+	c, peer := pair(t, Limits{Idle: long, Read: time.Millisecond, Write: long})
+	_, err := peer.Write([]byte("POST"))
+	must.NoError(t, err)
+	buf := make([]byte, 4)
+	_, err = c.Read(buf)
+	must.NoError(t, err)
+	_, err = c.Read(buf)
+	must.True(t, errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+func TestAnswerBeginsANewRequest(t *testing.T) {
+	c, peer := pair(t, Limits{Idle: long, Read: time.Nanosecond, Write: long})
+	buf := make([]byte, 1)
+	for range 3 { // each first byte has the idle limit again
+		_, err := peer.Write([]byte("x"))
+		must.NoError(t, err)
+		_, err = c.Read(buf)
+		must.NoError(t, err)
+		_, err = c.Write([]byte("y"))
+		must.NoError(t, err)
+	}
+}
+
+func TestPeerThatTakesNothingIsGivenUp(t *testing.T) {
+	c, _ := pair(t, Limits{Idle: long, Read: long, Write: time.Millisecond})
+	data := make([]byte, 1<<20)
+	var err error
+	for err == nil { // until the buffers of both sides are full
+		_, err = c.Write(data)
+	}
+	must.True(t, errors.Is(err, os.ErrDeadlineExceeded))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"pearlanding/internal/admission"
 	"pearlanding/internal/api"
 	"pearlanding/internal/cluster"
+	"pearlanding/internal/connlimit"
 	"pearlanding/internal/control"
 	"pearlanding/internal/engine"
 	"pearlanding/internal/group"
@@ -38,6 +39,7 @@
 	membership *membership
 	ledger     *ledger.Ledger
 	api        *api.API
+	operator   *operator.Operator
 	callers    *server.Hertz
 	operators  *server.Hertz
 	peers      *cluster.Peers
@@ -87,9 +89,8 @@
 		Router:    &router.Router{Policy: router.Policy(s.Routing.Policy), Subset: s.Routing.Subset, MaxAge: s.Timing.EvidenceAge, SlowStart: slowStart},
 		Telemetry: tele, Claimant: ledger.Claimant{Slot: s.Daemon.Name, Incarnation: incarnation}, Log: log,
 	})
-	d.callers = d.api.Server()
-	d.operators = operator.New(operator.Deps{Settings: s, Control: d.control, Store: counted, API: d.api,
-		Telemetry: tele, Offer: d.membership.offer, Log: log}).Server()
+	d.operator = operator.New(operator.Deps{Settings: s, Control: d.control, Store: counted, API: d.api,
+		Telemetry: tele, Offer: d.membership.offer, Log: log})
 	d.wireGroups(counted, incarnation)
 	d.gauges(tele)
 	return d
@@ -155,9 +156,9 @@
 // finishes what it has, gives up its slot and ends. It returns early when its
 // slot is taken by another process or a listener fails.
 func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.Listen.Peers)
+	listener, err := d.listen()
 	if err != nil {
-		return errors.Annotate(err, "peers' listener")
+		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	failed := make(chan error, 4)
@@ -193,6 +194,32 @@
 	return err
 }
 
+// idleTimeout is how long a connection without a request is kept.
+const idleTimeout = time.Minute
+
+// listen opens all three listeners, so that a taken address is an error at once.
+// It returns the peers'.
+func (d *Daemon) listen() (net.Listener, error) {
+	l := connlimit.Limits{Idle: idleTimeout, Read: d.settings.Limits.ReadTimeout, Write: d.settings.Limits.WriteTimeout}
+	callers, err := connlimit.Listen(d.settings.Listen.Callers, l)
+	if err != nil {
+		return nil, errors.Annotate(err, "callers' listener")
+	}
+	operators, err := connlimit.Listen(d.settings.Listen.Operators, l)
+	if err != nil {
+		callers.Close()
+		return nil, errors.Annotate(err, "operators' listener")
+	}
+	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
+	if err != nil {
+		callers.Close()
+		operators.Close()
+		return nil, errors.Annotate(err, "peers' listener")
+	}
+	d.callers, d.operators = d.api.Server(callers), d.operator.Server(operators)
+	return peers, nil
+}
+
 func report(failed chan<- error, err error) {
 	if err != nil {
 		failed <- err
--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -239,3 +239,47 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
+
+// BenchmarkAccept: time from an operator's edit to in force at every daemon.
+func BenchmarkAccept(b *testing.B) {
+	for _, daemons := range []int{3, 9, 18} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			s, err := Start(ctx, Options{Daemons: daemons})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() {
+				cancel()
+				for _, d := range s.Daemons {
+					<-d.Done
+				}
+			})
+			waitCtx, stop := context.WithTimeout(ctx, patience)
+			defer stop()
+			if err := s.WaitServing(waitCtx); err != nil {
+				b.Fatal(err)
+			}
+			var times []time.Duration
+			b.ResetTimer()
+			for i := range b.N {
+				client := s.Daemons[i%daemons].Operator()
+				text, err := client.Entry(ctx, ref("template", "pearl-despacho"))
+				if err != nil {
+					b.Fatal(err)
+				}
+				at := strings.Index(text, "priority = ") + len("priority = ")
+				edited := text[:at] + strconv.Itoa((i+1)%9) + text[at+1:]
+				start := time.Now()
+				result, err := client.Apply(ctx, "edit.ini", []byte(edited))
+				if err != nil || result.Verdict != "accepted" {
+					b.Fatal(err, result)
+				}
+				times = append(times, time.Since(start))
+			}
+			slices.Sort(times)
+			b.ReportMetric(percentile(times, 0.5), "p50-ms")
+			b.ReportMetric(percentile(times, 0.99), "p99-ms")
+		})
+	}
+}
--- a/internal/embedded/faults_test.go
+++ b/internal/embedded/faults_test.go
@@ -209,6 +209,7 @@
 		must.True(t, errors.As(err, &refused))
 		must.Eq(t, problem.CodeConflict, refused.Code)
 		must.SliceLen(t, 1, refused.Conflicts)
+		must.Eq(t, "embedded", refused.Conflicts[0].By)
 	}
 }
 
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -40,6 +40,18 @@
 // conflictError carries lost races out of a commit.
 type conflictError struct{ conflicts []catalog.Conflict }
 
+// lostTo names who made the current revision of each entry in conflict.
+func lostTo(h revision.Head, conflicts ...catalog.Conflict) error {
+	for i, c := range conflicts {
+		for _, change := range h.Changes {
+			if change.Revision == c.Current {
+				conflicts[i].By = change.By
+			}
+		}
+	}
+	return &conflictError{conflicts}
+}
+
 func (e *conflictError) Error() string { return "changed by somebody else first" }
 
 // apply puts the entries of an INI file in place.
@@ -57,7 +69,7 @@
 	return o.commit(ctx, c, func(h revision.Head, change revision.Change) (revision.Head, error) {
 		next, conflicts, changed := edit.Merge(h.Doc, h.Revision+1)
 		if len(conflicts) > 0 {
-			return h, &conflictError{conflicts}
+			return h, lostTo(h, conflicts...)
 		}
 		var found findings.List
 		if edit.Check(next, &found); !found.Empty() {
@@ -80,7 +92,7 @@
 	return o.commit(ctx, c, func(h revision.Head, change revision.Change) (revision.Head, error) {
 		next, conflict := h.Doc.Remove(ref, expect)
 		if conflict != nil {
-			return h, &conflictError{[]catalog.Conflict{*conflict}}
+			return h, lostTo(h, *conflict)
 		}
 		var found findings.List
 		if catalog.NewEdit().Check(next, &found); !found.Empty() {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -47,17 +48,16 @@
 
 // Limits of the operators' interface.
 const (
-	maxBody     = 1 << 20
-	readTimeout = 10 * time.Second
+	maxBody = 1 << 20
 	// callTimeout bounds one operation; a change waits for its acceptance within.
 	callTimeout = 15 * time.Second
 )
 
-// Server returns the HTTP server for operators, not yet listening.
-func (o *Operator) Server() *server.Hertz {
+// Server returns the HTTP server for operators on the listener.
+func (o *Operator) Server(listener net.Listener) *server.Hertz {
 	h := server.New(
-		server.WithHostPorts(o.Settings.Listen.Operators), server.WithTransport(standard.NewTransporter),
-		server.WithReadTimeout(readTimeout), server.WithMaxRequestBodySize(maxBody),
+		server.WithListener(listener), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxBody),
 		server.WithExitWaitTime(time.Millisecond), server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
