--- a/internal/group/holder.go
+++ b/internal/group/holder.go
@@ -43,10 +43,11 @@
 	since    map[string]time.Time
 }
 
-// pass makes one round: prove the hold, look, plan, write, order.
-func (h *holder) pass(ctx context.Context) {
+// pass makes one round: prove the hold, look, plan, write, order. It reports
+// whether it changed anything, so that the next one should follow soon.
+func (h *holder) pass(ctx context.Context) (busy bool) {
 	if !h.hold(ctx) {
-		return
+		return false
 	}
 	h.readList(ctx)
 	h.probe(ctx)
@@ -54,9 +55,9 @@
 	h.noteStates(now)
 	next, changed := Plan(h.input(now), h.cfg.Policy)
 	if changed && !h.write(ctx, next) {
-		return
+		return true
 	}
-	h.order(ctx)
+	return h.order(ctx) || changed
 }
 
 // hold reads the domain object and makes sure that it names us; it reports
@@ -210,8 +211,9 @@
 	}
 }
 
-// order tells the engines what the written domain wants of them.
-func (h *holder) order(ctx context.Context) {
+// order tells the engines what the written domain wants of them, and reports
+// whether there was anything to tell.
+func (h *holder) order(ctx context.Context) bool {
 	orders := Orders(h.current.Domain, h.probes)
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Policy.OrderTimeout)
 	defer cancel()
@@ -229,6 +231,7 @@
 		})
 	}
 	wg.Wait()
+	return len(orders) > 0
 }
 
 // mayOrder tells, right before an order is sent, whether our hold is proven
--- a/internal/group/manager.go
+++ b/internal/group/manager.go
@@ -120,16 +120,24 @@
 	}
 }
 
+// hurry divides the interval to the next pass after one that changed something:
+// the engines' answers are waited for.
+const hurry = 5
+
 func (h *holder) run(ctx context.Context) {
-	ticker := time.NewTicker(h.cfg.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		h.pass(ctx)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
+		if h.pass(ctx) {
+			timer.Reset(h.cfg.Interval / hurry)
+		} else {
+			timer.Reset(h.cfg.Interval)
+		}
 	}
 }
 
