--- a/internal/embedded/answers_test.go
+++ b/internal/embedded/answers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"pearlanding/internal/control"
 	"pearlanding/internal/problem"
 	"pearlanding/internal/standin/enginefake"
 	"pearlanding/internal/standin/servicefake"
@@ -150,3 +151,20 @@
 	must.Eq(t, answerTo("resume", 8), text)
 	judge(t, s)
 }
+
+// TestDeadlineEndsARequestAtOnce: what can't be finished within the deadline is
+// told so when the deadline passes, and the engine stops working on it.
+func TestDeadlineEndsARequestAtOnce(t *testing.T) {
+	s := start(t, Options{Daemons: 1, VMs: 1, GroupSize: 1, Adjust: map[string]string{"limits.deadline": "1s"}})
+	r := send(s.Daemons[0], chatPath, chat("too long", 1000, false))
+	must.Eq(t, http.StatusGatewayTimeout, r.status)
+	must.Eq(t, problem.CodeDeadline, r.problem.Code)
+	must.Eq(t, problem.MayHaveRun, r.problem.Outcome)
+	engine := lead(t, s).Engine
+	await(t, s.Daemons[0], "the engine is free again", func(*control.Snapshot) bool { return engine.Status().Running == 0 })
+
+	r = send(s.Daemons[0], chatPath, chat("too long", 1000, true))
+	_, whole := enginefake.Streamed(r.body)
+	must.False(t, whole)
+	must.StrContains(t, r.body, string(problem.CodeDeadline))
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,58 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/platform"
+	"pearlanding/internal/standin/platformfake"
+)
+
+// TestClientTellsWhatBecameOfAWrite: refused, conflict, lost and unreachable are
+// told apart, since each asks for another next step.
+func TestClientTellsWhatBecameOfAWrite(t *testing.T) {
+	store := platformfake.New(0, 0)
+	srv := httptest.NewServer(store.Handler())
+	client := platform.NewClient(srv.URL, time.Second)
+	ctx := context.Background()
+
+	_, err := client.Get(ctx, "a/b")
+	must.ErrorIs(t, err, platform.ErrNotFound)
+	version, err := client.Create(ctx, "a/b", []byte(`{"n":1}`))
+	must.NoError(t, err)
+	_, err = client.Create(ctx, "a/b", []byte(`{}`))
+	must.ErrorIs(t, err, platform.ErrConflict)
+	_, err = client.Update(ctx, "a/b", version+1, []byte(`{}`))
+	must.ErrorIs(t, err, platform.ErrConflict)
+	_, err = client.Update(ctx, "a/b", version, []byte(strings.Repeat("x", platform.MaxValueBytes+1)))
+	must.ErrorIs(t, err, platform.ErrTooLarge)
+
+	store.SetFaults(platformfake.Faults{LoseAnswers: 1})
+	_, err = client.Update(ctx, "a/b", version, []byte(`{"n":2}`))
+	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	obj, err := client.Get(ctx, "a/b")
+	must.NoError(t, err)
+	must.Eq(t, `{"n":2}`, string(obj.Value)) // it had been applied
+
+	store.SetFaults(platformfake.Faults{Outage: true})
+	_, err = client.Update(ctx, "a/b", obj.Version, []byte(`{}`))
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	store.SetFaults(platformfake.Faults{})
+
+	list, err := client.Watch(ctx, "a/", version)
+	must.NoError(t, err)
+	must.SliceLen(t, 1, list)
+	must.NoError(t, client.Delete(ctx, "a/b", obj.Version))
+	list, err = client.List(ctx, "a/")
+	must.NoError(t, err)
+	must.SliceEmpty(t, list)
+
+	srv.Close()
+	_, err = client.Create(ctx, "a/c", []byte(`{}`))
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+}
--- a/internal/standin/engines.go
+++ b/internal/standin/engines.go
@@ -105,19 +105,7 @@
 // weightsOver fetches weights from a stand-in platform.
 func weightsOver(base string) func(context.Context, int) error {
 	return func(ctx context.Context, megabytes int) error {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/v1/weights?megabytes=%d", base, megabytes), nil)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		defer resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			return errors.Errorf("weight store answered %d", resp.StatusCode)
-		}
-		return nil
+		return call(ctx, http.MethodPost, fmt.Sprintf("%s/v1/weights?megabytes=%d", base, megabytes), nil)
 	}
 }
 
@@ -127,7 +115,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, base+"/fake/vms", bytes.NewReader(body))
+	return call(ctx, http.MethodPut, base+"/fake/vms", body)
+}
+
+// call makes one call of a stand-in that must be answered with 200.
+func call(ctx context.Context, method, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -137,7 +130,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("platform answered %d", resp.StatusCode)
+		return errors.Errorf("%s answered %d", url, resp.StatusCode)
 	}
 	return nil
 }
