Read as a newcomer: a field nobody read, and giving a group up only for one of no lower priority

evidenceAt.learned was written and never read; evidence is kept as it is. Of several broken groups the one missing most was given up also for a group of lower priority, which the comment did not say and nobody would expect.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -76,7 +76,7 @@
 		Head: s.head, HeadVersion: s.headVersion, Slot: s.cfg.Slot, Incarnation: s.cfg.Incarnation,
 		Registered: s.registered(), Stopping: s.stopping, AdmitUntil: s.lease.ValidUntil(),
 		PlatformAsOf: s.lease.PlatformAsOf(), AcceptedUpTo: s.decided, WaitingFor: waiting,
-		Live: s.live(now), Peers: s.peers(now), Domains: maps.Clone(s.domains), Evidence: s.copyEvidence(),
+		Live: s.live(now), Peers: s.peers(now), Domains: maps.Clone(s.domains), Evidence: maps.Clone(s.evidence),
 		OthersInUse: s.othersInUse(now), Changed: make(chan struct{}),
 	}
 	if previous != nil && previous.HeadVersion == s.headVersion {
@@ -109,14 +109,6 @@
 	return out
 }
 
-func (s *state) copyEvidence() map[string]group.Evidence {
-	out := make(map[string]group.Evidence, len(s.evidence))
-	for id, e := range s.evidence {
-		out[id] = e.Evidence
-	}
-	return out
-}
-
 func (s *state) othersInUse(now time.Time) map[string]int {
 	out := map[string]int{}
 	for slot, load := range s.loads {
@@ -150,7 +142,7 @@
 			if g.State != group.StateServing || !known || e.Epoch != g.Epoch || e.Over || len(e.Leaving) > 0 || c.Domain.Departing(g) {
 				continue
 			}
-			out[g.Pool] = append(out[g.Pool], s.target(c.Domain, g, e.Evidence, old[id]))
+			out[g.Pool] = append(out[g.Pool], s.target(c.Domain, g, e, old[id]))
 		}
 	}
 	return out
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -32,22 +32,16 @@
 	heard       map[string]revision.Hearing
 	loads       map[string]cluster.DaemonLoad
 	domains     map[string]group.Copy
-	evidence    map[string]evidenceAt
+	evidence    map[string]group.Evidence
 	servingAt   map[string]time.Time // by epoch: when it was first seen serving
 	stopping    bool
 	started     time.Time
 }
 
-// evidenceAt is evidence with the moment it was learned, for pruning.
-type evidenceAt struct {
-	group.Evidence
-	learned time.Time
-}
-
 func newState(cfg Config, now time.Time) *state {
 	return &state{
 		cfg: cfg, head: revision.NewHead(), heard: map[string]revision.Hearing{}, loads: map[string]cluster.DaemonLoad{},
-		domains: map[string]group.Copy{}, evidence: map[string]evidenceAt{}, servingAt: map[string]time.Time{}, started: now,
+		domains: map[string]group.Copy{}, evidence: map[string]group.Evidence{}, servingAt: map[string]time.Time{}, started: now,
 	}
 }
 
@@ -240,7 +234,7 @@
 		s.evidence[e.Group] = old
 		return
 	}
-	s.evidence[e.Group] = evidenceAt{e, learned}
+	s.evidence[e.Group] = e
 }
 
 func unionStrings(a, b []string) []string {
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -61,11 +61,12 @@
 // together brings it back soonest once a VM returns; giving it up lets its
 // healthy members complete another broken group or form a smaller one. The
 // weights of the two measures decide between waiting and giving up; of several
-// broken groups of a pool, the one that misses most is given up so that the
-// others are completed.
+// broken groups, the one that misses most is given up so that others of no lower
+// priority are completed.
 func (p *planner) withoutSpares(g Group, lost []int, broken []Group) {
 	for _, other := range broken {
-		if other.ID != g.ID && len(p.lostOf(other)) < len(lost) && p.d.Groups[other.ID].State == other.State {
+		waits := other.ID != g.ID && p.d.Groups[other.ID].State == other.State
+		if waits && len(p.lostOf(other)) < len(lost) && p.priority(other) >= p.priority(g) {
 			p.fire(g, TriggerRetire, "its members complete other groups")
 			return
 		}
