A daemon that is not reached is no unknown outcome

Cause: the operators' client took a refused connection for a lost answer and ended with exit 4 (unknown); nothing had been sent.

--- a/internal/embedded/faults_test.go
+++ b/internal/embedded/faults_test.go
@@ -184,6 +184,8 @@
 func TestConfigurationRace(t *testing.T) {
 	s := start(t, Options{Daemons: 3})
 	ctx := context.Background()
+	_, err := operator.NewClient("127.0.0.1:1", "", "").Status(ctx)
+	must.ErrorIs(t, err, operator.ErrNotReached, must.Sprint("nothing was sent, so nothing is unknown"))
 	ref, err := s.Daemons[0].Operator().Entry(ctx, ref("template", "pearl-despacho"))
 	must.NoError(t, err)
 	var wg sync.WaitGroup
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -39,6 +40,9 @@
 	ChangeID  string             `json:"-"`
 }
 
+// ErrNotReached: no connection to the daemon was had; nothing was sent.
+const ErrNotReached = errors.ConstError("operator: daemon not reached")
+
 // ErrNoAnswer: the call was sent and no whole answer came; it may have been done.
 const ErrNoAnswer = errors.ConstError("operator: no answer")
 
@@ -121,6 +125,10 @@
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
 	resp, err := c.http.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.WithType(err, ErrNotReached)
+	}
 	if err != nil {
 		return errors.WithType(err, ErrNoAnswer)
 	}
