--- a/internal/embedded/faults_test.go
+++ b/internal/embedded/faults_test.go
@@ -229,3 +229,36 @@
 	must.Eq(t, "accepted", string(result.Verdict))
 	must.Eq(t, before+1, result.Revision)
 }
+
+// TestAllDaemonsReplaced: every daemon is replaced by one of another name, one
+// after another; a change is accepted after each, none is ever lost, and requests
+// are served all along.
+func TestAllDaemonsReplaced(t *testing.T) {
+	s := start(t, Options{Daemons: 2})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	for i := range 2 {
+		old := s.Daemons[i]
+		fresh, err := s.AddDaemon()
+		must.NoError(t, err)
+		must.NoError(t, fresh.Ready(ctx))
+		old.Stop()
+		must.NoError(t, <-old.Done)
+		old.Done <- nil
+		text, err := fresh.Operator().Entry(ctx, ref("template", "pearl-despacho"))
+		must.NoError(t, err)
+		edited := strings.Replace(text, "priority = ", "priority = "+string('6'+byte(i))+"\n; was ", 1)
+		result, err := fresh.Operator().Apply(ctx, "edit.ini", []byte(edited))
+		must.NoError(t, err)
+		must.Eq(t, "accepted", string(result.Verdict))
+		await(t, fresh, "replica known", func(snap *control.Snapshot) bool {
+			return len(snap.Targets[Pool]) == 1 && time.Since(snap.Targets[Pool][0].Ready) < time.Second
+		})
+		r := send(fresh, chatPath, chat("served", 4, false))
+		must.Eq(t, http.StatusOK, r.status, must.Sprint(r.body))
+	}
+	snap := s.Daemons[3].Control().Snapshot()
+	must.Eq(t, 7, snap.Head.Doc.Templates["pearl-despacho"].Priority)
+	must.Eq(t, []string{"entry-3", "entry-4"}, snap.Head.Slots())
+	judge(t, s)
+}
