Client test: a refused connection is met by a client without idle ones

Cause: after the server closed, the old client's idle connection was sometimes still taken, and the write ended as unknown, which is the truth then.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -52,7 +52,9 @@
 	must.NoError(t, err)
 	must.SliceEmpty(t, list)
 
+	// A fresh client has no idle connection: on one that the server had closed, the
+	// outcome would truly be unknown.
 	srv.Close()
-	_, err = client.Create(ctx, "a/c", []byte(`{}`))
+	_, err = platform.NewClient(srv.URL, time.Second).Create(ctx, "a/c", []byte(`{}`))
 	must.ErrorIs(t, err, platform.ErrUnavailable)
 }
