--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -21,14 +21,26 @@
 // caller and the stand-in alone, in one run of one process, so only the ratios and
 // differences speak. docs/MEASUREMENTS.md quotes them.
 
+// benchSystem brings up one daemon before a group of one VM.
 func benchSystem(b *testing.B, slots int, tokenTime time.Duration) *System {
+	b.Helper()
+	return benchOf(b, Options{Daemons: 1, VMs: 1, GroupSize: 1, Slots: slots, TokenTime: tokenTime})
+}
+
+// benchOf brings a system up that serves, and takes it down with the benchmark.
+func benchOf(b *testing.B, o Options) *System {
 	b.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	s, err := Start(ctx, Options{Daemons: 1, VMs: 1, GroupSize: 1, Slots: slots, TokenTime: tokenTime})
+	s, err := Start(ctx, o)
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { cancel(); <-s.Daemons[0].Done })
+	b.Cleanup(func() {
+		cancel()
+		for _, d := range s.Daemons {
+			<-d.Done
+		}
+	})
 	waitCtx, stop := context.WithTimeout(ctx, patience)
 	defer stop()
 	if err := s.WaitServing(waitCtx); err != nil {
@@ -244,22 +256,8 @@
 func BenchmarkAccept(b *testing.B) {
 	for _, daemons := range []int{3, 9, 18} {
 		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
-			ctx, cancel := context.WithCancel(context.Background())
-			s, err := Start(ctx, Options{Daemons: daemons})
-			if err != nil {
-				b.Fatal(err)
-			}
-			b.Cleanup(func() {
-				cancel()
-				for _, d := range s.Daemons {
-					<-d.Done
-				}
-			})
-			waitCtx, stop := context.WithTimeout(ctx, patience)
-			defer stop()
-			if err := s.WaitServing(waitCtx); err != nil {
-				b.Fatal(err)
-			}
+			ctx := context.Background()
+			s := benchOf(b, Options{Daemons: daemons})
 			var times []time.Duration
 			b.ResetTimer()
 			for i := range b.N {
@@ -291,22 +289,7 @@
 	const window = 4 * time.Second
 	for _, daemons := range []int{3, 9, 30} {
 		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
-			ctx, cancel := context.WithCancel(context.Background())
-			s, err := Start(ctx, Options{Daemons: daemons})
-			if err != nil {
-				b.Fatal(err)
-			}
-			b.Cleanup(func() {
-				cancel()
-				for _, d := range s.Daemons {
-					<-d.Done
-				}
-			})
-			waitCtx, stop := context.WithTimeout(ctx, patience)
-			defer stop()
-			if err := s.WaitServing(waitCtx); err != nil {
-				b.Fatal(err)
-			}
+			s := benchOf(b, Options{Daemons: daemons})
 			for range b.N {
 				before := s.Platform.Calls()
 				time.Sleep(window)
