--- a/cmd/pearlanding/main.go
+++ b/cmd/pearlanding/main.go
@@ -43,6 +43,7 @@
 		return exitOK
 	}))
 	addServe(app, run)
+	addFront(app, run)
 	addCheck(app, run)
 	addOperator(app, run)
 	addStandin(app, run)
--- a/cmd/pearlanding/serve.go
+++ b/cmd/pearlanding/serve.go
@@ -12,7 +12,7 @@
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/daemon"
 	"pearlanding/internal/findings"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/settings"
 	"pearlanding/internal/telemetry"
 )
@@ -32,7 +32,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	d := daemon.New(s, platform.NewClient(s.Platform.URL, s.Platform.Timeout), log)
+	d := daemon.New(s, objectapi.NewClient(s.Platform.URL, s.Platform.Timeout), log)
 	if err := d.Run(ctx); err != nil {
 		log.Error("stopped", zap.Error(err))
 		return exitRefused
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,8 +22,8 @@
 	"pearlanding/internal/engine"
 	"pearlanding/internal/group"
 	"pearlanding/internal/ledger"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/operator"
-	"pearlanding/internal/platform"
 	"pearlanding/internal/revision"
 	"pearlanding/internal/router"
 	"pearlanding/internal/settings"
@@ -62,10 +62,10 @@
 var quietHTTP = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
 
 // New wires a daemon over a platform store.
-func New(s settings.Settings, store platform.Store, log *zap.Logger) *Daemon {
+func New(s settings.Settings, store objectapi.Store, log *zap.Logger) *Daemon {
 	quietHTTP()
 	tele := telemetry.New()
-	counted := platform.Counted(store, tele.Set)
+	counted := objectapi.Counted(store, tele.Set)
 	incarnation := uuid.NewString()
 	gate := admission.NewGate()
 	log = log.With(zap.String("daemon", s.Daemon.Name))
@@ -96,7 +96,7 @@
 	return d
 }
 
-func (d *Daemon) wireGroups(store platform.Store, incarnation string) {
+func (d *Daemon) wireGroups(store objectapi.Store, incarnation string) {
 	t, p := d.settings.Timing, d.settings.Planner
 	engines := engine.NewClient(t.OrderTimeout)
 	d.manager = group.NewManager(group.HolderConfig{
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -11,7 +11,7 @@
 
 	"pearlanding/internal/cluster"
 	"pearlanding/internal/control"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/revision"
 )
 
@@ -21,7 +21,7 @@
 	cfg     control.Config
 	self    revision.Member
 	timing  membershipTiming
-	store   platform.Store
+	store   objectapi.Store
 	control *control.Control
 	peers   *cluster.Peers
 	log     *zap.Logger
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -14,8 +14,8 @@
 	"pearlanding/internal/control"
 	"pearlanding/internal/daemon"
 	"pearlanding/internal/findings"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/operator"
-	"pearlanding/internal/platform"
 	"pearlanding/internal/settings"
 	"pearlanding/internal/standin"
 	"pearlanding/internal/standin/platformfake"
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	var rows []platform.VM
+	var rows []objectapi.VM
 	for _, vm := range s.VMs {
 		rows = append(rows, vm.Row)
 	}
@@ -134,7 +134,7 @@
 		log = zap.NewNop()
 	}
 	ctx, stop := context.WithCancel(s.ctx)
-	d := daemon.New(parsed, platform.NewClient(s.PlatformURL, parsed.Platform.Timeout), log)
+	d := daemon.New(parsed, objectapi.NewClient(s.PlatformURL, parsed.Platform.Timeout), log)
 	r := &Running{Daemon: d, Settings: parsed, Stop: stop, Done: make(chan error, 1)}
 	go func() { r.Done <- d.Run(ctx) }()
 	s.Daemons = append(s.Daemons, r)
--- a/internal/embedded/faults_test.go
+++ b/internal/embedded/faults_test.go
@@ -13,8 +13,8 @@
 
 	"pearlanding/internal/control"
 	"pearlanding/internal/group"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/operator"
-	"pearlanding/internal/platform"
 	"pearlanding/internal/problem"
 	"pearlanding/internal/standin/enginefake"
 	"pearlanding/internal/standin/platformfake"
@@ -137,7 +137,7 @@
 
 func TestLeaveByPlatformList(t *testing.T) {
 	s := start(t, Options{Daemons: 3})
-	leaves(t, s, func(vm string) { s.Platform.SetVMState(vm, platform.VMLeaving) })
+	leaves(t, s, func(vm string) { s.Platform.SetVMState(vm, objectapi.VMLeaving) })
 }
 
 // TestLeaveByEngineInOutage: an engine that says it is leaving gets nothing new
--- /dev/null
+++ b/internal/fleet/belief.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"maps"
+	"time"
+)
+
+// Times of the belief about instances whose entries went.
+const (
+	// returnGrace is how long after an outage of the store an entry that is
+	// missing may still come back. Source: the platform promises two seconds.
+	returnGrace = 2 * time.Second
+	// removedMemory is how long a removed instance is remembered, for whoever
+	// must know how long ago its group lost it.
+	removedMemory = 60 * time.Second
+)
+
+// Belief turns what the store tells into views. It is not safe for concurrent
+// use: one goroutine owns it. Time is passed in.
+type Belief struct {
+	size      SizeOf
+	lapse     time.Duration // silence after which an entry is removed
+	instances map[string]*Instance
+	lapsed    map[string]bool // removed right after an outage, still believed
+	removed   map[string]Gone
+	revision  uint64
+	lostSince time.Time // zero while the store is reached
+	backAt    time.Time // when the last outage long enough for lapses ended
+}
+
+// NewBelief returns an empty belief. heartbeat is the time between the writes of
+// an instance's own entry; an entry is removed after lapsedHeartbeats of silence.
+func NewBelief(heartbeat time.Duration, size SizeOf) *Belief {
+	return &Belief{size: size, lapse: lapsedHeartbeats * heartbeat,
+		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}}
+}
+
+// lapsedHeartbeats is after how many silent heartbeats the store drops an entry.
+const lapsedHeartbeats = 3
+
+// Lost notes that the store was not reached at now.
+func (b *Belief) Lost(now time.Time) {
+	if b.lostSince.IsZero() {
+		b.lostSince = now
+	}
+}
+
+// Reached notes that the store answered at now. After an absence in which
+// entries may have lapsed, missing ones are believed for returnGrace.
+func (b *Belief) Reached(now time.Time) {
+	if !b.lostSince.IsZero() && now.Sub(b.lostSince) >= b.lapse/lapsedHeartbeats {
+		b.backAt = now
+	}
+	b.lostSince = time.Time{}
+}
+
+// Replace takes a whole listing.
+func (b *Belief) Replace(instances []*Instance, revision uint64, now time.Time) {
+	present := make(map[string]bool, len(instances))
+	for _, in := range instances {
+		present[in.ID] = true
+		b.Put(in)
+	}
+	for id := range b.instances {
+		if !present[id] {
+			b.Remove(id, now)
+		}
+	}
+	b.revision = max(b.revision, revision)
+}
+
+// Put takes an instance's entry unless a newer one is known.
+func (b *Belief) Put(in *Instance) {
+	if old := b.instances[in.ID]; old != nil && old.Version > in.Version {
+		return
+	}
+	b.instances[in.ID] = in
+	delete(b.lapsed, in.ID)
+	delete(b.removed, in.ID)
+}
+
+// Remove takes the removal of an entry. Right after an outage the instance is
+// believed until the grace ends, unless it had said that it was leaving.
+func (b *Belief) Remove(id string, now time.Time) {
+	in := b.instances[id]
+	if in == nil {
+		return
+	}
+	if now.Before(b.backAt.Add(returnGrace)) && !in.Draining {
+		b.lapsed[id] = true
+		return
+	}
+	b.forget(id, now)
+}
+
+// Advance sets the revision the belief is current to.
+func (b *Belief) Advance(revision uint64) { b.revision = max(b.revision, revision) }
+
+// Revision is the store's revision up to which all changes are known.
+func (b *Belief) Revision() uint64 { return b.revision }
+
+// Expire forgets what is believed no longer at now and tells whether the view
+// changed by it.
+func (b *Belief) Expire(now time.Time) bool {
+	for id, gone := range b.removed {
+		if now.Sub(gone.At) > removedMemory {
+			delete(b.removed, id)
+		}
+	}
+	if len(b.lapsed) == 0 || now.Before(b.backAt.Add(returnGrace)) || !b.lostSince.IsZero() {
+		return false
+	}
+	for id := range b.lapsed {
+		b.forget(id, now)
+	}
+	return true
+}
+
+func (b *Belief) forget(id string, now time.Time) {
+	b.removed[id] = Gone{Instance: b.instances[id], At: now}
+	delete(b.instances, id)
+	delete(b.lapsed, id)
+}
+
+// View publishes the belief.
+func (b *Belief) View(seen time.Time) *View {
+	return Build(b.revision, seen, maps.Clone(b.instances), maps.Clone(b.removed), b.size)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,140 @@
+// Package fleet is what a daemon believes of the instances behind it: where they
+// are, which groups they form, and which groups can serve. The belief is built
+// from the instances' own entries in the object store (Follower) and published
+// as an immutable View.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// GroupState is the state of a group as one of its members tells it.
+type GroupState string
+
+// States of a group.
+const (
+	Joining GroupState = "joining"
+	Ready   GroupState = "ready"
+	Open    GroupState = "open"
+	Closing GroupState = "closing"
+	Broken  GroupState = "broken"
+)
+
+// Membership is an instance's place in a group. The zero value means none.
+type Membership struct {
+	Name  string
+	Epoch uint64
+	Rank  int // 0 is the head
+	State GroupState
+}
+
+// Key identifies one assembly of a group.
+type Key struct {
+	Name  string
+	Epoch uint64
+}
+
+// Key returns the group's identity.
+func (m Membership) Key() Key { return Key{m.Name, m.Epoch} }
+
+// Instance is one incarnation of an upstream process, as its own entry tells.
+type Instance struct {
+	ID       string // new with each start
+	Service  string
+	Address  string // IP:port
+	Zone     string // failure domain of the machine
+	Domain   string // fabric domain; empty for plain services
+	Draining bool
+	Slots    int
+	Models   []string // loaded
+	Staged   []string // on the host, fast to load
+	Group    Membership
+	// Version is the store's revision of the entry.
+	Version uint64
+}
+
+// HasStaged tells whether a model is on the instance's host.
+func (i *Instance) HasStaged(model string) bool { return slices.Contains(i.Staged, model) }
+
+// Group is one assembly of instances as the entries tell it.
+type Group struct {
+	Key     Key
+	Service string
+	Model   string
+	Zone    string
+	Head    *Instance // nil while no entry of rank 0 is known
+	Members []*Instance
+	Size    int // of the model; 0 while the model is unknown
+}
+
+// Complete tells whether every member of the group is known, ready and staying.
+func (g *Group) Complete() bool {
+	if g.Size == 0 || len(g.Members) != g.Size {
+		return false
+	}
+	for _, m := range g.Members {
+		if m.Draining || m.Group.State == Joining || m.Group.State == Broken {
+			return false
+		}
+	}
+	return true
+}
+
+// Serving tells whether requests may be sent to the group's head.
+func (g *Group) Serving() bool {
+	return g.Head != nil && g.Head.Group.State == Open && g.Complete()
+}
+
+// View is all a daemon believes of the instances at one time. It is immutable.
+type View struct {
+	Revision  uint64
+	Seen      time.Time // when the last proof of this view was asked for
+	Instances map[string]*Instance
+	Services  map[string][]*Instance // by service, ordered by id
+	Groups    map[Key]*Group
+	// Removed is when an instance's entry went, for those that went lately.
+	Removed map[string]Gone
+}
+
+// Gone is an instance whose entry was removed.
+type Gone struct {
+	Instance *Instance
+	At       time.Time
+}
+
+// SizeOf tells how many instances a replica of a model takes; 0: unknown.
+type SizeOf func(service, model string) int
+
+// Build derives groups from instances.
+func Build(revision uint64, seen time.Time, instances map[string]*Instance, removed map[string]Gone, size SizeOf) *View {
+	v := &View{Revision: revision, Seen: seen, Instances: instances, Removed: removed,
+		Services: map[string][]*Instance{}, Groups: map[Key]*Group{}}
+	for _, in := range instances {
+		v.Services[in.Service] = append(v.Services[in.Service], in)
+		if in.Group.Name == "" {
+			continue
+		}
+		g := v.Groups[in.Group.Key()]
+		if g == nil {
+			g = &Group{Key: in.Group.Key(), Service: in.Service}
+			v.Groups[g.Key] = g
+		}
+		g.Members = append(g.Members, in)
+		if g.Model == "" && len(in.Models) > 0 {
+			g.Model = in.Models[0]
+			g.Size = size(in.Service, g.Model)
+		}
+		if in.Group.Rank == 0 {
+			g.Head, g.Zone = in, in.Zone
+		}
+	}
+	for _, list := range v.Services {
+		slices.SortFunc(list, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	for _, g := range v.Groups {
+		slices.SortFunc(g.Members, func(a, b *Instance) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) })
+	}
+	return v
+}
--- /dev/null
+++ b/internal/fleet/follower.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/objectapi"
+)
+
+// Periods of following the instances' entries.
+const (
+	// followWait is how long one call waits for a change. A silent link is noticed
+	// by the connection's own probes, not by this.
+	followWait = 10 * time.Second
+	// followPause follows each call that brought changes, so that a burst of them
+	// costs one call and not one each. It is a tenth of the shortest bound on
+	// leaving instances seen so far (2 s).
+	followPause = 200 * time.Millisecond
+	// retryPause follows a call that failed.
+	retryPause = 250 * time.Millisecond
+	// expireTick is how often lapsed entries are looked at.
+	expireTick = 250 * time.Millisecond
+)
+
+// Decode reads an instance's entry.
+type Decode func(id string, version uint64, value []byte) (*Instance, error)
+
+// Follower keeps the view of instances current. Run owns its state; View and
+// Changed may be used from anywhere.
+type Follower struct {
+	Feed   objectapi.Feed
+	Kind   string // of the instances' entries
+	Decode Decode
+	Log    *zap.Logger
+	belief *Belief
+	view   atomic.Pointer[View]
+	change chan struct{}
+}
+
+// NewFollower returns a follower of one kind of entries.
+func NewFollower(feed objectapi.Feed, kind string, decode Decode, belief *Belief, log *zap.Logger) *Follower {
+	return &Follower{Feed: feed, Kind: kind, Decode: decode, Log: log, belief: belief, change: make(chan struct{}, 1)}
+}
+
+// View returns the newest view, nil before the first listing.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Changed is signalled after the view changed. It has one receiver.
+func (f *Follower) Changed() <-chan struct{} { return f.change }
+
+// result is what one call to the store brought.
+type result struct {
+	listing  *objectapi.Listing
+	events   []objectapi.Event
+	revision uint64
+	asked    time.Time
+	err      error
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	results := make(chan result)
+	resume := make(chan uint64)
+	go f.call(ctx, results, resume)
+	tick := time.NewTicker(expireTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if f.belief.Expire(now) {
+				f.publish(now)
+			}
+		case r := <-results:
+			f.take(r, time.Now())
+			select {
+			case resume <- f.belief.Revision():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// take applies one result and publishes the view if it may have changed.
+func (f *Follower) take(r result, now time.Time) {
+	if r.err != nil {
+		if !errors.Is(r.err, objectapi.ErrCompacted) {
+			f.belief.Lost(now)
+		}
+		f.Log.Warn("instances not followed", zap.String("decision", "keep_last_view"), zap.Uint64("revision", f.belief.Revision()), zap.Error(r.err))
+		return
+	}
+	f.belief.Reached(now)
+	if r.listing != nil {
+		f.replace(r.listing, now)
+	}
+	for _, e := range r.events {
+		f.apply(e, now)
+	}
+	f.belief.Advance(r.revision)
+	if r.listing != nil || len(r.events) > 0 {
+		f.publish(r.asked)
+	}
+}
+
+func (f *Follower) replace(l *objectapi.Listing, now time.Time) {
+	var all []*Instance
+	for _, o := range l.Objects {
+		if in := f.decode(o); in != nil {
+			all = append(all, in)
+		}
+	}
+	f.belief.Replace(all, l.Revision, now)
+	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision))
+}
+
+func (f *Follower) apply(e objectapi.Event, now time.Time) {
+	if e.Removed {
+		id := f.id(e.Object.Key)
+		f.belief.Remove(id, now)
+		f.Log.Info("instance entry removed", zap.String("instance", id), zap.Uint64("version", e.Object.Version))
+		return
+	}
+	if in := f.decode(e.Object); in != nil {
+		f.belief.Put(in)
+		f.Log.Debug("instance entry", zap.String("instance", in.ID), zap.Bool("draining", in.Draining),
+			zap.String("group", in.Group.Name), zap.Uint64("epoch", in.Group.Epoch), zap.Int("rank", in.Group.Rank),
+			zap.String("state", string(in.Group.State)), zap.Strings("models", in.Models), zap.Strings("staged", in.Staged),
+			zap.String("domain", in.Domain), zap.Uint64("version", in.Version))
+	}
+}
+
+func (f *Follower) decode(o objectapi.Object) *Instance {
+	in, err := f.Decode(f.id(o.Key), o.Version, o.Value)
+	if err != nil {
+		f.Log.Error("instance entry not understood; ignored", zap.String("key", o.Key), zap.Error(err))
+		return nil
+	}
+	return in
+}
+
+func (f *Follower) id(key string) string { return strings.TrimPrefix(key, f.Kind+"/") }
+
+func (f *Follower) publish(seen time.Time) {
+	f.view.Store(f.belief.View(seen))
+	select {
+	case f.change <- struct{}{}:
+	default:
+	}
+}
+
+// call lists once and then follows, listing again when history was lost.
+func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
+	list := true
+	var revision uint64
+	for ctx.Err() == nil {
+		r := f.once(ctx, list, revision)
+		select {
+		case results <- r:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case revision = <-resume:
+		case <-ctx.Done():
+			return
+		}
+		switch {
+		case errors.Is(r.err, objectapi.ErrCompacted):
+			list = true
+			continue
+		case r.err != nil:
+			pause(ctx, retryPause)
+			continue
+		}
+		list = false
+		if len(r.events) > 0 {
+			pause(ctx, followPause)
+		}
+	}
+}
+
+func (f *Follower) once(ctx context.Context, list bool, revision uint64) result {
+	r := result{asked: time.Now()}
+	if list {
+		var l objectapi.Listing
+		l, r.err = f.Feed.ListKind(ctx, f.Kind)
+		r.listing, r.revision = &l, l.Revision
+		return r
+	}
+	r.events, r.revision, r.err = f.Feed.Follow(ctx, f.Kind, revision, followWait)
+	return r
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/formation/lease.go
@@ -0,0 +1,180 @@
+package formation
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/objectapi"
+)
+
+// Times of the lease.
+const (
+	// renewEvery is how often the holder renews, and others look.
+	renewEvery = 1200 * time.Millisecond
+	// leaseFor is how long the holder may act after it asked for the renewal that
+	// was confirmed last.
+	leaseFor = 2500 * time.Millisecond
+	// takeoverAfter is how long others must have seen the lease unchanged. The
+	// holder stops well before, as it counts from an earlier moment.
+	takeoverAfter = 3500 * time.Millisecond
+)
+
+// leaseRecord is the lease's value in the store.
+type leaseRecord struct {
+	Holder string `json:"holder"` // empty: released
+	Count  uint64 `json:"count"`  // of renewals; each makes a new version
+}
+
+// Lease says which daemon plans. It saves effort only; see the package comment.
+// One goroutine calls Step and Release; Held may be asked from anywhere.
+type Lease struct {
+	Feed    objectapi.Feed
+	Key     string
+	Holder  string // unique for each life of a process
+	Log     *zap.Logger
+	held    atomic.Pointer[holding]
+	term    uint64 // version at which this holder took the lease; 0: not held
+	version uint64 // last seen
+	record  leaseRecord
+	seen    time.Time // when version was first seen
+	proved  time.Time // when the last confirmed renewal was asked for
+}
+
+// holding is what Held needs, published by the lease's goroutine.
+type holding struct {
+	term   uint64
+	proved time.Time
+}
+
+// Held returns the term while this daemon may plan at now, otherwise 0.
+func (l *Lease) Held(now time.Time) uint64 {
+	h := l.held.Load()
+	if h == nil || h.term == 0 || now.Sub(h.proved) >= leaseFor {
+		return 0
+	}
+	return h.term
+}
+
+// Step renews the lease, or looks at it and takes it if it is free.
+func (l *Lease) Step(ctx context.Context) {
+	defer func() { l.held.Store(&holding{l.term, l.proved}) }()
+	if l.term != 0 {
+		l.renew(ctx)
+		return
+	}
+	asked := time.Now()
+	o, err := l.Feed.Get(ctx, l.Key)
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+		l.create(ctx)
+		return
+	case err != nil:
+		l.seen = time.Now() // what was not seen can't be called unchanged
+		return
+	}
+	l.look(o, asked)
+	if l.record.Holder == "" || time.Since(l.seen) >= takeoverAfter {
+		l.take(ctx)
+	}
+}
+
+// look takes in the lease as it is.
+func (l *Lease) look(o objectapi.Object, asked time.Time) {
+	if o.Version == l.version {
+		return
+	}
+	l.version, l.seen = o.Version, asked
+	l.record = leaseRecord{}
+	if err := json.Unmarshal(o.Value, &l.record); err != nil {
+		l.Log.Error("lease not understood", zap.Error(err))
+	}
+}
+
+func (l *Lease) create(ctx context.Context) {
+	asked := time.Now()
+	l.record = leaseRecord{Holder: l.Holder, Count: 1}
+	version, err := l.Feed.Create(ctx, l.Key, l.value())
+	l.taken(version, asked, err)
+}
+
+func (l *Lease) take(ctx context.Context) {
+	asked := time.Now()
+	l.record = leaseRecord{Holder: l.Holder, Count: l.record.Count + 1}
+	version, err := l.Feed.Update(ctx, l.Key, l.version, l.value())
+	l.taken(version, asked, err)
+}
+
+func (l *Lease) value() []byte {
+	value, err := json.Marshal(l.record)
+	if err != nil {
+		l.Log.Error("lease not encoded", zap.Error(err))
+	}
+	return value
+}
+
+// taken notes the outcome of taking the lease. An unknown outcome is read back
+// by the next step: the lease then names this holder, but the term is unknown,
+// so it is taken anew.
+func (l *Lease) taken(version uint64, asked time.Time, err error) {
+	if err != nil {
+		l.version, l.record = 0, leaseRecord{}
+		l.Log.Info("lease not taken", zap.Error(err))
+		return
+	}
+	l.term, l.version, l.proved = version, version, asked
+	l.Log.Info("lease taken", zap.Uint64("term", version))
+}
+
+func (l *Lease) renew(ctx context.Context) {
+	asked := time.Now()
+	l.record.Count++
+	version, err := l.Feed.Update(ctx, l.Key, l.version, l.value())
+	switch {
+	case err == nil:
+		l.version, l.proved = version, asked
+	case errors.Is(err, objectapi.ErrConflict):
+		l.drop("lease lost", err)
+	case errors.Is(err, objectapi.ErrUnknownOutcome):
+		l.readBack(ctx, asked)
+	case time.Since(l.proved) >= leaseFor:
+		l.drop("lease not renewed in time", err)
+	}
+}
+
+// readBack finds out what became of a renewal without an answer.
+func (l *Lease) readBack(ctx context.Context, asked time.Time) {
+	o, err := l.Feed.Get(ctx, l.Key)
+	if err == nil {
+		var r leaseRecord
+		if json.Unmarshal(o.Value, &r) == nil && r.Holder == l.Holder {
+			l.version, l.proved = o.Version, asked
+			return
+		}
+		l.drop("lease lost", nil)
+		return
+	}
+	if time.Since(l.proved) >= leaseFor {
+		l.drop("lease not renewed in time", err)
+	}
+}
+
+func (l *Lease) drop(why string, err error) {
+	l.Log.Info(why, zap.Uint64("term", l.term), zap.Duration("proof_age", time.Since(l.proved)), zap.Error(err))
+	l.term, l.version, l.record, l.seen = 0, 0, leaseRecord{}, time.Now()
+}
+
+// Release gives the lease up so that another daemon takes it at once.
+func (l *Lease) Release(ctx context.Context) {
+	if l.term == 0 {
+		return
+	}
+	l.held.Store(nil)
+	l.record = leaseRecord{Count: l.record.Count + 1}
+	_, err := l.Feed.Update(ctx, l.Key, l.version, l.value())
+	l.drop("lease released", err)
+}
--- /dev/null
+++ b/internal/formation/manager.go
@@ -0,0 +1,126 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+)
+
+// Orders sends orders to instances.
+type Orders interface {
+	// Send sends one order. Its error says that the instance refused it, or that
+	// there was no answer: then it may still be carried out, seconds later.
+	Send(ctx context.Context, o Order) error
+}
+
+// Manager forms groups while this daemon holds the lease.
+type Manager struct {
+	Lease   *Lease
+	Orders  Orders
+	View    func() *fleet.View
+	Changed <-chan struct{} // signalled after the view changed
+	Table   func() *routes.Table
+	Limits  func() Limits
+	Log     *zap.Logger
+
+	planners map[string]*Planner // by service, of the current term
+	term     uint64
+}
+
+// Periods of the manager.
+const (
+	planTick     = 250 * time.Millisecond
+	orderTimeout = time.Second
+	// releaseTimeout bounds the last write of a daemon that stops.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// Run plans until ctx ends; then the lease is released.
+func (m *Manager) Run(ctx context.Context) {
+	stopped := make(chan struct{})
+	taken := make(chan struct{}, 1)
+	go m.keepLease(ctx, taken, stopped)
+	tick := time.NewTicker(planTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			<-stopped
+			return
+		case <-taken:
+		case <-m.Changed:
+		case <-tick.C:
+		}
+		m.plan(ctx, time.Now())
+	}
+}
+
+// keepLease takes and renews the lease; it alone does so.
+func (m *Manager) keepLease(ctx context.Context, taken chan<- struct{}, stopped chan<- struct{}) {
+	defer close(stopped)
+	for ctx.Err() == nil {
+		before := m.Lease.Held(time.Now())
+		m.Lease.Step(ctx)
+		if before == 0 && m.Lease.Held(time.Now()) != 0 {
+			taken <- struct{}{}
+		}
+		pause(ctx, renewEvery)
+	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	m.Lease.Release(release)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// plan runs the planners of all model services and sends their orders.
+func (m *Manager) plan(ctx context.Context, now time.Time) {
+	term := m.Lease.Held(now)
+	view, table := m.View(), m.Table()
+	if term == 0 || view == nil || table == nil {
+		return
+	}
+	if term != m.term {
+		m.term, m.planners = term, map[string]*Planner{}
+	}
+	for i := range table.Config.Services {
+		s := &table.Config.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		p := m.planners[s.Name]
+		if p == nil {
+			p = NewPlanner(s.Name, term, m.Limits(), now)
+			m.planners[s.Name] = p
+		}
+		for _, o := range p.Plan(view, s.Engine, now) {
+			go m.order(ctx, o, view.Revision)
+		}
+	}
+}
+
+// order sends one order if the lease is still held, and logs what came of it.
+func (m *Manager) order(ctx context.Context, o Order, revision uint64) {
+	fields := []zap.Field{zap.String("op", string(o.Op)), zap.String("instance", o.Instance), zap.String("group", o.Group.Name),
+		zap.Uint64("epoch", o.Group.Epoch), zap.Strings("members", o.Members), zap.String("reason", o.Reason),
+		zap.Uint64("term", m.Lease.Held(time.Now())), zap.Uint64("view_revision", revision)}
+	if m.Lease.Held(time.Now()) == 0 {
+		m.Log.Info("order not sent: lease not held", fields...)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := m.Orders.Send(ctx, o)
+	m.Log.Info("order", append(fields, zap.Error(err))...)
+}
--- /dev/null
+++ b/internal/front/config.go
@@ -0,0 +1,103 @@
+package front
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/gateway"
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/routes"
+)
+
+// Periods of following the configuration.
+const (
+	// pollEvery is how often the whole configuration is read. One current read is
+	// both the news and the proof that there is none, and doesn't depend on the
+	// store's history; the shortest bound on a change seen so far is 2 s.
+	pollEvery = 1200 * time.Millisecond
+	// pollRetry follows a read that failed.
+	pollRetry = 300 * time.Millisecond
+)
+
+// configFollower keeps the configuration in force. Within its life it never goes
+// back to an older version, whatever order answers arrive in. Run owns its state.
+type configFollower struct {
+	feed    objectapi.Feed
+	key     string
+	decode  func(value []byte) (*routes.Config, error)
+	log     *zap.Logger
+	version uint64 // of the store's object
+	lost    bool
+	current atomic.Pointer[gateway.Config]
+}
+
+// Current returns the configuration in force; its table is nil before the first.
+func (f *configFollower) Current() gateway.Config {
+	if c := f.current.Load(); c != nil {
+		return *c
+	}
+	return gateway.Config{}
+}
+
+// Table returns the table in force, or nil.
+func (f *configFollower) Table() *routes.Table { return f.Current().Table }
+
+// Run follows until ctx ends.
+func (f *configFollower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		o, err := f.feed.Get(ctx, f.key)
+		f.take(o, err, asked)
+		wait := pollEvery - time.Since(asked)
+		if err != nil {
+			wait = pollRetry
+		}
+		pause(ctx, max(wait, pollRetry))
+	}
+}
+
+// take takes one read. asked is when it was sent: it proves what it shows from
+// then on.
+func (f *configFollower) take(o objectapi.Object, err error, asked time.Time) {
+	if err != nil {
+		if !f.lost && !errors.Is(err, objectapi.ErrNotFound) {
+			f.lost = true
+			f.log.Warn("store not reached", zap.String("decision", "keep_configuration"), zap.Uint64("version", f.version), zap.Error(err))
+		}
+		return
+	}
+	if f.lost {
+		f.lost = false
+		f.log.Info("store reached again", zap.Uint64("version", o.Version))
+	}
+	switch {
+	case o.Version < f.version:
+		f.log.Warn("older configuration ignored", zap.Uint64("version", o.Version), zap.Uint64("in_force", f.version))
+		return
+	case o.Version == f.version:
+		f.current.Store(&gateway.Config{Table: f.Table(), Proved: asked})
+		return
+	}
+	c, err := f.decode(o.Value)
+	if err != nil {
+		f.log.Error("configuration not understood; the last one stays, without proof", zap.Uint64("version", o.Version), zap.Error(err))
+		return
+	}
+	f.version = o.Version
+	f.current.Store(&gateway.Config{Table: routes.Compile(c), Proved: asked})
+	f.log.Info("configuration in force", zap.Uint64("object_version", o.Version), zap.Uint64("config_version", c.Version),
+		zap.Int("routes", len(c.Routes)), zap.Int("workspaces", len(c.Workspaces)))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,263 @@
+// Package front wires one daemon that serves opaque requests on somebody else's
+// platform: it follows the configuration and the instances in an object store,
+// serves callers through package gateway, and takes part in forming groups. The
+// platform itself is met through the functions and interfaces of Outside.
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/formation"
+	"pearlanding/internal/gateway"
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/routes"
+	"pearlanding/internal/upstream"
+)
+
+// Outside is all that the daemon needs of the platform it runs on.
+type Outside struct {
+	Feed           objectapi.Feed
+	ConfigKey      string
+	InstancesKind  string
+	ReadinessPath  string
+	DecodeConfig   func(value []byte) (*routes.Config, error)
+	DecodeInstance fleet.Decode
+	Codec          gateway.Codec
+	Orders         func(*upstream.Pool) formation.Orders
+}
+
+// leaseKey holds the lease of the daemon that plans groups, in a kind of our own.
+const leaseKey = "pearlanding-leases/groups"
+
+// Figures of the daemon.
+const (
+	// connectTimeout bounds a new connection to an instance. Links take a few
+	// milliseconds; a dropped opening packet is sent again only after a second.
+	connectTimeout = 400 * time.Millisecond
+	// idleConnection is how long an idle connection to an instance is kept.
+	idleConnection = 4 * time.Second
+	// callerIdle bounds an idle caller's connection while no configuration says so.
+	callerIdle = 2 * time.Minute
+	// headerTimeout bounds the reading of a request's head likewise.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head; configurations seen ask for 16 KiB.
+	maxHeaderBytes = 64 << 10
+	sweepEvery     = time.Second
+	// memoryShare is the part of the process's memory at which the collector works
+	// harder.
+	memoryShare = 0.6
+	// connectionShare is the part of an instance's connections one daemon may hold.
+	connectionShare = 0.1
+	minConnections  = 24
+	// proofMargin is taken off the age up to which a configuration's proof counts.
+	proofMargin = 100 * time.Millisecond
+)
+
+// Times of a planned stop, from the signal on.
+const (
+	// listenOn is how long new connections are still taken: two questions a second
+	// apart must be missed before none come.
+	listenOn = 2500 * time.Millisecond
+	// stopMargin is left of the grace when requests still in progress are cut.
+	stopMargin = 300 * time.Millisecond
+	// defaultGrace stands in where the deployment names none.
+	defaultGrace = 8 * time.Second
+)
+
+// Daemon is one running process.
+type Daemon struct {
+	Settings func() Settings
+	Outside  Outside
+	Log      *zap.Logger
+	Metrics  *metrics.Set
+	// MetricsAddress serves the metrics at /metrics; empty: not served.
+	MetricsAddress string
+
+	config   *configFollower
+	fleet    *fleet.Follower
+	pool     *upstream.Pool
+	picker   *gateway.Picker
+	stopping atomic.Bool
+}
+
+// Run serves until ctx ends, then stops in order: not ready at once, no new
+// connections after a while, requests in progress finished within the grace.
+func (d *Daemon) Run(ctx context.Context) error {
+	s := d.Settings()
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	d.build(s)
+	callers, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ready, err := net.Listen("tcp", s.Readiness)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	server := d.callersServer()
+	go d.serve(server, callers)
+	go d.serve(d.readinessServer(), ready)
+	d.serveMetrics()
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	wait := d.background(ctx, work)
+	d.Log.Info("started", zap.String("node", s.Node), zap.String("zone", s.Zone), zap.String("callers", s.Callers))
+	<-ctx.Done()
+	d.stop(server)
+	cancel()
+	wait()
+	return nil
+}
+
+func (d *Daemon) build(s Settings) {
+	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log}
+	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
+	d.fleet = fleet.NewFollower(d.Outside.Feed, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
+	d.pool = upstream.NewPool(connectTimeout, idleConnection)
+	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
+	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
+}
+
+// modelSize tells how many instances a replica of a model takes.
+func (d *Daemon) modelSize(service, model string) int {
+	table := d.config.Table()
+	if table == nil {
+		return 0
+	}
+	if s := table.Service(service); s != nil && s.Engine != nil {
+		if m, ok := s.Engine.Model(model); ok {
+			return m.Size
+		}
+	}
+	return 0
+}
+
+// background starts all loops. Planning ends with ctx, the rest with work, as
+// requests in progress still need it. It returns a wait for their end.
+func (d *Daemon) background(ctx, work context.Context) (wait func()) {
+	var group sync.WaitGroup
+	run := func(ctx context.Context, f func(context.Context)) {
+		group.Go(func() { f(ctx) })
+	}
+	run(work, d.config.Run)
+	run(work, d.fleet.Run)
+	run(work, d.sweep)
+	run(ctx, d.manager().Run)
+	return group.Wait
+}
+
+func (d *Daemon) manager() *formation.Manager {
+	holder := d.Settings().Node + "/" + uuid.NewString()
+	return &formation.Manager{
+		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
+		Orders: d.Outside.Orders(d.pool), View: d.fleet.View, Changed: d.fleet.Changed(), Table: d.config.Table,
+		Limits: func() formation.Limits {
+			s := d.Settings()
+			return formation.Limits{Stall: s.Bounds.Stall, Heartbeat: s.Heartbeat}
+		},
+		Log: d.Log,
+	}
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, sweepEvery)
+		now := time.Now()
+		d.pool.Sweep(now)
+		d.picker.Sweep(now)
+	}
+}
+
+func (d *Daemon) callersServer() *http.Server {
+	g := &gateway.Gateway{
+		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+	}
+	return &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(d.Log)}
+}
+
+func (d *Daemon) bounds() gateway.Bounds {
+	b := d.Settings().Bounds
+	out := gateway.Bounds{Config: 2 * b.Config, RetryRatio: b.RetryRatio}
+	if b.StrictRevoke && b.Revoke > 0 {
+		out.Revoke = b.Revoke - proofMargin
+	}
+	return out
+}
+
+// ready tells whether this daemon can serve what comes.
+func (d *Daemon) ready() bool {
+	c := d.config.Current()
+	if d.stopping.Load() || c.Table == nil || d.fleet.View() == nil {
+		return false
+	}
+	revoke := d.bounds().Revoke
+	return revoke == 0 || time.Since(c.Proved) < revoke
+}
+
+func (d *Daemon) readinessServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.Outside.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(d.Log)}
+}
+
+func (d *Daemon) serveMetrics() {
+	if d.MetricsAddress == "" {
+		return
+	}
+	l, err := net.Listen("tcp", d.MetricsAddress)
+	if err != nil {
+		d.Log.Error("metrics not served", zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		d.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
+}
+
+func (d *Daemon) serve(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.Log.Error("listener ended", zap.Error(err))
+	}
+}
+
+// stop ends the service in order.
+func (d *Daemon) stop(server *http.Server) {
+	begun := time.Now()
+	d.stopping.Store(true)
+	d.Log.Info("stopping", zap.String("decision", "not_ready"))
+	grace := d.Settings().Bounds.Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	listen := min(listenOn, grace/2)
+	time.Sleep(listen)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	d.Log.Info("stopped", zap.Duration("took", time.Since(begun)), zap.Error(err))
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// When callers are told to come back.
+const (
+	// retryUnknown is for refusals whose cause this daemon can't end itself; another
+	// daemon, to which a retry goes, may serve at once.
+	retryUnknown = 100 * time.Millisecond
+	// retryBusy is for refusals by upstreams that are full.
+	retryBusy = 100 * time.Millisecond
+)
+
+// refuse answers with a status of our own. Unless retry is 0 the caller is told
+// when to come back. It returns false for its callers' convenience.
+func (x *exchange) refuse(status int, reason string, retry time.Duration) bool {
+	x.note(reason)
+	if x.begun {
+		panicAbort(x)
+		return false
+	}
+	x.status, x.begun = status, true
+	h := x.w.Header()
+	if retry > 0 {
+		x.gateway.Codec.RetryAfter(h, retry)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write([]byte(text)) // a caller that left needs no answer
+	return false
+}
+
+// giveUp answers a request that no instance answered: 503 only if it surely has
+// not run.
+func (x *exchange) giveUp(reason string) {
+	switch {
+	case !x.mayRun:
+		x.refuse(http.StatusServiceUnavailable, reason, retryBusy)
+	case time.Now().Before(x.deadline):
+		x.refuse(http.StatusBadGateway, reason, 0)
+	default:
+		x.refuse(http.StatusGatewayTimeout, reason, 0)
+	}
+}
+
+// panicAbort ends the caller's connection, so that a partial answer can't look
+// whole. The abort itself happens after the request is logged.
+func panicAbort(x *exchange) { x.status = statusAborted }
+
+// statusAborted marks an answer that is cut short on purpose.
+const statusAborted = -1
+
+// head sends the head of an instance's answer.
+func (x *exchange) head(resp *http.Response, length int) {
+	h := x.w.Header()
+	for name, values := range x.gateway.Codec.AnswerHeader(resp.Header) {
+		h[name] = values
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	if x.gateway.Stopping() {
+		h.Set("Connection", "close")
+	}
+	x.begun, x.status = true, resp.StatusCode
+	x.w.WriteHeader(resp.StatusCode)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+	"pearlanding/internal/upstream"
+)
+
+// Config is the configuration in force at this daemon.
+type Config struct {
+	Table *routes.Table
+	// Proved is when the call was sent that proved this configuration current.
+	Proved time.Time
+}
+
+// Bounds the gateway keeps. A zero Revoke sets no bound on the proof's age.
+type Bounds struct {
+	Revoke     time.Duration // oldest proof on which a request with a key may run
+	Config     time.Duration // oldest proof on which a caller is told "no such route"
+	RetryRatio float64
+}
+
+// Gateway is the http.Handler for callers. Set all exported fields before use.
+type Gateway struct {
+	Codec    Codec
+	Config   func() Config
+	View     func() *fleet.View
+	Bounds   func() Bounds
+	Stopping func() bool // answers carry Connection: close
+	Pool     *upstream.Pool
+	Picker   *Picker
+	Metrics  *Metrics
+	Log      *zap.Logger
+	budgets  budgets
+	sampled  atomic.Uint64
+}
+
+// defaultBodyBytes bounds a caller's body while no configuration says otherwise.
+const defaultBodyBytes = 4 << 20
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), now: time.Now()}
+	x.req.Arrived = x.now
+	if g.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Header.Get("Connection") == "" && r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+		w.Header().Set("Connection", "close")
+	}
+	x.config = g.Config()
+	x.serve(r)
+	g.finish(x)
+}
+
+// exchange is one request in progress.
+type exchange struct {
+	gateway   *Gateway
+	w         http.ResponseWriter
+	req       *Request
+	now       time.Time // arrival
+	config    Config
+	route     *routes.Route
+	service   *routes.Service
+	workspace string
+	deadline  time.Time
+	view      *fleet.View
+	tried     map[string]bool
+	sends     []sendLog
+	sent      int  // instances the request may have reached
+	mayRun    bool // some instance may have run it
+	status    int
+	reason    string // why it ended as it did; empty: served at the first try
+	begun     bool   // the answer's head went out
+	firstAt   time.Duration
+	lastEvent int64
+	hasLast   bool
+	events    int
+}
+
+// serve answers the request.
+func (x *exchange) serve(r *http.Request) {
+	if !x.admit() {
+		return
+	}
+	if !x.readBody(r) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.gateway.budgets.of(x.service.Name).Earn(x.gateway.Bounds().RetryRatio)
+	if x.route.Kind == routes.Stream {
+		x.stream(ctx)
+	} else {
+		x.plain(ctx)
+	}
+}
+
+// admit matches the route and checks the key; false: the caller was answered.
+func (x *exchange) admit() bool {
+	table, bounds := x.config.Table, x.gateway.Bounds()
+	if table == nil {
+		return x.refuse(http.StatusServiceUnavailable, "no_configuration", retryUnknown)
+	}
+	age := x.now.Sub(x.config.Proved)
+	host, _, _ := strings.Cut(x.req.Host, ":")
+	x.route = table.Match(host, x.req.Path)
+	if x.route == nil {
+		if bounds.Config > 0 && age > bounds.Config {
+			return x.refuse(http.StatusServiceUnavailable, "no_route_in_old_configuration", retryUnknown)
+		}
+		return x.refuse(http.StatusNotFound, "no_route", 0)
+	}
+	if !x.route.Public && table.Keyed() && !x.authorize(age, bounds) {
+		return false
+	}
+	x.service = table.Service(x.route.Service(x.req.ID))
+	if x.service == nil {
+		return x.refuse(http.StatusServiceUnavailable, "no_service", retryUnknown)
+	}
+	x.deadline = x.now.Add(defaultWait)
+	if x.req.Wait > 0 {
+		x.deadline = x.now.Add(x.req.Wait)
+	}
+	if x.route.Timeout > 0 {
+		x.deadline = earlier(x.deadline, x.now.Add(x.route.Timeout))
+	}
+	return true
+}
+
+// defaultWait bounds a request whose caller and route name no time.
+const defaultWait = 60 * time.Second
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// authorize finds the workspace of the key. Without a fresh proof that the
+// configuration is current a removed key could still run, so nothing does.
+func (x *exchange) authorize(age time.Duration, bounds Bounds) bool {
+	if bounds.Revoke > 0 && age >= bounds.Revoke {
+		return x.refuse(http.StatusServiceUnavailable, "configuration_not_proved_current", retryUnknown)
+	}
+	ws := x.config.Table.Workspace(x.req.Key)
+	if ws == nil {
+		if bounds.Config > 0 && age > bounds.Config {
+			return x.refuse(http.StatusServiceUnavailable, "unknown_key_in_old_configuration", retryUnknown)
+		}
+		return x.refuse(http.StatusUnauthorized, "unknown_key", 0)
+	}
+	x.workspace = ws.Name
+	return true
+}
+
+// readBody reads the whole body, so that it can be sent in one piece, and again.
+func (x *exchange) readBody(r *http.Request) bool {
+	limit := int64(x.config.Table.Config.Limits.MaxBodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		x.reason = "caller_sent_no_whole_body"
+		panicAbort(x)
+		return false
+	}
+	if int64(len(body)) > limit {
+		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	}
+	x.req.Body = body
+	return true
+}
+
+// targets lists where the request may go now.
+func (x *exchange) targets() []target {
+	x.view = x.gateway.View()
+	return listTargets(x.view, x.service, x.req.Model)
+}
+
+// listTargets lists the instances of a plain service, or the groups that serve a
+// model.
+func listTargets(v *fleet.View, service *routes.Service, model string) []target {
+	if v == nil {
+		return nil
+	}
+	if service.Engine == nil {
+		return plainTargets(v, service.Name)
+	}
+	var out []target
+	for _, g := range v.Groups {
+		if g.Service == service.Name && g.Model == model && g.Serving() {
+			out = append(out, target{instance: g.Head.ID, address: g.Head.Address, zone: g.Zone, group: g.Key, slots: g.Head.Slots})
+		}
+	}
+	return out
+}
+
+func plainTargets(v *fleet.View, service string) []target {
+	var out []target
+	for _, in := range v.Services[service] {
+		if !in.Draining {
+			out = append(out, target{instance: in.ID, address: in.Address, zone: in.Zone, slots: in.Slots})
+		}
+	}
+	return out
+}
+
+// next chooses where to send the request, nil if it may go nowhere else.
+func (x *exchange) next() *target {
+	if x.sent >= x.route.Attempts || len(x.sends) >= maxSends {
+		return nil
+	}
+	targets := x.targets()
+	if x.sent > 0 && !x.gateway.budgets.of(x.service.Name).Spend() {
+		x.note("retry_budget_spent")
+		return nil
+	}
+	return x.gateway.Picker.pick(targets, x.tried, time.Now())
+}
+
+// maxSends bounds the tries of one request, those included that never left.
+const maxSends = 4
+
+// send sends the request to a target once.
+func (x *exchange) send(ctx context.Context, t *target, lastEvent string) (*http.Response, error) {
+	if x.tried == nil {
+		x.tried = map[string]bool{}
+	}
+	x.tried[t.instance] = true
+	now := time.Now()
+	x.sends = append(x.sends, sendLog{target: t, at: now.Sub(x.now)})
+	call := &upstream.Call{
+		Address: t.address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Body: x.req.Body,
+		Fresh: !x.route.Repeatable(),
+		Header: x.gateway.Codec.Header(x.req, Send{Instance: t.instance, Remaining: x.deadline.Sub(now),
+			Workspace: x.workspace, LastEvent: lastEvent}),
+		Own: func(status int, h http.Header) bool { return x.gateway.Codec.AnswersTo(x.req.ID, status, h) },
+	}
+	resp, err := x.gateway.Pool.Do(ctx, call)
+	if err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy)) {
+		return nil, err
+	}
+	x.sent++
+	return resp, err
+}
+
+// ended notes how a send ended.
+func (x *exchange) ended(how string) {
+	s := &x.sends[len(x.sends)-1]
+	s.end, s.took = how, time.Since(x.now)-s.at
+}
+
+func (x *exchange) note(reason string) {
+	if x.reason == "" {
+		x.reason = reason
+	}
+}
--- /dev/null
+++ b/internal/gateway/picker.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"pearlanding/internal/fleet"
+)
+
+// target is where one request may be sent.
+type target struct {
+	instance string // id of the instance, or of a group's head
+	address  string
+	zone     string
+	group    fleet.Key // zero for plain services
+	slots    int
+}
+
+// record is what this daemon itself saw of a target.
+type record struct {
+	inFlight     int
+	progress     time.Time // of any request, last
+	suspectUntil time.Time
+	used         time.Time
+}
+
+// Weights of the choice, in requests in progress.
+const (
+	// otherZonePenalty makes equal targets of the own zone go first: bytes between
+	// zones cost, but less than a wait.
+	otherZonePenalty = 0.5
+	// silentPenalty puts a target whose requests make no progress behind others.
+	silentPenalty = 40
+	// suspectPenalty puts a target that failed lately behind others.
+	suspectPenalty = 20
+)
+
+// Times of the picker.
+const (
+	// silentAfter is how long a target with requests in progress may show nothing
+	// before new requests avoid it. Passes of an engine take some ten
+	// milliseconds, reading a long prompt up to two hundred.
+	silentAfter = 250 * time.Millisecond
+	// suspectFor is how long a target that failed is avoided.
+	suspectFor = 1500 * time.Millisecond
+	// forgetAfter is how long an unused target is remembered.
+	forgetAfter = 30 * time.Second
+)
+
+// Picker chooses targets by what this daemon has in progress and saw there. Safe
+// for concurrent use.
+type Picker struct {
+	zone    string
+	uniform func(n int) int
+	mu      sync.Mutex
+	records map[string]*record
+}
+
+// NewPicker returns a picker for a daemon in a zone. uniform returns a number in
+// [0, n).
+func NewPicker(zone string, uniform func(n int) int) *Picker {
+	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}}
+}
+
+// pick takes the least loaded target that was not tried, nil if there is none.
+// Its request counts as in progress until done is called.
+func (p *Picker) pick(targets []target, tried map[string]bool, now time.Time) *target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *target
+	var bestScore float64
+	ties := 0
+	for i := range targets {
+		t := &targets[i]
+		if tried[t.instance] {
+			continue
+		}
+		score := p.score(t, now)
+		switch {
+		case best == nil || score < bestScore:
+			best, bestScore, ties = t, score, 1
+		case score == bestScore:
+			if ties++; p.uniform(ties) == 0 {
+				best = t
+			}
+		}
+	}
+	if best != nil {
+		r := p.record(best.instance)
+		if r.inFlight == 0 {
+			r.progress = now
+		}
+		r.inFlight++
+		r.used = now
+	}
+	return best
+}
+
+func (p *Picker) score(t *target, now time.Time) float64 {
+	score := 0.0
+	if t.zone != p.zone {
+		score += otherZonePenalty
+	}
+	r := p.records[t.instance]
+	if r == nil {
+		return score
+	}
+	score += float64(r.inFlight)
+	if r.inFlight > 0 && now.Sub(r.progress) > silentAfter {
+		score += silentPenalty
+	}
+	if now.Before(r.suspectUntil) {
+		score += suspectPenalty
+	}
+	return score
+}
+
+// silent tells whether a target seems to stand still or failed lately.
+func (p *Picker) silent(instance string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.records[instance]
+	return r != nil && (now.Before(r.suspectUntil) || r.inFlight > 0 && now.Sub(r.progress) > silentAfter)
+}
+
+// record returns a target's record; p.mu is held.
+func (p *Picker) record(instance string) *record {
+	r := p.records[instance]
+	if r == nil {
+		r = &record{}
+		p.records[instance] = r
+	}
+	return r
+}
+
+// done ends a request at a target.
+func (p *Picker) done(t *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(t.instance).inFlight--
+}
+
+// progressed notes that a target did something for a request.
+func (p *Picker) progressed(t *target, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(t.instance)
+	r.progress, r.used = now, now
+}
+
+// suspect notes that a target failed; it is avoided for a while.
+func (p *Picker) suspect(t *target, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(t.instance).suspectUntil = now.Add(suspectFor)
+}
+
+// Sweep forgets targets that were not used lately.
+func (p *Picker) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, r := range p.records {
+		if r.inFlight == 0 && now.Sub(r.used) > forgetAfter {
+			delete(p.records, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/upstream"
+)
+
+// maxAnswerBytes bounds a whole answer.
+const maxAnswerBytes = 16 << 20
+
+// moveShare is the part of a route's objective after which a repeatable request
+// without an answer is sent elsewhere. A send cut within a quarter of the
+// objective would not count as an offer; half leaves the other half for the
+// second try.
+const moveShare = 0.5
+
+// errMoved ends a send that took too long while another target may be quicker.
+const errMoved = errors.ConstError("gateway: moved to another target")
+
+// plain sends a request and passes the whole answer on.
+func (x *exchange) plain(ctx context.Context) {
+	for {
+		t := x.next()
+		if t == nil {
+			x.giveUp("no_target")
+			return
+		}
+		if x.try(ctx, t) {
+			return
+		}
+		if ctx.Err() != nil {
+			x.timedOut(ctx)
+			return
+		}
+	}
+}
+
+// try makes one send; true: the request is answered.
+func (x *exchange) try(ctx context.Context, t *target) bool {
+	defer x.gateway.Picker.done(t)
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if x.route.Repeatable() && x.route.Objective > 0 && x.sent+1 < x.route.Attempts {
+		limit := time.Duration(float64(x.route.Objective) * moveShare)
+		mover := time.AfterFunc(limit, func() { cancel(errMoved) })
+		defer mover.Stop()
+	}
+	resp, err := x.send(attempt, t, x.req.LastEvent)
+	if err != nil {
+		return x.failed(attempt, t, err)
+	}
+	defer resp.Body.Close()
+	body, err := upstream.ReadWhole(resp, maxAnswerBytes)
+	if err != nil {
+		return x.failed(attempt, t, err)
+	}
+	return x.answered(t, resp, body)
+}
+
+// failed judges a send without a whole answer; true: the request is answered.
+func (x *exchange) failed(attempt context.Context, t *target, err error) bool {
+	x.ended(cause(attempt, err))
+	now := time.Now()
+	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errMoved) {
+		x.gateway.Picker.suspect(t, now)
+	}
+	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy) {
+		return false
+	}
+	x.mayRun = true
+	if x.route.Repeatable() {
+		return false
+	}
+	if attempt.Err() != nil {
+		return false
+	}
+	x.giveUp("upstream_failed")
+	return true
+}
+
+// cause names why a send ended, for the log.
+func cause(attempt context.Context, err error) string {
+	if c := context.Cause(attempt); c != nil {
+		return c.Error()
+	}
+	return err.Error()
+}
+
+// answered judges a whole answer; true: it was passed on, or the request is
+// answered otherwise.
+func (x *exchange) answered(t *target, resp *http.Response, body []byte) bool {
+	codec := x.gateway.Codec
+	if codec.NotRun(resp.StatusCode, resp.Header) {
+		x.ended("refused " + resp.Status)
+		x.gateway.Picker.suspect(t, time.Now())
+		return false
+	}
+	x.gateway.Picker.progressed(t, time.Now())
+	if resp.StatusCode/100 == 2 && !codec.Signed(resp.Header) {
+		x.ended("answer without signature")
+		x.mayRun = true
+		return false
+	}
+	if resp.StatusCode/100 == 5 {
+		x.ended("failed " + resp.Status)
+		x.mayRun = true
+		x.gateway.Picker.suspect(t, time.Now())
+		if x.route.Repeatable() && x.sent < x.route.Attempts {
+			if x.again() {
+				return false
+			}
+		}
+	}
+	if x.sends[len(x.sends)-1].end == "" {
+		x.ended("answered")
+	}
+	x.head(resp, len(body))
+	_, _ = x.w.Write(body) // a caller that left needs no answer
+	x.firstAt = time.Since(x.now)
+	return true
+}
+
+// again tells whether another send could be made.
+func (x *exchange) again() bool {
+	if x.gateway.budgets.of(x.service.Name).Left() < 1 {
+		return false
+	}
+	for _, t := range x.targets() {
+		if !x.tried[t.instance] {
+			return true
+		}
+	}
+	return false
+}
+
+// timedOut ends a request whose time is up or whose caller left.
+func (x *exchange) timedOut(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		x.note("caller_left")
+		panicAbort(x)
+		return
+	}
+	x.note("deadline")
+	x.giveUp("deadline")
+}
--- /dev/null
+++ b/internal/gateway/report.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// sendLog is what one send came to.
+type sendLog struct {
+	target *target
+	at     time.Duration // after the request's arrival
+	took   time.Duration
+	end    string
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (s sendLog) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("instance", s.target.instance)
+	if s.target.group.Name != "" {
+		enc.AddString("group", s.target.group.Name)
+		enc.AddUint64("epoch", s.target.group.Epoch)
+	}
+	enc.AddInt64("at_ms", s.at.Milliseconds())
+	enc.AddInt64("took_ms", s.took.Milliseconds())
+	enc.AddString("end", s.end)
+	return nil
+}
+
+// sendLogs is a list of sends for the log.
+type sendLogs []sendLog
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l sendLogs) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, s := range l {
+		if err := enc.AppendObject(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sampleServed is of how many requests served at the first try one is logged;
+// all others are logged each.
+const sampleServed = 16
+
+// finish logs and counts a request, and cuts its connection if need be.
+func (g *Gateway) finish(x *exchange) {
+	took := time.Since(x.now)
+	g.Metrics.observe(x, took)
+	smooth := x.status/100 == 2 && len(x.sends) == 1
+	if !smooth || g.sampled.Add(1)%sampleServed == 0 {
+		g.Log.Info("request", x.fields(took)...)
+	}
+	if x.status == statusAborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fields are the decision and its inputs, with their age or version.
+func (x *exchange) fields(took time.Duration) []zap.Field {
+	out := []zap.Field{zap.String("id", x.req.ID), zap.Int("status", x.status), zap.String("reason", x.reason),
+		zap.Int64("took_ms", took.Milliseconds()), zap.String("workspace", x.workspace),
+		zap.Int64("proof_age_ms", x.now.Sub(x.config.Proved).Milliseconds())}
+	if x.config.Table != nil {
+		out = append(out, zap.Uint64("config_version", x.config.Table.Config.Version))
+	}
+	if x.route != nil {
+		out = append(out, zap.String("route", x.route.Name), zap.String("kind", string(x.route.Kind)),
+			zap.Int64("time_ms", x.deadline.Sub(x.now).Milliseconds()))
+	}
+	if x.req.Model != "" {
+		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()))
+	}
+	if x.view != nil {
+		out = append(out, zap.Uint64("view_revision", x.view.Revision))
+	}
+	return append(out, zap.Array("sends", sendLogs(x.sends)), zap.Bool("may_have_run", x.mayRun))
+}
+
+// Metrics counts requests. Safe for concurrent use.
+type Metrics struct {
+	set    *metrics.Set
+	mu     sync.Mutex
+	labels map[string]bool
+}
+
+// maxLabels bounds how many routes and workspaces get series of their own.
+const maxLabels = 64
+
+// NewMetrics returns counters that are part of a set.
+func NewMetrics(set *metrics.Set) *Metrics { return &Metrics{set: set, labels: map[string]bool{}} }
+
+// label returns the value itself for the first maxLabels, "other" afterwards.
+func (m *Metrics) label(value string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labels[value] {
+		if len(m.labels) >= maxLabels {
+			return "other"
+		}
+		m.labels[value] = true
+	}
+	return value
+}
+
+func (m *Metrics) observe(x *exchange, took time.Duration) {
+	route, kind := "none", "none"
+	if x.route != nil {
+		route, kind = x.route.Name, string(x.route.Kind)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_requests_total{route=%q,kind=%q,status=\"%d\",reason=%q}", m.label(route), kind, x.status, x.reason)).Inc()
+	if x.status/100 != 2 {
+		return
+	}
+	workspace := m.label(x.workspace)
+	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_answer_seconds{route=%q}", m.label(route))).Update(took.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_answer_seconds{workspace=%q}", workspace)).Update(took.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_first_byte_seconds{route=%q}", m.label(route))).Update(x.firstAt.Seconds())
+}
+
+// budgets holds one budget a service.
+type budgets struct {
+	mu sync.Mutex
+	m  map[string]*Budget
+}
+
+func (b *budgets) of(service string) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.m == nil {
+		b.m = map[string]*Budget{}
+	}
+	if b.m[service] == nil {
+		b.m[service] = NewBudget()
+	}
+	return b.m[service]
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/upstream"
+)
+
+// Silence after which a stream goes on at another replica, if it may.
+const (
+	// firstEventShare is the part of the objective a first event may take.
+	firstEventShare = 0.8
+	// defaultFirstEvent stands in for a route without an objective.
+	defaultFirstEvent = 2 * time.Second
+	// defaultGap stands in for a route without an objective for pauses.
+	defaultGap = time.Second
+)
+
+// errSilent ends a send whose stream stands still while another replica may go on.
+const errSilent = errors.ConstError("gateway: stream stands still")
+
+// stream passes events on as they come. A stream that stands still or breaks
+// goes on at another replica after the last event passed on.
+func (x *exchange) stream(ctx context.Context) {
+	if id, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
+		x.lastEvent, x.hasLast = id, true
+	}
+	for {
+		t := x.next()
+		if t == nil {
+			x.giveUp("no_replica")
+			return
+		}
+		if x.run(ctx, t) {
+			return
+		}
+		if ctx.Err() != nil {
+			x.timedOut(ctx)
+			return
+		}
+		if x.mayRun && !x.route.Repeatable() {
+			x.giveUp("upstream_failed")
+			return
+		}
+	}
+}
+
+// run makes one send; true: the request is answered, or cut for good.
+func (x *exchange) run(ctx context.Context, t *target) bool {
+	defer x.gateway.Picker.done(t)
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := x.watch(t, cancel)
+	defer watch.Stop()
+	last := x.req.LastEvent
+	if x.hasLast {
+		last = strconv.FormatInt(x.lastEvent, 10)
+	}
+	resp, err := x.send(attempt, t, last)
+	if err != nil {
+		x.broke(attempt, t, err)
+		return false
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, err := upstream.ReadWhole(resp, maxAnswerBytes)
+		if err != nil {
+			x.broke(attempt, t, err)
+			return false
+		}
+		if x.begun {
+			x.ended("refused " + resp.Status)
+			x.gateway.Picker.suspect(t, time.Now())
+			return false
+		}
+		return x.answered(t, resp, body)
+	}
+	if !x.gateway.Codec.Signed(resp.Header) {
+		x.broke(attempt, t, errors.New("answer without signature"))
+		return false
+	}
+	if err := x.relay(t, resp, watch); err != nil {
+		x.broke(attempt, t, err)
+		return false
+	}
+	x.ended("answered")
+	return true
+}
+
+// watch ends the send when its stream stands still and may go on elsewhere. It
+// is reset with each event.
+func (x *exchange) watch(t *target, cancel context.CancelCauseFunc) *watcher {
+	limit := defaultFirstEvent
+	if x.route.Objective > 0 {
+		limit = time.Duration(float64(x.route.Objective) * firstEventShare)
+	}
+	if x.begun {
+		limit = max(limit, x.gap())
+	}
+	w := &watcher{}
+	if !x.route.Repeatable() || x.sent+1 >= x.route.Attempts {
+		w.timer = time.AfterFunc(time.Hour, func() {})
+		return w
+	}
+	elsewhere := x.elsewhere(t)
+	w.arm(limit, func() bool {
+		if elsewhere() {
+			cancel(errSilent)
+			return false
+		}
+		return true
+	})
+	return w
+}
+
+// elsewhere returns a test, safe for any goroutine, whether another replica could
+// take the stream over now.
+func (x *exchange) elsewhere(t *target) func() bool {
+	tried := maps.Clone(x.tried)
+	service, model, g := x.service, x.req.Model, x.gateway
+	return func() bool {
+		if g.budgets.of(service.Name).Left() < 1 {
+			return false
+		}
+		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o target) bool {
+			return o.instance != t.instance && !tried[o.instance] && !g.Picker.silent(o.instance, time.Now())
+		})
+	}
+}
+
+// rearm is after which time a watcher that found no other replica looks again.
+const rearm = 100 * time.Millisecond
+
+// watcher is a timer that asks again as long as its function returns true.
+type watcher struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (w *watcher) arm(limit time.Duration, expired func() bool) {
+	w.timer = time.AfterFunc(limit, func() {
+		if expired() {
+			w.Reset(rearm)
+		}
+	})
+}
+
+// Reset starts the time anew.
+func (w *watcher) Reset(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && w.timer != nil {
+		w.timer.Reset(d)
+	}
+}
+
+// Stop ends the watch for good.
+func (w *watcher) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// gap is the longest pause between events.
+func (x *exchange) gap() time.Duration {
+	if x.route.Gap > 0 {
+		return x.route.Gap
+	}
+	return defaultGap
+}
+
+// relay passes the events of one answer on. nil: the stream is whole.
+func (x *exchange) relay(t *target, resp *http.Response, watch *watcher) error {
+	reader := newEventReader(resp.Body)
+	flusher, _ := x.w.(http.Flusher)
+	for {
+		ev, err := reader.next()
+		if err == io.EOF && x.events > 0 {
+			if !x.begun {
+				x.head(resp, -1)
+			}
+			return nil
+		}
+		if err == io.EOF {
+			return errors.New("stream without events")
+		}
+		if err != nil {
+			return err
+		}
+		if ev.hasID && x.hasLast && ev.id <= x.lastEvent {
+			continue // passed on before
+		}
+		watch.Reset(x.gap())
+		now := time.Now()
+		x.gateway.Picker.progressed(t, now)
+		if !x.begun {
+			x.firstAt = now.Sub(x.now)
+			x.head(resp, -1)
+		}
+		if _, err := x.w.Write(ev.raw); err != nil {
+			return errors.Annotate(err, "caller")
+		}
+		x.events++
+		if ev.hasID {
+			x.lastEvent, x.hasLast = ev.id, true
+		}
+		if !reader.more() && flusher != nil {
+			flusher.Flush()
+		}
+	}
+}
+
+// broke judges a send whose stream did not come to its end.
+func (x *exchange) broke(attempt context.Context, t *target, err error) {
+	x.ended(cause(attempt, err))
+	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errSilent) {
+		x.gateway.Picker.suspect(t, time.Now())
+	}
+	if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrBusy) {
+		x.mayRun = true
+	}
+}
--- a/internal/group/holder.go
+++ b/internal/group/holder.go
@@ -9,13 +9,13 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/engine"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // HolderConfig is what a domain's holder runs with.
 type HolderConfig struct {
 	Self     Holder
-	Store    platform.Store
+	Store    objectapi.Store
 	Engines  engine.Controller
 	View     View
 	Policy   Policy
@@ -37,7 +37,7 @@
 	current  Copy
 	verified time.Time // when the read that proved our hold was sent
 	orderAt  time.Time // no order before: the previous holder's may be in flight
-	list     []platform.VM
+	list     []objectapi.VM
 	listAt   time.Time
 	probes   map[string]Probe
 	since    map[string]time.Time
@@ -65,7 +65,7 @@
 func (h *holder) hold(ctx context.Context) bool {
 	sent := time.Now()
 	obj, err := h.cfg.Store.Get(ctx, Key(h.domain))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		h.create(ctx)
 		return false
 	}
@@ -156,7 +156,7 @@
 		return
 	}
 	if list == nil {
-		list = []platform.VM{}
+		list = []objectapi.VM{}
 	}
 	h.list, h.listAt = list, time.Now()
 }
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -7,7 +7,7 @@
 
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/engine"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // Policy holds the planner's knobs.
@@ -37,7 +37,7 @@
 	Pools  []catalog.Pool
 	// Want is how many groups of each pool this domain should hold.
 	Want     map[string]int
-	List     []platform.VM // of this domain; nil: not known
+	List     []objectapi.VM // of this domain; nil: not known
 	Probes   map[string]Probe
 	Evidence map[string]Evidence // by group id
 	// Since is when this holder first saw the group's epoch in its state.
@@ -82,7 +82,7 @@
 	for _, vm := range p.in.List {
 		listed[vm.Name] = true
 		old, known := p.d.VMs[vm.Name]
-		record := VMRecord{Address: vm.Address, Accelerators: vm.Accelerators, Intent: old.Intent, Leaving: vm.State == platform.VMLeaving}
+		record := VMRecord{Address: vm.Address, Accelerators: vm.Accelerators, Intent: old.Intent, Leaving: vm.State == objectapi.VMLeaving}
 		if !known || record != old {
 			p.d.VMs[vm.Name] = record
 			p.changed = true
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -11,7 +11,7 @@
 
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/engine"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/standin/enginefake"
 	"pearlanding/internal/standin/platformfake"
 )
@@ -313,11 +313,11 @@
 }
 
 func (s *groupSim) publishList() {
-	var rows []platform.VM
+	var rows []objectapi.VM
 	for _, v := range s.vms {
-		state := rapid.SampledFrom([]platform.VMState{platform.VMLive, platform.VMLive, platform.VMLive, platform.VMLeaving}).Draw(s.t, "state")
+		state := rapid.SampledFrom([]objectapi.VMState{objectapi.VMLive, objectapi.VMLive, objectapi.VMLive, objectapi.VMLeaving}).Draw(s.t, "state")
 		if rapid.IntRange(0, 9).Draw(s.t, "listed") > 0 {
-			rows = append(rows, platform.VM{Name: v.name, Domain: "d", Place: "here", Address: v.name, Accelerators: 2, State: state})
+			rows = append(rows, objectapi.VM{Name: v.name, Domain: "d", Place: "here", Address: v.name, Accelerators: 2, State: state})
 		}
 	}
 	s.store.SetVMs(rows)
@@ -345,7 +345,7 @@
 			return func(t *rapid.T) { s.t = t; f() }
 		}
 		for _, v := range s.vms {
-			s.store.AddVM(platform.VM{Name: v.name, Domain: "d", Place: "here", Address: v.name, Accelerators: 2, State: platform.VMLive})
+			s.store.AddVM(objectapi.VM{Name: v.name, Domain: "d", Place: "here", Address: v.name, Accelerators: 2, State: objectapi.VMLive})
 		}
 		s.t = t
 		round := func() {
@@ -376,7 +376,7 @@
 			"restart":   act(s.restart),
 			"freeze":    act(func() { v := s.pickVM(); v.frozen = !v.frozen }),
 			"list":      act(s.publishList),
-			"drain":     act(func() { s.store.SetVMState(s.pickVM().name, platform.VMLeaving) }),
+			"drain":     act(func() { s.store.SetVMState(s.pickVM().name, objectapi.VMLeaving) }),
 		})
 		served += s.served
 	})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // Forwarder hands records to the preferred daemon of a shard, which batches for
@@ -23,7 +23,7 @@
 
 // Config is what a ledger runs with.
 type Config struct {
-	Store     platform.Store
+	Store     objectapi.Store
 	Shards    int
 	Options   Options
 	Forwarder Forwarder // nil: always append here
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // Errors of an append.
@@ -50,12 +50,12 @@
 }
 
 // snapshotBytes is how large a snapshot may get; bodies are dropped above.
-const snapshotBytes = platform.MaxValueBytes * 8 / 10
+const snapshotBytes = objectapi.MaxValueBytes * 8 / 10
 
 // shard is one shard as seen up to seq. One goroutine owns it.
 type shard struct {
 	id     int
-	store  platform.Store
+	store  objectapi.Store
 	opts   Options
 	now    func() time.Time
 	loaded bool
@@ -68,7 +68,7 @@
 	entries map[string]Entry
 }
 
-func newShard(id int, store platform.Store, opts Options, now func() time.Time) *shard {
+func newShard(id int, store objectapi.Store, opts Options, now func() time.Time) *shard {
 	return &shard{id: id, store: store, opts: opts, now: now, entries: map[string]Entry{}}
 }
 
@@ -97,7 +97,7 @@
 func (s *shard) readSnapshot(ctx context.Context) (snapshot, uint64, error) {
 	snap := snapshot{Entries: map[string]Entry{}}
 	obj, err := s.store.Get(ctx, snapKey(s.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return snap, 0, nil
 	}
 	if err != nil {
@@ -106,7 +106,7 @@
 	return snap, obj.Version, errors.Trace(json.Unmarshal(obj.Value, &snap))
 }
 
-func (s *shard) foldObject(obj platform.Object) error {
+func (s *shard) foldObject(obj objectapi.Object) error {
 	var b batch
 	if err := json.Unmarshal(obj.Value, &b); err != nil {
 		return errors.Annotatef(err, "ledger object %s", obj.Key)
@@ -160,7 +160,7 @@
 	switch {
 	case err == nil:
 		return s.confirm(ctx, b, next)
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrUnknownOutcome):
 		return s.readBack(ctx, b, next)
 	}
 	return false, errors.WithType(err, ErrUnavailable)
@@ -170,7 +170,7 @@
 // one that we had not seen.
 func (s *shard) readBack(ctx context.Context, b batch, next uint64) (bool, error) {
 	obj, err := s.store.Get(ctx, logKey(s.id, next))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		// Rolled up meanwhile, or our write has not arrived: look again.
 		s.loaded = false
 		return false, errors.Trace(ctx.Err())
--- a/internal/ledger/shard_test.go
+++ b/internal/ledger/shard_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/standin/platformfake"
 )
 
@@ -39,7 +39,7 @@
 	sim *ledgerSim
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (platform.Object, error) {
+func (f *faulty) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	f.sim.interleave()
 	obj, err := f.Store.Get(ctx, key)
 	f.sim.interleave()
@@ -65,12 +65,12 @@
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "lost", "late", "refused"}).Draw(f.sim.t, "write") {
 	case "lost":
 		_, _ = apply()
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	case "late":
 		f.sim.delayed = append(f.sim.delayed, func() { _, _ = apply() })
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	case "refused":
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	return apply()
 }
@@ -181,7 +181,7 @@
 }
 
 // newTestLedger runs a ledger over a store until the test ends.
-func newTestLedger(t *testing.T, store platform.Store, maxEntries int) *Ledger {
+func newTestLedger(t *testing.T, store objectapi.Store, maxEntries int) *Ledger {
 	t.Helper()
 	l := New(Config{Store: store, Shards: 1, Timeout: time.Second, AppendsPerSecond: 1000,
 		Options: Options{MaxEntries: maxEntries, Retention: time.Hour, CompactAfter: 4}, Now: time.Now})
--- a/internal/platform/client_test.go
+++ b/internal/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/standin/platformfake"
 )
 
@@ -18,30 +18,30 @@
 func TestClientTellsWhatBecameOfAWrite(t *testing.T) {
 	store := platformfake.New(0, 0)
 	srv := httptest.NewServer(store.Handler())
-	client := platform.NewClient(srv.URL, time.Second)
+	client := objectapi.NewClient(srv.URL, time.Second)
 	ctx := context.Background()
 
 	_, err := client.Get(ctx, "a/b")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, objectapi.ErrNotFound)
 	version, err := client.Create(ctx, "a/b", []byte(`{"n":1}`))
 	must.NoError(t, err)
 	_, err = client.Create(ctx, "a/b", []byte(`{}`))
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, objectapi.ErrConflict)
 	_, err = client.Update(ctx, "a/b", version+1, []byte(`{}`))
-	must.ErrorIs(t, err, platform.ErrConflict)
-	_, err = client.Update(ctx, "a/b", version, []byte(strings.Repeat("x", platform.MaxValueBytes+1)))
-	must.ErrorIs(t, err, platform.ErrTooLarge)
+	must.ErrorIs(t, err, objectapi.ErrConflict)
+	_, err = client.Update(ctx, "a/b", version, []byte(strings.Repeat("x", objectapi.MaxValueBytes+1)))
+	must.ErrorIs(t, err, objectapi.ErrTooLarge)
 
 	store.SetFaults(platformfake.Faults{LoseAnswers: 1})
 	_, err = client.Update(ctx, "a/b", version, []byte(`{"n":2}`))
-	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	must.ErrorIs(t, err, objectapi.ErrUnknownOutcome)
 	obj, err := client.Get(ctx, "a/b")
 	must.NoError(t, err)
 	must.Eq(t, `{"n":2}`, string(obj.Value)) // it had been applied
 
 	store.SetFaults(platformfake.Faults{Outage: true})
 	_, err = client.Update(ctx, "a/b", obj.Version, []byte(`{}`))
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, objectapi.ErrUnavailable)
 	store.SetFaults(platformfake.Faults{})
 
 	list, err := client.Watch(ctx, "a/", version)
@@ -55,6 +55,6 @@
 	// A fresh client has no idle connection: on one that the server had closed, the
 	// outcome would truly be unknown.
 	srv.Close()
-	_, err = platform.NewClient(srv.URL, time.Second).Create(ctx, "a/c", []byte(`{}`))
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = objectapi.NewClient(srv.URL, time.Second).Create(ctx, "a/c", []byte(`{}`))
+	must.ErrorIs(t, err, objectapi.ErrUnavailable)
 }
--- a/internal/platform/counting.go
+++ b/internal/objectapi/counting.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
--- /dev/null
+++ b/internal/objectapi/feed.go
@@ -0,0 +1,46 @@
+package objectapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Errors of a Feed, beside those of Store. Compare with errors.Is.
+const (
+	// ErrCompacted: the history asked for is gone; list again.
+	ErrCompacted = errors.ConstError("objectapi: history compacted")
+)
+
+// Event is one change of one object. A removed object keeps its key and the
+// version of its removal; its value may be empty.
+type Event struct {
+	Object  Object
+	Removed bool
+}
+
+// Listing is all objects of a kind. Every change up to Revision is in it.
+type Listing struct {
+	Objects  []Object
+	Revision uint64
+}
+
+// Feed is an object API that tells removals too and whose lists are current, not
+// lagging: what a daemon needs to follow whole kinds of objects. A key is
+// "kind/name". All methods are safe for concurrent use; errors are those of
+// Store and of this file.
+type Feed interface {
+	// Get returns the current object or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// ListKind returns all objects of a kind.
+	ListKind(ctx context.Context, kind string) (Listing, error)
+	// Follow waits up to wait for changes of a kind after a revision. It returns
+	// them, possibly none, with the revision to go on from, or ErrCompacted.
+	Follow(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// Create writes an object that must not exist and returns its version.
+	Create(ctx context.Context, key string, value []byte) (uint64, error)
+	// Update replaces the object if version is current and returns the new
+	// version, or ErrConflict.
+	Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
+}
--- a/internal/platform/platform.go
+++ b/internal/objectapi/platform.go
@@ -1,10 +1,10 @@
-// Package platform is the client side of the platform's object API: versioned
+// Package objectapi is the client side of the platform's object API: versioned
 // objects with conditional updates and watches, and the lagging list of VMs.
 //
 // Guarantees this package relies on: a Get returns the current object; a write
 // with a version is applied only when that version is still current; versions
 // only grow. List, Watch and VMs may lag.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -15,7 +15,7 @@
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/control"
 	"pearlanding/internal/findings"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/problem"
 	"pearlanding/internal/revision"
 )
@@ -175,7 +175,7 @@
 			"changed by somebody else first; get the current entry and edit that").With(conflict.conflicts)
 	case errors.As(err, &found):
 		return problem.New(http.StatusUnprocessableEntity, problem.CodeInvalid, "%d findings", len(found.Findings)).With(found.Findings)
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objectapi.ErrUnknownOutcome):
 		return problem.New(http.StatusGatewayTimeout, problem.CodeUnknownWrite,
 			"the platform's answer was lost; ask for change %s", changeID).MayRun().After(time.Second).With(map[string]string{"change_id": changeID})
 	}
--- a/internal/operator/intent.go
+++ b/internal/operator/intent.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/group"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/problem"
 )
 
@@ -105,9 +105,9 @@
 		case err == nil:
 			o.Control.PublishDomain(domain, group.Copy{Version: version, Domain: d})
 			return o.intentResult(d, vm, want, version), nil
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, objectapi.ErrUnknownOutcome):
 			mayHaveRun = true
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, objectapi.ErrConflict):
 			return IntentResult{}, withOutcome(refusal(err, ""), mayHaveRun)
 		}
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -21,7 +21,7 @@
 
 	"pearlanding/internal/api"
 	"pearlanding/internal/control"
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/problem"
 	"pearlanding/internal/revision"
 	"pearlanding/internal/settings"
@@ -32,7 +32,7 @@
 type Deps struct {
 	Settings  settings.Settings
 	Control   *control.Control
-	Store     platform.Store
+	Store     objectapi.Store
 	API       *api.API
 	Telemetry *telemetry.Telemetry
 	// Offer pushes a head that was written here to all peers.
--- a/internal/revision/commit.go
+++ b/internal/revision/commit.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // ErrUnchanged: the change function found nothing to write.
@@ -19,14 +19,14 @@
 // current head after every lost race or lost answer; it must recognise its own
 // earlier success and return ErrUnchanged then. An ErrUnknownOutcome from here
 // means that the platform could not even be read back.
-func Commit(ctx context.Context, store platform.Store, change func(Head) (Head, error)) (Head, uint64, error) {
+func Commit(ctx context.Context, store objectapi.Store, change func(Head) (Head, error)) (Head, uint64, error) {
 	var err error
 	written := false
 	for range maxTries {
 		var head Head
 		var version uint64
 		head, version, err = Read(ctx, store)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 			break
 		}
 		next, changeErr := change(head)
@@ -37,20 +37,20 @@
 		if err == nil {
 			return next, version, nil
 		}
-		written = written || errors.Is(err, platform.ErrUnknownOutcome)
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+		written = written || errors.Is(err, objectapi.ErrUnknownOutcome)
+		if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrUnknownOutcome) {
 			break
 		}
 	}
 	if written {
-		return Head{}, 0, errors.WithType(err, platform.ErrUnknownOutcome)
+		return Head{}, 0, errors.WithType(err, objectapi.ErrUnknownOutcome)
 	}
 	return Head{}, 0, errors.Trace(err)
 }
 
 // Read returns the current head; of an empty platform, an empty head at version
 // 0 with ErrNotFound.
-func Read(ctx context.Context, store platform.Store) (Head, uint64, error) {
+func Read(ctx context.Context, store objectapi.Store) (Head, uint64, error) {
 	obj, err := store.Get(ctx, Key)
 	if err != nil {
 		return NewHead(), 0, err
@@ -59,7 +59,7 @@
 	return head, obj.Version, err
 }
 
-func write(ctx context.Context, store platform.Store, version uint64, next Head) (uint64, error) {
+func write(ctx context.Context, store objectapi.Store, version uint64, next Head) (uint64, error) {
 	value, err := next.Encode()
 	if err != nil {
 		return 0, err
--- a/internal/standin/engines.go
+++ b/internal/standin/engines.go
@@ -12,7 +12,7 @@
 
 	"github.com/juju/errors"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/standin/enginefake"
 )
 
@@ -49,7 +49,7 @@
 
 // VM is one stand-in VM.
 type VM struct {
-	Row    platform.VM
+	Row    objectapi.VM
 	Engine *enginefake.Engine
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -91,8 +91,8 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		row := platform.VM{Name: fmt.Sprintf("%s%d", set.Prefix, i+1), Place: set.Place, Domain: set.Domain,
-			Address: listener.Addr().String(), Accelerators: accelerators, State: platform.VMLive}
+		row := objectapi.VM{Name: fmt.Sprintf("%s%d", set.Prefix, i+1), Place: set.Place, Domain: set.Domain,
+			Address: listener.Addr().String(), Accelerators: accelerators, State: objectapi.VMLive}
 		e := enginefake.New(enginefake.Options{VM: row.Name, Address: row.Address, Slots: set.Slots,
 			TokenTime: set.TokenTime, FetchWeights: fetch})
 		vm := &VM{Row: row, Engine: e, ctx: ctx}
@@ -110,7 +110,7 @@
 }
 
 // Enlist puts a VM into the stand-in platform's list.
-func Enlist(ctx context.Context, base string, vm platform.VM) error {
+func Enlist(ctx context.Context, base string, vm objectapi.VM) error {
 	body, err := json.Marshal(vm)
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/standin/platformfake/http.go
+++ b/internal/standin/platformfake/http.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // Handler serves the object API, the VM list, the weight store and the control
@@ -52,7 +52,7 @@
 }
 
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body, objectapi.MaxValueBytes+1))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -73,7 +73,7 @@
 }
 
 func (s *Store) servePutVM(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm objectapi.VM
 	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil || vm.Name == "" {
 		http.Error(w, "want a VM with a name", http.StatusBadRequest)
 		return
@@ -98,13 +98,13 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(value)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objectapi.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/standin/platformfake/store.go
+++ b/internal/standin/platformfake/store.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"pearlanding/internal/platform"
+	"pearlanding/internal/objectapi"
 )
 
 // Faults are the injectable faults. The zero value is a healthy platform.
@@ -28,12 +28,12 @@
 	ListLagMS int `json:"list_lag_ms"`
 }
 
-// Store is the stand-in's state; it implements platform.Store directly so that
+// Store is the stand-in's state; it implements objectapi.Store directly so that
 // tests need no network.
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]platform.Object
+	objects  map[string]objectapi.Object
 	changed  chan struct{}
 	faults   Faults
 	vms      []vmVersion
@@ -44,7 +44,7 @@
 
 type vmVersion struct {
 	at   time.Time
-	list []platform.VM
+	list []objectapi.VM
 }
 
 // watchWait is how long a watch waits before it answers with nothing.
@@ -53,7 +53,7 @@
 // New returns an empty platform. writesPerSecond limits writes (0: no limit);
 // weightsGBPerSecond limits the weight store (0: no limit).
 func New(writesPerSecond int, weightsGBPerSecond float64) *Store {
-	s := &Store{objects: map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{objects: map[string]objectapi.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
 	if writesPerSecond > 0 {
 		s.writes = rate.NewLimiter(rate.Limit(writesPerSecond), writesPerSecond)
 	}
@@ -74,16 +74,16 @@
 }
 
 // SetVMs publishes a new list of VMs.
-func (s *Store) SetVMs(list []platform.VM) {
+func (s *Store) SetVMs(list []objectapi.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = append(s.vms, vmVersion{at: time.Now(), list: append([]platform.VM(nil), list...)})
+	s.vms = append(s.vms, vmVersion{at: time.Now(), list: append([]objectapi.VM(nil), list...)})
 }
 
 // SetVMState changes the state of one VM in the list; "" removes it.
-func (s *Store) SetVMState(name string, state platform.VMState) {
+func (s *Store) SetVMState(name string, state objectapi.VMState) {
 	s.mu.Lock()
-	var next []platform.VM
+	var next []objectapi.VM
 	for _, vm := range s.currentVMs() {
 		if vm.Name == name {
 			if state == "" {
@@ -98,9 +98,9 @@
 }
 
 // AddVM adds a VM to the list or replaces the one of that name.
-func (s *Store) AddVM(vm platform.VM) {
+func (s *Store) AddVM(vm objectapi.VM) {
 	s.mu.Lock()
-	next := []platform.VM{vm}
+	next := []objectapi.VM{vm}
 	for _, old := range s.currentVMs() {
 		if old.Name != vm.Name {
 			next = append(next, old)
@@ -111,7 +111,7 @@
 	s.SetVMs(next)
 }
 
-func (s *Store) currentVMs() []platform.VM {
+func (s *Store) currentVMs() []objectapi.VM {
 	if len(s.vms) == 0 {
 		return nil
 	}
@@ -139,31 +139,31 @@
 		select {
 		case <-time.After(time.Duration(faults.SlowMS) * time.Millisecond):
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return objectapi.ErrUnavailable
 		}
 	}
 	if faults.Outage {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *Store) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if err := s.enter(ctx, "get"); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	obj, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements objectapi.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]objectapi.Object, error) {
 	if err := s.enter(ctx, "list"); err != nil {
 		return nil, err
 	}
@@ -172,8 +172,8 @@
 	return s.above(prefix, 0), nil
 }
 
-func (s *Store) above(prefix string, after uint64) []platform.Object {
-	var out []platform.Object
+func (s *Store) above(prefix string, after uint64) []objectapi.Object {
+	var out []objectapi.Object
 	for key, obj := range s.objects {
 		if strings.HasPrefix(key, prefix) && obj.Version > after {
 			out = append(out, obj)
@@ -183,58 +183,58 @@
 	return out
 }
 
-// Create implements platform.Store.
+// Create implements objectapi.Store.
 func (s *Store) Create(ctx context.Context, key string, value []byte) (uint64, error) {
-	return s.apply(ctx, "create", key, func(_ platform.Object, exists bool) bool { return !exists }, value)
+	return s.apply(ctx, "create", key, func(_ objectapi.Object, exists bool) bool { return !exists }, value)
 }
 
-// Update implements platform.Store.
+// Update implements objectapi.Store.
 func (s *Store) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
-	current := func(old platform.Object, exists bool) bool { return exists && old.Version == version }
+	current := func(old objectapi.Object, exists bool) bool { return exists && old.Version == version }
 	return s.apply(ctx, "update", key, current, value)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (s *Store) Delete(ctx context.Context, key string, version uint64) error {
-	current := func(old platform.Object, exists bool) bool { return exists && old.Version == version }
+	current := func(old objectapi.Object, exists bool) bool { return exists && old.Version == version }
 	_, err := s.apply(ctx, "delete", key, current, nil)
 	return err
 }
 
 // apply performs one conditional write; a nil value deletes.
-func (s *Store) apply(ctx context.Context, kind, key string, allowed func(platform.Object, bool) bool, value []byte) (uint64, error) {
+func (s *Store) apply(ctx context.Context, kind, key string, allowed func(objectapi.Object, bool) bool, value []byte) (uint64, error) {
 	if err := s.enter(ctx, kind); err != nil {
 		return 0, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > objectapi.MaxValueBytes {
+		return 0, objectapi.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.writes != nil && !s.writes.Allow() {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	old, exists := s.objects[key]
 	if !allowed(old, exists) {
-		return 0, platform.ErrConflict
+		return 0, objectapi.ErrConflict
 	}
 	s.revision++
 	if value == nil {
 		delete(s.objects, key)
 	} else {
-		s.objects[key] = platform.Object{Key: key, Version: s.revision, Value: append([]byte(nil), value...)}
+		s.objects[key] = objectapi.Object{Key: key, Version: s.revision, Value: append([]byte(nil), value...)}
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	}
 	return s.revision, nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Object, error) {
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]objectapi.Object, error) {
 	if err := s.enter(ctx, "watch"); err != nil {
 		return nil, err
 	}
@@ -251,27 +251,27 @@
 		case <-deadline:
 			return nil, nil
 		case <-ctx.Done():
-			return nil, platform.ErrUnavailable
+			return nil, objectapi.ErrUnavailable
 		}
 	}
 }
 
-// VMs implements platform.Store, as of the list lag ago.
-func (s *Store) VMs(ctx context.Context, domain string) ([]platform.VM, error) {
+// VMs implements objectapi.Store, as of the list lag ago.
+func (s *Store) VMs(ctx context.Context, domain string) ([]objectapi.VM, error) {
 	if err := s.enter(ctx, "vms"); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	asOf := time.Now().Add(-time.Duration(s.faults.ListLagMS) * time.Millisecond)
-	var out []platform.VM
+	var out []objectapi.VM
 	for _, v := range s.vms {
 		if v.at.After(asOf) {
 			break
 		}
 		out = v.list
 	}
-	return slices.DeleteFunc(slices.Clone(out), func(vm platform.VM) bool { return domain != "" && vm.Domain != domain }), nil
+	return slices.DeleteFunc(slices.Clone(out), func(vm objectapi.VM) bool { return domain != "" && vm.Domain != domain }), nil
 }
 
 // Weights waits until the weight store has delivered megabytes of weights.
@@ -285,7 +285,7 @@
 	for megabytes > 0 {
 		step := min(megabytes, mbPerGB)
 		if err := s.weights.WaitN(ctx, step); err != nil {
-			return platform.ErrUnavailable
+			return objectapi.ErrUnavailable
 		}
 		megabytes -= step
 	}
