Groups: domains hold one model each, spares are staged

Cause: with models mixed in each domain the survivors of a broken group could not join another without a load from the weight store (12 to 16 s, 7 at a time), and 13 to 18 instances stood free while 2 groups of the large model served.

--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -14,18 +14,23 @@
 	model   routes.Model
 	members []*fleet.Instance
 	loads   int     // members that would load from the weight store
-	need    float64 // instances that the model's share lacks
+	lack    float64 // part of the model's target that is missing
+	same    int     // groups of the model in the domain
 	free    int     // free instances of the domain
 }
 
-// form plans new groups from free instances until none fits.
+// form plans new groups from free instances until none fits, then loads models
+// to the hosts of those that stay free.
 func (p *Planner) form(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time) []Order {
 	var out []Order
-	loading := p.loading(v)
-	free := p.free(v, busy)
+	loading := p.loading(v, now)
+	models := p.assign(v, engine)
 	for {
-		best := p.best(v, engine, free, engine.LoadsAtOnce-loading)
+		best := p.best(v, engine, models, p.free(v, busy))
 		if best == nil {
+			break
+		}
+		if !mayLoad(engine, loading, best.loads) {
 			return out
 		}
 		loading += best.loads
@@ -34,8 +39,8 @@
 			busy[in.ID] = true
 			out = append(out, p.send(now, p.join(f, in, "new group"))...)
 		}
-		free = p.free(v, busy)
 	}
+	return append(out, p.stage(v, engine, models, p.free(v, busy), loading, now)...)
 }
 
 // begin records a new group.
@@ -61,7 +66,7 @@
 }
 
 // loading counts the loads from the weight store under way.
-func (p *Planner) loading(v *fleet.View) int {
+func (p *Planner) loading(v *fleet.View, now time.Time) int {
 	n := 0
 	for _, f := range p.forming {
 		for _, id := range f.members {
@@ -70,22 +75,35 @@
 			}
 		}
 	}
+	for id, s := range p.staging {
+		in := v.Instances[id]
+		if in == nil || in.HasStaged(s.model) || now.Sub(s.since) > s.patience {
+			delete(p.staging, id)
+			continue
+		}
+		n++
+	}
 	return n
 }
 
+// mayLoad tells whether n more loads may begin. Loads beyond LoadsAtOnce slow one
+// another, so a few more than that keep the weight store busy while views lag.
+func mayLoad(engine *routes.Engine, loading, n int) bool {
+	return loading < max(engine.LoadsAtOnce, 1) || n == 0
+}
+
 // best returns the best group to form next, nil if there is none. Groups that
-// need no load go first; then the model that lacks most of its share. loads is
-// how many loads may begin; a group that needs more begins when none is under way.
-func (p *Planner) best(v *fleet.View, engine *routes.Engine, free map[string][]*fleet.Instance, loads int) *option {
-	need := p.needs(v, engine)
+// need no load go first; then the model that lacks most of its target.
+func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance) *option {
+	needs := p.needs(v, engine)
 	var best *option
 	for _, domain := range sortedDomains(free) {
-		for _, m := range engine.Models {
+		for _, m := range models[domain] {
 			o := choose(m, free[domain])
-			if o == nil || o.loads > loads && loads < engine.LoadsAtOnce {
-				continue
+			if o == nil || o.loads > 0 && o.loads < m.Size {
+				continue // the few that lack the model load it to their hosts first
 			}
-			o.need, o.free = need[m.Name], len(free[domain])
+			o.lack, o.same, o.free = needs[m.Name].part(), p.groupsIn(v, domain, m.Name), len(free[domain])
 			if best == nil || better(o, best) {
 				best = o
 			}
@@ -97,12 +115,29 @@
 func better(a, b *option) bool {
 	return cmp.Or(
 		cmp.Compare(boolToInt(b.loads == 0), boolToInt(a.loads == 0)),
-		cmp.Compare(b.need/float64(b.model.Size), a.need/float64(a.model.Size)),
-		cmp.Compare(a.loads, b.loads),
+		cmp.Compare(b.lack, a.lack),
+		cmp.Compare(b.model.Size, a.model.Size),
+		cmp.Compare(a.same, b.same),
 		cmp.Compare(b.free, a.free),
 	) < 0
 }
 
+// groupsIn counts the groups of a model in a domain, those forming included.
+func (p *Planner) groupsIn(v *fleet.View, domain, model string) int {
+	n := 0
+	for _, f := range p.forming {
+		if in := v.Instances[f.members[0]]; f.model.Name == model && in != nil && in.Domain == domain {
+			n++
+		}
+	}
+	for key, g := range v.Groups {
+		if g.Model == model && g.Head != nil && g.Head.Domain == domain && p.forming[key] == nil && g.Complete() {
+			n++
+		}
+	}
+	return n
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -156,34 +191,40 @@
 	return costOther
 }
 
-// needs returns how many instances each model lacks of its share.
-func (p *Planner) needs(v *fleet.View, engine *routes.Engine) map[string]float64 {
-	total, shares := 0.0, 0.0
+// need is what a model should have and lacks, in instances.
+type need struct {
+	target  float64
+	lacking float64
+}
+
+// part is the part of the target that is missing.
+func (n need) part() float64 {
+	if n.target <= 0 {
+		return 0
+	}
+	return n.lacking / n.target
+}
+
+// needs returns what each model lacks of its share of the instances.
+func (p *Planner) needs(v *fleet.View, engine *routes.Engine) map[string]need {
+	total := 0
 	for _, in := range v.Services[p.Service] {
 		if !in.Draining {
 			total++
 		}
 	}
-	for _, m := range engine.Models {
-		shares += m.Share
-	}
-	need := map[string]float64{}
-	for _, m := range engine.Models {
-		if shares > 0 {
-			need[m.Name] = total * m.Share / shares
-		} else {
-			need[m.Name] = total / float64(len(engine.Models))
-		}
-	}
-	counted := map[fleet.Key]bool{}
-	for key, f := range p.forming {
-		counted[key] = true
-		need[f.model.Name] -= float64(len(f.members))
+	have := map[string]float64{}
+	for _, f := range p.forming {
+		have[f.model.Name] += float64(len(f.members))
 	}
 	for key, g := range v.Groups {
-		if g.Service == p.Service && !counted[key] && g.Complete() {
-			need[g.Model] -= float64(g.Size)
+		if g.Service == p.Service && p.forming[key] == nil && g.Complete() {
+			have[g.Model] += float64(g.Size)
 		}
 	}
-	return need
+	out := map[string]need{}
+	for name, target := range targets(engine, total) {
+		out[name] = need{target: target, lacking: target - have[name]}
+	}
+	return out
 }
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -28,6 +28,7 @@
 	Log     *zap.Logger
 
 	planners map[string]*Planner // by service, of the current term
+	told     map[string]summary  // logged last, by service
 	term     uint64
 }
 
@@ -107,9 +108,22 @@
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.order(ctx, o, view.Revision)
 		}
+		m.tell(p.summarize(view, s.Engine), view.Revision)
 	}
 }
 
+// tell logs what the planner sees when it changed.
+func (m *Manager) tell(s summary, revision uint64) {
+	if m.told[s.service] == s {
+		return
+	}
+	if m.told == nil {
+		m.told = map[string]summary{}
+	}
+	m.told[s.service] = s
+	m.Log.Info("groups", zap.Object("seen", s), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
+}
+
 // order sends one order if the lease is still held, and logs what came of it.
 func (m *Manager) order(ctx context.Context, o Order, revision uint64) {
 	fields := []zap.Field{zap.String("op", string(o.Op)), zap.String("instance", o.Instance), zap.String("group", o.Group.Name),
--- /dev/null
+++ b/internal/formation/stage.go
@@ -0,0 +1,53 @@
+package formation
+
+import (
+	"time"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+)
+
+// staging is a load to a host that this planner has ordered.
+type staging struct {
+	model    string
+	since    time.Time
+	patience time.Duration
+}
+
+// settle is how long after its start a planner loads no spares: not all entries
+// may have come yet, and groups need the weight store first.
+const settle = 2 * time.Second
+
+// stage loads its domain's model to the host of each free instance that lacks it,
+// so that it can join a group without a load.
+func (p *Planner) stage(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, loading int, now time.Time) []Order {
+	if now.Sub(p.started) < settle {
+		return nil
+	}
+	var out []Order
+	for _, domain := range sortedDomains(free) {
+		m := models[domain][0]
+		for _, in := range free[domain] {
+			if p.holds(in, m.Name) || p.staging[in.ID].model != "" || useful(in, models[domain]) {
+				continue
+			}
+			if !mayLoad(engine, loading, 1) {
+				return out
+			}
+			loading++
+			p.staging[in.ID] = staging{model: m.Name, since: now, patience: 2*m.Load + formPatience}
+			out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "a free instance lacks its domain's model"})
+		}
+	}
+	return out
+}
+
+// useful tells whether an instance holds one of its domain's models.
+func useful(in *fleet.Instance, models []routes.Model) bool {
+	for _, m := range models {
+		if joinCost(in, m.Name) <= costStaged {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -21,6 +21,9 @@
 	pollEvery = 1200 * time.Millisecond
 	// pollRetry follows a read that failed.
 	pollRetry = 300 * time.Millisecond
+	// pollFirst follows a read that found no configuration: groups should form as
+	// soon as there is one.
+	pollFirst = 100 * time.Millisecond
 )
 
 // configFollower keeps the configuration in force. Within its life it never goes
@@ -53,10 +56,13 @@
 		o, err := f.feed.Get(ctx, f.key)
 		f.take(o, err, asked)
 		wait := pollEvery - time.Since(asked)
-		if err != nil {
+		switch {
+		case f.version == 0:
+			wait = pollFirst
+		case err != nil:
 			wait = pollRetry
 		}
-		pause(ctx, max(wait, pollRetry))
+		pause(ctx, max(wait, pollFirst))
 	}
 }
 
