Groups: domains are shared out by count, so that early partial lists do not matter

Cause: shares were counted in instances while entries were still coming in, so the first domains took more than their share; 4 of 6 went to the large model.

--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -12,24 +12,22 @@
 // group can join the next one without a load, and every spare fits every group.
 type assignment map[string][]routes.Model
 
-// assign gives each domain its model. A domain keeps the model that half of its
-// instances hold; the others go to the model that lacks most of its share,
-// spread over zones.
+// assign gives each domain its model. A domain keeps the model it was given, or
+// the one that most of its instances hold; the others go to the model that lacks
+// most of its share, spread over zones.
 func (p *Planner) assign(v *fleet.View, engine *routes.Engine) assignment {
 	byDomain := map[string][]*fleet.Instance{}
-	total := 0
 	for _, in := range v.Services[p.Service] {
 		if in.Domain != "" && !in.Draining {
 			byDomain[in.Domain] = append(byDomain[in.Domain], in)
-			total++
 		}
 	}
 	out := assignment{}
-	lacking := targets(engine, total)
-	zones := map[string]map[string]int{} // zone, model: domains
+	lacking := targets(engine, len(byDomain)) // in domains: they are of about one size
+	zones := map[string]map[string]int{}      // zone, model: domains
 	take := func(domain string, m routes.Model) {
 		out[domain] = []routes.Model{m}
-		lacking[m.Name] -= float64(len(byDomain[domain]))
+		lacking[m.Name]--
 		zone := byDomain[domain][0].Zone
 		if zones[zone] == nil {
 			zones[zone] = map[string]int{}
@@ -38,19 +36,22 @@
 	}
 	domains := sortedDomains(byDomain)
 	for _, d := range domains {
-		if m, ok := p.held(byDomain[d], engine); ok {
+		if m, ok := engine.Model(p.given[d]); ok {
+			take(d, m)
+		} else if m, ok := p.held(byDomain[d], engine); ok {
 			take(d, m)
 		}
 	}
 	for _, d := range domains {
 		if out[d] == nil {
-			take(d, p.lackMost(engine, lacking, zones[byDomain[d][0].Zone], len(byDomain[d])))
+			take(d, p.lackMost(engine, lacking, zones[byDomain[d][0].Zone]))
 		}
+		p.given[d] = out[d][0].Name
 	}
 	return out.mix(engine, byDomain, lacking)
 }
 
-// targets is how many instances each model should have.
+// targets splits a total by the models' shares of the work.
 func targets(engine *routes.Engine, total int) map[string]float64 {
 	shares := 0.0
 	for _, m := range engine.Models {
@@ -67,8 +68,11 @@
 	return out
 }
 
-// held returns the model that half or more of a domain's instances hold.
+// held returns the model that most of a domain's instances hold, if they are
+// enough for a group.
 func (p *Planner) held(instances []*fleet.Instance, engine *routes.Engine) (routes.Model, bool) {
+	var best routes.Model
+	most := 0
 	for _, m := range engine.Models {
 		n := 0
 		for _, in := range instances {
@@ -76,11 +80,11 @@
 				n++
 			}
 		}
-		if 2*n >= len(instances) && n >= m.Size {
-			return m, true
+		if n >= m.Size && n > most {
+			best, most = m, n
 		}
 	}
-	return routes.Model{}, false
+	return best, most > 0
 }
 
 // holds tells whether an instance holds a model, or will by what was ordered.
@@ -96,13 +100,12 @@
 	return false
 }
 
-// lackMost picks the model for a domain of n instances: one that lacks at least
-// half of them and has the fewest domains in the zone, otherwise the one that
-// lacks most.
-func (p *Planner) lackMost(engine *routes.Engine, lacking map[string]float64, inZone map[string]int, n int) routes.Model {
+// lackMost picks the model for a domain: one that lacks at least half a domain and
+// has the fewest in the zone, otherwise the one that lacks most.
+func (p *Planner) lackMost(engine *routes.Engine, lacking map[string]float64, inZone map[string]int) routes.Model {
 	best := engine.Models[0]
 	for _, m := range engine.Models[1:] {
-		enough, bestEnough := lacking[m.Name] >= float64(n)/2, lacking[best.Name] >= float64(n)/2
+		enough, bestEnough := lacking[m.Name] >= halfDomain, lacking[best.Name] >= halfDomain
 		switch {
 		case enough != bestEnough:
 			if enough {
@@ -119,11 +122,14 @@
 	return best
 }
 
+// halfDomain is how much of a domain a model must lack to be given one.
+const halfDomain = 0.5
+
 // mix lets the largest domain hold a model that got no domain of its own, beside
 // what it holds: with few domains some must be shared.
 func (a assignment) mix(engine *routes.Engine, byDomain map[string][]*fleet.Instance, lacking map[string]float64) assignment {
 	for _, m := range engine.Models {
-		if lacking[m.Name] < 1 || slices.ContainsFunc(sortedDomains(byDomain), func(d string) bool {
+		if lacking[m.Name] <= 0 || slices.ContainsFunc(sortedDomains(byDomain), func(d string) bool {
 			return slices.ContainsFunc(a[d], func(o routes.Model) bool { return o.Name == m.Name })
 		}) {
 			continue
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -96,12 +96,13 @@
 // need no load go first; then the model that lacks most of its target.
 func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance) *option {
 	needs := p.needs(v, engine)
+	cold := p.cold(v)
 	var best *option
 	for _, domain := range sortedDomains(free) {
 		for _, m := range models[domain] {
 			o := choose(m, free[domain])
-			if o == nil || o.loads > 0 && o.loads < m.Size {
-				continue // the few that lack the model load it to their hosts first
+			if o == nil || o.loads > 0 && !cold {
+				continue // those that lack the model load it to their hosts first
 			}
 			o.lack, o.same, o.free = needs[m.Name].part(), p.groupsIn(v, domain, m.Name), len(free[domain])
 			if best == nil || better(o, best) {
@@ -112,6 +113,23 @@
 	return best
 }
 
+// cold tells whether most instances hold no model yet: then groups load as they
+// join, which saves the warm start. Later loads are scarce, and each is made
+// where it helps most.
+func (p *Planner) cold(v *fleet.View) bool {
+	warm := 0
+	for _, in := range v.Services[p.Service] {
+		if len(in.Staged) > 0 || len(in.Models) > 0 {
+			warm++
+		}
+	}
+	return float64(warm) < coldShare*float64(len(v.Services[p.Service]))
+}
+
+// coldShare is the part of the instances that hold a model below which a service
+// counts as cold.
+const coldShare = 0.75
+
 func better(a, b *option) bool {
 	return cmp.Or(
 		cmp.Compare(boolToInt(b.loads == 0), boolToInt(a.loads == 0)),
@@ -205,7 +223,8 @@
 	return n.lacking / n.target
 }
 
-// needs returns what each model lacks of its share of the instances.
+// needs returns what each model lacks of its share of the instances. Those that
+// hold it and are free count too: they soon join or stand by.
 func (p *Planner) needs(v *fleet.View, engine *routes.Engine) map[string]need {
 	total := 0
 	for _, in := range v.Services[p.Service] {
@@ -214,12 +233,12 @@
 		}
 	}
 	have := map[string]float64{}
-	for _, f := range p.forming {
-		have[f.model.Name] += float64(len(f.members))
-	}
-	for key, g := range v.Groups {
-		if g.Service == p.Service && p.forming[key] == nil && g.Complete() {
-			have[g.Model] += float64(g.Size)
+	for _, in := range v.Services[p.Service] {
+		for _, m := range engine.Models {
+			if !in.Draining && p.holds(in, m.Name) {
+				have[m.Name]++
+				break
+			}
 		}
 	}
 	out := map[string]need{}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -85,6 +85,7 @@
 	sent     map[sentKey]time.Time
 	opened   map[fleet.Key]bool
 	staging  map[string]staging      // by instance
+	given    map[string]string       // model of each domain
 	closing  map[fleet.Key]time.Time // when a group was first asked to close
 	heads    map[fleet.Key]string    // last known head of each group
 	headless map[fleet.Key]time.Time
@@ -102,7 +103,7 @@
 func NewPlanner(service string, term uint64, limits Limits, now time.Time) *Planner {
 	return &Planner{Service: service, Limits: limits, term: term, started: now,
 		forming: map[fleet.Key]*forming{}, sent: map[sentKey]time.Time{}, opened: map[fleet.Key]bool{},
-		staging: map[string]staging{}, closing: map[fleet.Key]time.Time{}, heads: map[fleet.Key]string{}, headless: map[fleet.Key]time.Time{}}
+		staging: map[string]staging{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}, heads: map[fleet.Key]string{}, headless: map[fleet.Key]time.Time{}}
 }
 
 // epochsPerTerm is how many epochs one term can give.
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pearlanding/internal/fleet"
@@ -19,16 +21,21 @@
 const settle = 2 * time.Second
 
 // stage loads its domain's model to the host of each free instance that lacks it,
-// so that it can join a group without a load.
+// so that it can join a group without a load. The model that lacks most goes first.
 func (p *Planner) stage(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, loading int, now time.Time) []Order {
 	if now.Sub(p.started) < settle {
 		return nil
 	}
+	needs := p.needs(v, engine)
+	domains := sortedDomains(free)
+	slices.SortStableFunc(domains, func(a, b string) int {
+		return cmp.Compare(needs[models[b][0].Name].part(), needs[models[a][0].Name].part())
+	})
 	var out []Order
-	for _, domain := range sortedDomains(free) {
+	for _, domain := range domains {
 		m := models[domain][0]
 		for _, in := range free[domain] {
-			if p.holds(in, m.Name) || p.staging[in.ID].model != "" || useful(in, models[domain]) {
+			if p.staging[in.ID].model != "" || useful(in, models[domain]) {
 				continue
 			}
 			if !mayLoad(engine, loading, 1) {
