Groups: members leave before they join; repeats are bounded in every window

Cause: an engine cut from the store serves on while its entry lapses; its members were taken for free after the stall time and joined other groups while it was open. Now each member leaves its group first, and an order's answer counts as evidence before the entry shows it. The simulation (random deaths, cuts, lost and late orders, takeovers) found two more ways: a planner's own older view, which a follower never shows, and a join sent twice of which the second copy comes after the member left; then the missing head is asked to leave first. Now each sliding window is counted by itself. The wait for a silent head (4.6 s) is gone with it.

--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -54,11 +54,12 @@
 	return f
 }
 
-// free lists the instances that may join a group, by domain.
+// free lists the instances that may join a group, by domain. One that left a
+// group with a missing head, to which a join may still be under way, is not.
 func (p *Planner) free(v *fleet.View, busy map[string]bool) map[string][]*fleet.Instance {
 	out := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
-		if !busy[in.ID] && !in.Draining && in.Domain != "" {
+		if !busy[in.ID] && !in.Draining && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) {
 			out[in.Domain] = append(out[in.Domain], in)
 		}
 	}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -12,9 +12,8 @@
 
 // Orders sends orders to instances.
 type Orders interface {
-	// Send sends one order. Its error says that the instance refused it, or that
-	// there was no answer: then it may still be carried out, seconds later.
-	Send(ctx context.Context, o Order) error
+	// Send sends one order. The error explains an outcome other than Taken.
+	Send(ctx context.Context, o Order) (Outcome, error)
 }
 
 // Manager forms groups while this daemon holds the lease.
@@ -24,14 +23,22 @@
 	View    func() *fleet.View
 	Changed <-chan struct{} // signalled after the view changed
 	Table   func() *routes.Table
-	Limits  func() Limits
 	Log     *zap.Logger
 
 	planners map[string]*Planner // by service, of the current term
 	told     map[string]summary  // logged last, by service
+	ended    chan endedOrder
 	term     uint64
 }
 
+// endedOrder is what came of an order.
+type endedOrder struct {
+	service string
+	term    uint64
+	order   Order
+	outcome Outcome
+}
+
 // Periods of the manager.
 const (
 	planTick     = 250 * time.Millisecond
@@ -42,6 +49,7 @@
 
 // Run plans until ctx ends; then the lease is released.
 func (m *Manager) Run(ctx context.Context) {
+	m.ended = make(chan endedOrder)
 	stopped := make(chan struct{})
 	taken := make(chan struct{}, 1)
 	go m.keepLease(ctx, taken, stopped)
@@ -53,6 +61,10 @@
 			<-stopped
 			return
 		case <-taken:
+		case e := <-m.ended:
+			if p := m.planners[e.service]; p != nil && e.term == m.term {
+				p.Ended(e.order, e.outcome, time.Now())
+			}
 		case <-m.Changed:
 		case <-tick.C:
 		}
@@ -102,11 +114,11 @@
 		}
 		p := m.planners[s.Name]
 		if p == nil {
-			p = NewPlanner(s.Name, term, m.Limits(), now)
+			p = NewPlanner(s.Name, term, now)
 			m.planners[s.Name] = p
 		}
 		for _, o := range p.Plan(view, s.Engine, now) {
-			go m.order(ctx, o, view.Revision)
+			go m.order(ctx, s.Name, term, o, view.Revision)
 		}
 		m.tell(p.summarize(view, s.Engine), view.Revision)
 	}
@@ -124,8 +136,9 @@
 	m.Log.Info("groups", zap.Object("seen", s), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
 }
 
-// order sends one order if the lease is still held, and logs what came of it.
-func (m *Manager) order(ctx context.Context, o Order, revision uint64) {
+// order sends one order if the lease is still held, logs what came of it, and
+// tells the planner.
+func (m *Manager) order(ctx context.Context, service string, term uint64, o Order, revision uint64) {
 	fields := []zap.Field{zap.String("op", string(o.Op)), zap.String("instance", o.Instance), zap.String("group", o.Group.Name),
 		zap.Uint64("epoch", o.Group.Epoch), zap.Strings("members", o.Members), zap.String("reason", o.Reason),
 		zap.Uint64("term", m.Lease.Held(time.Now())), zap.Uint64("view_revision", revision)}
@@ -133,8 +146,12 @@
 		m.Log.Info("order not sent: lease not held", fields...)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	timed, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := m.Orders.Send(ctx, o)
-	m.Log.Info("order", append(fields, zap.Error(err))...)
+	outcome, err := m.Orders.Send(timed, o)
+	m.Log.Info("order", append(fields, zap.Int("outcome", int(outcome)), zap.Error(err))...)
+	select {
+	case m.ended <- endedOrder{service, term, o, outcome}:
+	case <-ctx.Done():
+	}
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -5,9 +5,8 @@
 //
 // Safety does not rest on the lease but on the orders themselves: an epoch is
 // higher than any that was given before, so a late join is refused by whoever
-// has seen a newer one; an instance joins another group only after the head of
-// its old one has left it, is broken, or is surely dead; a group opens only after
-// each of its members has told that it is ready.
+// has seen a newer one; an instance joins another group only after it has left its
+// old one; a group opens only after each of its members has told that it is ready.
 package formation
 
 import (
@@ -54,17 +53,8 @@
 	// lateOrders is how long an order without an answer may still be carried out.
 	// Source: up to 12 s were seen; one second is added.
 	lateOrders = 13 * time.Second
-	// lapseMargin covers clocks and the view's age when a head that fell silent is
-	// taken for dead.
-	lapseMargin = time.Second
 )
 
-// Limits are the deployment's bounds on planning.
-type Limits struct {
-	Stall     time.Duration // until a group that lost a member is broken
-	Heartbeat time.Duration
-}
-
 // forming is a group this planner has ordered to join and not yet seen open.
 type forming struct {
 	key     fleet.Key
@@ -77,13 +67,14 @@
 // Planner plans the groups of one service. One goroutine owns it.
 type Planner struct {
 	Service  string
-	Limits   Limits
 	term     uint64 // of the lease
 	count    uint64 // epochs given in this term
 	started  time.Time
 	forming  map[fleet.Key]*forming
 	sent     map[sentKey]time.Time
-	opened   map[fleet.Key]bool
+	left     map[string]fleet.Key    // groups that instances left, until their entries show it
+	asked    map[fleet.Key]bool      // heads that an order to leave was sent to, and ended
+	doubled  map[fleet.Key]time.Time // when a join to one of its members had no answer
 	staging  map[string]staging      // by instance
 	given    map[string]string       // model of each domain
 	closing  map[fleet.Key]time.Time // when a group was first asked to close
@@ -100,10 +91,10 @@
 
 // NewPlanner returns a planner for one term of the lease. term must be higher
 // than every earlier one.
-func NewPlanner(service string, term uint64, limits Limits, now time.Time) *Planner {
-	return &Planner{Service: service, Limits: limits, term: term, started: now,
-		forming: map[fleet.Key]*forming{}, sent: map[sentKey]time.Time{}, opened: map[fleet.Key]bool{},
-		staging: map[string]staging{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}, heads: map[fleet.Key]string{}, headless: map[fleet.Key]time.Time{}}
+func NewPlanner(service string, term uint64, now time.Time) *Planner {
+	return &Planner{Service: service, term: term, started: now,
+		forming: map[fleet.Key]*forming{}, sent: map[sentKey]time.Time{}, left: map[string]fleet.Key{},
+		asked: map[fleet.Key]bool{}, doubled: map[fleet.Key]time.Time{}, staging: map[string]staging{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}}
 }
 
 // epochsPerTerm is how many epochs one term can give.
@@ -119,7 +110,7 @@
 // Plan returns the orders to send now.
 func (p *Planner) Plan(v *fleet.View, engine *routes.Engine, now time.Time) []Order {
 	var out []Order
-	p.note(v, now)
+	p.forget(v, now)
 	busy := map[string]bool{}
 	for _, key := range sortedKeys(v) {
 		out = append(out, p.tend(v, v.Groups[key], busy, now)...)
@@ -138,24 +129,31 @@
 	return keys
 }
 
-// note remembers heads and since when a group has none.
-func (p *Planner) note(v *fleet.View, now time.Time) {
-	for key, g := range v.Groups {
-		if g.Head != nil {
-			p.heads[key] = g.Head.ID
-			delete(p.headless, key)
-		} else if _, ok := p.headless[key]; !ok {
-			p.headless[key] = now
+// forget drops what is too old to matter.
+func (p *Planner) forget(v *fleet.View, now time.Time) {
+	for key, at := range p.sent {
+		if now.Sub(at) > lateOrders {
+			delete(p.sent, key)
+		}
+	}
+	for id, key := range p.left {
+		if in := v.Instances[id]; in == nil || in.Group.Key() != key {
+			delete(p.left, id)
 		}
 	}
-	for key := range p.headless {
+	for key := range p.closing {
 		if v.Groups[key] == nil {
-			delete(p.headless, key)
+			delete(p.closing, key)
 		}
 	}
-	for key, at := range p.sent {
+	for key := range p.asked {
+		if v.Groups[key] == nil {
+			delete(p.asked, key)
+		}
+	}
+	for key, at := range p.doubled {
 		if now.Sub(at) > lateOrders {
-			delete(p.sent, key)
+			delete(p.doubled, key)
 		}
 	}
 }
@@ -170,12 +168,10 @@
 	switch {
 	case g.Serving():
 		delete(p.forming, g.Key)
-		p.opened[g.Key] = true
 		hold(g, busy)
 		return nil
 	case g.Complete() && g.Head.Group.State == fleet.Ready:
 		hold(g, busy)
-		p.opened[g.Key] = true
 		return p.send(now, Order{Op: OpOpen, Instance: g.Head.ID, Address: g.Head.Address, Group: g.Key, Reason: "all members ready"})
 	case g.Complete():
 		hold(g, busy) // closing; comes to ready by itself
@@ -203,35 +199,106 @@
 	return !slices.ContainsFunc(g.Members, func(m *fleet.Instance) bool { return m.Draining || m.Group.State == fleet.Broken })
 }
 
-// dissolve frees the members of a group that can't serve. The head goes first:
-// once it has left, no late order can open the group again.
+// dissolve frees the members of a group that can't serve. The head goes first, as
+// long as its entry is known: once it has left, no late order can open the group
+// again. Members leave too before they may join elsewhere, since a head whose
+// entry is missing may still be open, out of the store's reach.
 func (p *Planner) dissolve(v *fleet.View, g *fleet.Group, busy map[string]bool, now time.Time) []Order {
-	if g.Head == nil {
-		if !p.headGone(v, g, now) {
-			hold(g, busy)
+	hold(g, busy)
+	if g.Head != nil && !p.hasLeft(g.Head) && g.Head.Group.State != fleet.Broken {
+		return p.endHead(g, now)
+	}
+	var out []Order
+	if g.Head == nil && p.mayRejoin(g.Key, now) {
+		if out = p.endMissingHead(v, g, now); out != nil {
+			return out
+		}
+		if !p.asked[g.Key] {
+			return nil
 		}
-		return nil
 	}
-	state := g.Head.Group.State
-	if state == fleet.Broken || (state == fleet.Ready || state == fleet.Joining) && !p.opened[g.Key] && now.Sub(p.started) > lateOrders {
+	for _, m := range g.Members {
+		if p.hasLeft(m) {
+			delete(busy, m.ID)
+			continue
+		}
+		out = append(out, p.send(now, Order{Op: OpLeave, Instance: m.ID, Address: m.Address, Group: g.Key, Reason: "its group ended"})...)
+	}
+	return out
+}
+
+// mayRejoin tells whether a join to a member of the group may still be under way
+// beside the one that was carried out: it could bring the member back after it
+// left. A planner that has just begun can't know of its predecessor's.
+func (p *Planner) mayRejoin(key fleet.Key, now time.Time) bool {
+	return now.Sub(p.started) < lateOrders || now.Sub(p.doubled[key]) < lateOrders
+}
+
+// endMissingHead makes a head leave whose entry is missing: it may live, cut from
+// the store. It returns nil once the head answered, or did not.
+func (p *Planner) endMissingHead(v *fleet.View, g *fleet.Group, now time.Time) []Order {
+	if p.asked[g.Key] {
 		return nil
 	}
-	hold(g, busy)
-	head := Order{Instance: g.Head.ID, Address: g.Head.Address, Group: g.Key}
-	if state == fleet.Open && g.Size == len(g.Members) && !p.closedLong(g, now) {
-		if _, ok := p.closing[g.Key]; !ok {
-			p.closing[g.Key] = now
+	for _, gone := range v.Removed {
+		if in := gone.Instance; in.Group.Key() == g.Key && in.Group.Rank == 0 {
+			return p.send(now, Order{Op: OpLeave, Instance: in.ID, Address: in.Address, Group: g.Key, Reason: "its entry is missing"})
 		}
-		head.Op, head.Reason = OpClose, "a member leaves"
-		return p.send(now, head)
 	}
-	if state == fleet.Closing && g.Size == len(g.Members) && !p.closedLong(g, now) {
-		return nil
+	p.asked[g.Key] = p.doubled[g.Key].IsZero() // never known, or gone long ago
+	return nil
+}
+
+// endHead closes a group whose member leaves by plan, so that streams may finish,
+// and makes the head of any other leave at once.
+func (p *Planner) endHead(g *fleet.Group, now time.Time) []Order {
+	state, whole := g.Head.Group.State, g.Size == len(g.Members)
+	head := Order{Op: OpLeave, Instance: g.Head.ID, Address: g.Head.Address, Group: g.Key, Reason: "group is not complete"}
+	if whole && !p.closedLong(g, now) {
+		switch state {
+		case fleet.Open:
+			if _, ok := p.closing[g.Key]; !ok {
+				p.closing[g.Key] = now
+			}
+			head.Op, head.Reason = OpClose, "a member leaves"
+		case fleet.Closing:
+			return nil
+		}
 	}
-	head.Op, head.Reason = OpLeave, "group is not complete"
 	return p.send(now, head)
 }
 
+// hasLeft tells whether an instance left the group that its entry still shows.
+func (p *Planner) hasLeft(in *fleet.Instance) bool { return p.left[in.ID] == in.Group.Key() }
+
+// Outcome is what came of an order.
+type Outcome int
+
+// Outcomes of orders.
+const (
+	// Taken: the instance began it, or it was done already.
+	Taken Outcome = iota
+	// Refused: the instance, or another in its place, won't do it.
+	Refused
+	// Unanswered: it may still be carried out, seconds later.
+	Unanswered
+)
+
+// Ended takes in what came of an order, before any entry shows it.
+func (p *Planner) Ended(o Order, outcome Outcome, now time.Time) {
+	switch {
+	case o.Op == OpLeave:
+		if _, doubled := p.doubled[o.Group]; outcome != Unanswered || !doubled {
+			p.asked[o.Group] = true
+		}
+		if outcome != Unanswered {
+			p.left[o.Instance] = o.Group // a refused leave: it is not in the group
+		}
+	case o.Op == OpJoin && outcome == Unanswered:
+		p.doubled[o.Group] = now // it will be sent again
+	}
+}
+
 // closePatience is how long a group that loses a member to a planned leave may
 // finish its streams. Source: a leaving member stays 10 s at most for its head.
 const closePatience = 8 * time.Second
@@ -242,18 +309,6 @@
 	return ok && now.Sub(at) > closePatience
 }
 
-// headGone tells whether a group's head surely serves no more: its entry shows it
-// elsewhere, or it fell silent so long ago that the group is broken in any case.
-func (p *Planner) headGone(v *fleet.View, g *fleet.Group, now time.Time) bool {
-	if id, ok := p.heads[g.Key]; ok && v.Instances[id] != nil {
-		return true // in the view, but not in this group
-	}
-	// The entry went after three silent heartbeats, so the silence began at least
-	// two of them before that.
-	wait := p.Limits.Stall - 2*p.Limits.Heartbeat + lapseMargin
-	return now.Sub(p.headless[g.Key]) >= max(wait, 0)
-}
-
 // viable tells whether a group that is forming may still become complete.
 func (p *Planner) viable(v *fleet.View, f *forming, now time.Time) bool {
 	for _, id := range f.members {
--- /dev/null
+++ b/internal/formation/sim_test.go
@@ -0,0 +1,356 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+)
+
+// simEngine is one instance as it really is; its entry may say otherwise.
+type simEngine struct {
+	in      fleet.Instance
+	alive   bool
+	cut     bool // its entry is missing though it is alive
+	seen    uint64
+	members map[fleet.Key][]string
+	loaded  time.Time // when a joining ends
+	staging string
+	staged  time.Time
+}
+
+// sim is a fabric of engines that carry out orders, some of them late.
+type sim struct {
+	t       failer
+	now     time.Time
+	engines map[string]*simEngine
+	ids     []string
+	late    []lateOrder
+	engine  *routes.Engine
+	ready   map[fleet.Key]map[string]bool // members that were ready
+	opened  int
+}
+
+type failer interface{ Fatalf(string, ...any) }
+
+type lateOrder struct {
+	at    time.Time
+	order Order
+}
+
+const simService = "engines"
+
+func simModels() *routes.Engine {
+	return &routes.Engine{LoadsAtOnce: 7, LoadsPerSecond: 5, Models: []routes.Model{
+		{Name: "large", Size: 4, Share: 0.5, Load: 3 * time.Second, Warm: time.Second},
+		{Name: "small", Size: 2, Share: 0.5, Load: 2 * time.Second, Warm: time.Second},
+	}}
+}
+
+func newSim(t failer, domains, size int) *sim {
+	s := &sim{t: t, now: time.Unix(1000, 0), engines: map[string]*simEngine{}, engine: simModels(), ready: map[fleet.Key]map[string]bool{}}
+	for d := range domains {
+		for range size {
+			s.add(fmt.Sprintf("d%d", d))
+		}
+	}
+	return s
+}
+
+func (s *sim) add(domain string) {
+	id := fmt.Sprintf("e%02d", len(s.ids))
+	s.ids = append(s.ids, id)
+	s.engines[id] = &simEngine{alive: true, members: map[fleet.Key][]string{},
+		in: fleet.Instance{ID: id, Service: simService, Address: id, Zone: "z" + domain, Domain: domain}}
+}
+
+// view is what the entries of all engines in the store tell.
+func (s *sim) view() *fleet.View {
+	all, removed := map[string]*fleet.Instance{}, map[string]fleet.Gone{}
+	for id, e := range s.engines {
+		in := e.in
+		if e.alive && !e.cut {
+			all[id] = &in
+		} else {
+			removed[id] = fleet.Gone{Instance: &in, At: s.now}
+		}
+	}
+	return fleet.Build(1, s.now, all, removed, func(_, model string) int {
+		m, _ := s.engine.Model(model)
+		return m.Size
+	})
+}
+
+// apply carries one order out, as the platform's engines do, and checks the two
+// rules of groups. It tells whether the order was taken.
+func (s *sim) apply(o Order) bool {
+	e := s.engines[o.Instance]
+	if e == nil || !e.alive {
+		return false
+	}
+	switch o.Op {
+	case OpJoin:
+		return s.join(e, o)
+	case OpStage:
+		m, _ := s.engine.Model(o.Model)
+		e.staging, e.staged = o.Model, s.now.Add(m.Load)
+		return true
+	}
+	if e.in.Group.Key() != o.Group {
+		return false
+	}
+	switch o.Op {
+	case OpOpen:
+		if e.in.Group.State != fleet.Ready || e.in.Group.Rank != 0 {
+			return false
+		}
+		e.in.Group.State = fleet.Open
+		s.checkOpen(e)
+	case OpClose:
+		e.in.Group.State = fleet.Ready
+	case OpLeave:
+		e.in.Group = fleet.Membership{}
+	}
+	return true
+}
+
+func (s *sim) join(e *simEngine, o Order) bool {
+	list, known := e.members[o.Group]
+	if o.Group.Epoch < e.seen || known && fmt.Sprint(list) != fmt.Sprint(o.Members) {
+		return false
+	}
+	if e.in.Group.Key() == o.Group {
+		return true
+	}
+	s.checkLeaves(e)
+	rank := -1
+	for i, id := range o.Members {
+		if id == e.in.ID {
+			rank = i
+		}
+	}
+	m, _ := s.engine.Model(o.Model)
+	wait := m.Load
+	if e.in.HasStaged(o.Model) {
+		wait = m.Warm
+	}
+	e.seen, e.members[o.Group], e.loaded = o.Group.Epoch, o.Members, s.now.Add(wait)
+	e.in.Group = fleet.Membership{Name: o.Group.Name, Epoch: o.Group.Epoch, Rank: rank, State: fleet.Joining}
+	e.in.Models = []string{o.Model}
+	return true
+}
+
+// checkLeaves: no engine joins another group while its old group's head is open.
+func (s *sim) checkLeaves(e *simEngine) {
+	old := e.in.Group.Key()
+	if old.Name == "" {
+		return
+	}
+	for _, h := range s.engines {
+		if h.alive && h.in.Group.Key() == old && h.in.Group.Rank == 0 && h.in.Group.State == fleet.Open {
+			s.t.Fatalf("%s joins another group while %v is open at %s", e.in.ID, old, h.in.ID)
+		}
+	}
+}
+
+// checkOpen: a group opens only after each of its members was ready in it.
+func (s *sim) checkOpen(head *simEngine) {
+	s.opened++
+	key := head.in.Group.Key()
+	list := head.members[key]
+	m, _ := s.engine.Model(head.in.Models[0])
+	if len(list) != m.Size {
+		s.t.Fatalf("%v opens with %d members of %d", key, len(list), m.Size)
+	}
+	for _, id := range list {
+		if !s.ready[key][id] {
+			s.t.Fatalf("%v opens though %s was never ready in it", key, id)
+		}
+	}
+}
+
+// step lets time pass: loads end, late orders are carried out.
+func (s *sim) step(d time.Duration) {
+	s.now = s.now.Add(d)
+	for _, e := range s.engines {
+		if e.in.Group.State == fleet.Joining && !s.now.Before(e.loaded) {
+			e.in.Group.State = fleet.Ready
+			e.in.Staged = []string{e.in.Models[0]}
+			if s.ready[e.in.Group.Key()] == nil {
+				s.ready[e.in.Group.Key()] = map[string]bool{}
+			}
+			s.ready[e.in.Group.Key()][e.in.ID] = true
+		}
+		if e.staging != "" && !s.now.Before(e.staged) {
+			e.in.Staged, e.staging = []string{e.staging}, ""
+		}
+	}
+	var rest []lateOrder
+	for _, l := range s.late {
+		if s.now.Before(l.at) {
+			rest = append(rest, l)
+		} else {
+			s.apply(l.order)
+		}
+	}
+	s.late = rest
+}
+
+// plan runs a planner once on a view and carries its orders out; chance decides
+// which are lost or late.
+func (s *sim) plan(p *Planner, v *fleet.View, fate func() (lost, late bool, delay time.Duration)) {
+	for _, o := range p.Plan(v, s.engine, s.now) {
+		lost, late, delay := fate()
+		switch {
+		case late:
+			s.late = append(s.late, lateOrder{s.now.Add(delay), o})
+			p.Ended(o, Unanswered, s.now)
+		case lost || !s.engines[o.Instance].alive:
+			p.Ended(o, Unanswered, s.now)
+		case s.apply(o):
+			p.Ended(o, Taken, s.now)
+		default:
+			p.Ended(o, Refused, s.now)
+		}
+	}
+}
+
+func prompt() (bool, bool, time.Duration) { return false, false, 0 }
+
+func (s *sim) serving() map[string]int {
+	n := map[string]int{}
+	for _, g := range s.view().Groups {
+		if g.Serving() {
+			n[g.Model]++
+		}
+	}
+	return n
+}
+
+// run plans for a while on current views without trouble.
+func (s *sim) run(p *Planner, d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.step(250 * time.Millisecond) {
+		s.plan(p, s.view(), prompt)
+	}
+}
+
+func TestDomainsHoldOneModelEachAndAllServe(t *testing.T) {
+	s := newSim(t, 6, 10)
+	s.run(NewPlanner(simService, 1, s.now), 30*time.Second)
+	must.Eq(t, map[string]int{"large": 6, "small": 15}, s.serving())
+}
+
+func TestOneDomainHoldsBothModels(t *testing.T) {
+	s := newSim(t, 1, 10)
+	s.run(NewPlanner(simService, 1, s.now), 30*time.Second)
+	got := s.serving()
+	must.Positive(t, got["large"])
+	must.Positive(t, got["small"])
+}
+
+func TestGroupFormsAgainWithASpareWhenAMemberDies(t *testing.T) {
+	s := newSim(t, 2, 10)
+	p := NewPlanner(simService, 1, s.now)
+	s.run(p, 30*time.Second)
+	before := s.serving()
+	for _, e := range s.engines {
+		if e.in.Group.State == fleet.Open && e.in.Models[0] == "large" {
+			e.alive = false // the head itself
+			break
+		}
+	}
+	s.run(p, 5*time.Second)
+	must.Eq(t, before, s.serving())
+}
+
+// An engine cut from the store serves on; its members must leave the group before
+// they join another (seen as TWO on a hunted day).
+func TestMembersLeaveAHeadThatIsOnlyCutFromTheStore(t *testing.T) {
+	s := newSim(t, 2, 10)
+	p := NewPlanner(simService, 1, s.now)
+	s.run(p, 30*time.Second)
+	for _, e := range s.engines {
+		if e.in.Group.State == fleet.Open {
+			e.cut = true
+		}
+	}
+	s.run(p, 30*time.Second) // the check is in sim.join
+	for _, e := range s.engines {
+		e.cut = false
+	}
+	s.run(p, 30*time.Second)
+	must.Positive(t, s.serving()["large"])
+}
+
+func TestGroupClosesForALeavingMember(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.engine.Models = s.engine.Models[:1]
+	p := NewPlanner(simService, 1, s.now)
+	s.run(p, 10*time.Second)
+	must.Eq(t, map[string]int{"large": 1}, s.serving())
+	s.engines["e03"].in.Draining = true
+	orders := p.Plan(s.view(), s.engine, s.now)
+	must.Len(t, 1, orders)
+	must.Eq(t, OpClose, orders[0].Op)
+}
+
+func TestEpochsRiseOverTerms(t *testing.T) {
+	a, b := NewPlanner(simService, 7, time.Time{}), NewPlanner(simService, 8, time.Time{})
+	last := uint64(0)
+	for range epochsPerTerm + 10 {
+		e := a.nextEpoch()
+		must.GreaterEq(t, last, e)
+		last = e
+	}
+	must.Greater(t, last, b.nextEpoch())
+}
+
+// Random faults: deaths, cuts, lost and late orders, planners that take over and
+// old ones that wake with an old view.
+func TestGroupRulesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := newSim(r, rapid.IntRange(1, 3).Draw(r, "domains"), rapid.IntRange(4, 10).Draw(r, "size"))
+		term := uint64(1)
+		p := NewPlanner(simService, term, s.now)
+		old, oldView := p, s.view()
+		fate := func() (bool, bool, time.Duration) {
+			switch rapid.IntRange(0, 9).Draw(r, "fate") {
+			case 0:
+				return true, false, 0
+			case 1, 2:
+				return false, true, time.Duration(rapid.IntRange(2, 12).Draw(r, "delay")) * time.Second
+			}
+			return false, false, 0
+		}
+		s.run(p, 8*time.Second)
+		for range rapid.IntRange(20, 120).Draw(r, "steps") {
+			e := s.engines[rapid.SampledFrom(s.ids).Draw(r, "engine")]
+			switch rapid.IntRange(0, 24).Draw(r, "event") {
+			case 0:
+				e.alive = false
+			case 1:
+				e.cut = true
+			case 2:
+				e.cut = false
+			case 3:
+				e.in.Draining = true
+			case 4:
+				s.add(e.in.Domain)
+			case 5:
+				old, oldView, term = p, s.view(), term+1
+				p = NewPlanner(simService, term, s.now)
+			case 6:
+				if old != p { // woke with an old belief; a follower never goes back
+					s.plan(old, oldView, fate)
+				}
+			}
+			s.plan(p, s.view(), fate)
+			s.step(250 * time.Millisecond)
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -167,10 +167,6 @@
 	return &formation.Manager{
 		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
 		Orders: d.Outside.Orders(d.pool), View: d.fleet.View, Changed: d.fleet.Changed(), Table: d.config.Table,
-		Limits: func() formation.Limits {
-			s := d.Settings()
-			return formation.Limits{Stall: s.Bounds.Stall, Heartbeat: s.Heartbeat}
-		},
 		Log: d.Log,
 	}
 }
@@ -195,7 +191,7 @@
 
 func (d *Daemon) bounds() gateway.Bounds {
 	b := d.Settings().Bounds
-	out := gateway.Bounds{Config: 2 * b.Config, RetryRatio: b.RetryRatio}
+	out := gateway.Bounds{Config: 2 * b.Config, Retry: gateway.BudgetRule{Ratio: b.RetryRatio, Window: b.RetryWindow}}
 	if b.StrictRevoke && b.Revoke > 0 {
 		out.Revoke = b.Revoke - proofMargin
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,14 +1,23 @@
 package gateway
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Budget bounds repeats by a share of this daemon's own requests. Whatever the
-// number of daemons, the sum of their repeats then stays within the same share of
-// the sum of their requests. Safe for concurrent use.
+// Budget bounds repeats by a share of this daemon's own requests within a sliding
+// window. Whatever the number of daemons, the sum of their repeats then stays
+// within the same share of the sum of their requests. Safe for concurrent use.
 type Budget struct {
-	mu     sync.Mutex
-	tokens float64
-	most   float64
+	mu    sync.Mutex
+	slots [budgetSlots]budgetSlot
+}
+
+// budgetSlot counts one part of the window.
+type budgetSlot struct {
+	number   int64 // of the slot since the epoch
+	requests float64
+	repeats  float64
 }
 
 // Parameters of the budget.
@@ -16,36 +25,70 @@
 	// budgetStart lets a daemon that has just begun repeat at all. It is small
 	// because every daemon has it beside the shared allowance.
 	budgetStart = 2
-	// budgetMost is how much unused budget a daemon saves up.
-	budgetMost = 30
-	// budgetPart of the allowed ratio is used, as windows of the rule slide.
+	// budgetPart of the allowed ratio is used, as slots are coarser than the rule.
 	budgetPart = 0.9
+	// budgetSlots is into how many parts the window is cut.
+	budgetSlots = 10
+	// defaultWindow stands in where the deployment names none.
+	defaultWindow = 10 * time.Second
 )
 
-// NewBudget returns a budget with its start allowance.
-func NewBudget() *Budget { return &Budget{tokens: budgetStart, most: budgetMost} }
+// BudgetRule is the deployment's rule on repeats.
+type BudgetRule struct {
+	Ratio  float64 // repeats allowed per request
+	Window time.Duration
+}
+
+// slot returns the slot of a time, emptied if it was last used a window ago.
+func (b *Budget) slot(rule BudgetRule, now time.Time) *budgetSlot {
+	n := slotNumber(rule, now)
+	s := &b.slots[n%budgetSlots]
+	if s.number != n {
+		*s = budgetSlot{number: n}
+	}
+	return s
+}
 
-// Earn adds the allowance of one request.
-func (b *Budget) Earn(ratio float64) {
+func slotNumber(rule BudgetRule, now time.Time) int64 {
+	window := rule.Window
+	if window <= 0 {
+		window = defaultWindow
+	}
+	return now.UnixNano() / int64(window/budgetSlots)
+}
+
+// Request counts one request.
+func (b *Budget) Request(rule BudgetRule, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+budgetPart*ratio, b.most)
+	b.slot(rule, now).requests++
 }
 
-// Spend takes one repeat if the budget has it.
-func (b *Budget) Spend() bool {
+// Repeat counts one repeat if the budget has it.
+func (b *Budget) Repeat(rule BudgetRule, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.left(rule, now) < 1 {
 		return false
 	}
-	b.tokens--
+	b.slot(rule, now).repeats++
 	return true
 }
 
 // Left is how many repeats could be made now.
-func (b *Budget) Left() float64 {
+func (b *Budget) Left(rule BudgetRule, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens
+	return b.left(rule, now)
+}
+
+func (b *Budget) left(rule BudgetRule, now time.Time) float64 {
+	oldest := slotNumber(rule, now) - budgetSlots
+	left := float64(budgetStart)
+	for _, s := range b.slots {
+		if s.number > oldest {
+			left += budgetPart*rule.Ratio*s.requests - s.repeats
+		}
+	}
+	return left
 }
--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var testRule = BudgetRule{Ratio: 0.2, Window: 10 * time.Second}
+
+func TestBudgetStartsSmall(t *testing.T) {
+	var b Budget
+	now := time.Unix(100, 0)
+	must.True(t, b.Repeat(testRule, now))
+	must.True(t, b.Repeat(testRule, now))
+	must.False(t, b.Repeat(testRule, now))
+}
+
+// What was not spent in a window must not be spent in a later one: saved up
+// repeats broke the shared budget on a hunted day.
+func TestBudgetKeepsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var b Budget
+		now := time.Unix(1000, 0)
+		type moment struct {
+			at      time.Time
+			request bool
+		}
+		var log []moment
+		for range rapid.IntRange(10, 400).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(r, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(r, "request") {
+				b.Request(testRule, now)
+				log = append(log, moment{now, true})
+			} else if b.Repeat(testRule, now) {
+				log = append(log, moment{now, false})
+			}
+		}
+		for _, end := range log {
+			repeats, requests := 0, 0
+			for _, m := range log {
+				if m.at.After(end.at) || m.at.Before(end.at.Add(-testRule.Window)) {
+					continue
+				}
+				if m.request {
+					requests++
+				} else {
+					repeats++
+				}
+			}
+			// One slot of requests may lie outside the exact window.
+			if float64(repeats) > budgetStart+testRule.Ratio*float64(requests)+budgetStart {
+				r.Fatalf("%d repeats for %d requests", repeats, requests)
+			}
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,9 +25,9 @@
 
 // Bounds the gateway keeps. A zero Revoke sets no bound on the proof's age.
 type Bounds struct {
-	Revoke     time.Duration // oldest proof on which a request with a key may run
-	Config     time.Duration // oldest proof on which a caller is told "no such route"
-	RetryRatio float64
+	Revoke time.Duration // oldest proof on which a request with a key may run
+	Config time.Duration // oldest proof on which a caller is told "no such route"
+	Retry  BudgetRule
 }
 
 // Gateway is the http.Handler for callers. Set all exported fields before use.
@@ -98,7 +98,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	x.gateway.budgets.of(x.service.Name).Earn(x.gateway.Bounds().RetryRatio)
+	x.budget().Request(x.gateway.Bounds().Retry, x.now)
 	if x.route.Kind == routes.Stream {
 		x.stream(ctx)
 	} else {
@@ -226,14 +226,20 @@
 	if x.sent >= x.route.Attempts || len(x.sends) >= maxSends {
 		return nil
 	}
-	targets := x.targets()
-	if x.sent > 0 && !x.gateway.budgets.of(x.service.Name).Spend() {
+	now, rule := time.Now(), x.gateway.Bounds().Retry
+	if x.sent > 0 && x.budget().Left(rule, now) < 1 {
 		x.note("retry_budget_spent")
 		return nil
 	}
-	return x.gateway.Picker.pick(targets, x.tried, time.Now())
+	t := x.gateway.Picker.pick(x.targets(), x.tried, now)
+	if t != nil && x.sent > 0 {
+		x.budget().Repeat(rule, now)
+	}
+	return t
 }
 
+func (x *exchange) budget() *Budget { return x.gateway.budgets.of(x.service.Name) }
+
 // maxSends bounds the tries of one request, those included that never left.
 const maxSends = 4
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -127,7 +127,7 @@
 
 // again tells whether another send could be made.
 func (x *exchange) again() bool {
-	if x.gateway.budgets.of(x.service.Name).Left() < 1 {
+	if x.budget().Left(x.gateway.Bounds().Retry, time.Now()) < 1 {
 		return false
 	}
 	for _, t := range x.targets() {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -137,7 +137,7 @@
 		b.m = map[string]*Budget{}
 	}
 	if b.m[service] == nil {
-		b.m[service] = NewBudget()
+		b.m[service] = &Budget{}
 	}
 	return b.m[service]
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -128,7 +128,7 @@
 	tried := maps.Clone(x.tried)
 	service, model, g := x.service, x.req.Model, x.gateway
 	return func() bool {
-		if g.budgets.of(service.Name).Left() < 1 {
+		if g.budgets.of(service.Name).Left(g.Bounds().Retry, time.Now()) < 1 {
 			return false
 		}
 		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o target) bool {
