Streams: a request that waits its turn is not moved

Under load the first event takes longer than 0.8 of the objective everywhere, so moving doubled the load and kept the overload up. Ruled out: broken groups (few), connections. Now a stream moves when its replica stands still by the evidence of its own running streams, or after 1.5 objectives where there is no such evidence.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	lastEvent int64
 	hasLast   bool
 	events    int
+	eventAt   time.Time     // when the last event was passed on
+	maxGap    time.Duration // longest pause between events
 }
 
 // serve answers the request.
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -19,6 +19,7 @@
 // record is what this daemon itself saw of a target.
 type record struct {
 	inFlight     int
+	running      int       // of these, streams that brought an event
 	progress     time.Time // of any request, last
 	suspectUntil time.Time
 	used         time.Time
@@ -29,18 +30,18 @@
 	// otherZonePenalty makes equal targets of the own zone go first: bytes between
 	// zones cost, but less than a wait.
 	otherZonePenalty = 0.5
-	// silentPenalty puts a target whose requests make no progress behind others.
-	silentPenalty = 40
+	// stillPenalty puts a target that stands still behind others.
+	stillPenalty = 40
 	// suspectPenalty puts a target that failed lately behind others.
 	suspectPenalty = 20
 )
 
 // Times of the picker.
 const (
-	// silentAfter is how long a target with requests in progress may show nothing
-	// before new requests avoid it. Passes of an engine take some ten
-	// milliseconds, reading a long prompt up to two hundred.
-	silentAfter = 250 * time.Millisecond
+	// stillAfter is how long all running streams of a target may bring nothing
+	// before it counts as standing still. Passes of an engine take some ten
+	// milliseconds, with long prompts to read up to two hundred.
+	stillAfter = 250 * time.Millisecond
 	// suspectFor is how long a target that failed is avoided.
 	suspectFor = 1500 * time.Millisecond
 	// forgetAfter is how long an unused target is remembered.
@@ -87,9 +88,6 @@
 	}
 	if best != nil {
 		r := p.record(best.instance)
-		if r.inFlight == 0 {
-			r.progress = now
-		}
 		r.inFlight++
 		r.used = now
 	}
@@ -106,8 +104,8 @@
 		return score
 	}
 	score += float64(r.inFlight)
-	if r.inFlight > 0 && now.Sub(r.progress) > silentAfter {
-		score += silentPenalty
+	if r.still(now) {
+		score += stillPenalty
 	}
 	if now.Before(r.suspectUntil) {
 		score += suspectPenalty
@@ -115,12 +113,34 @@
 	return score
 }
 
-// silent tells whether a target seems to stand still or failed lately.
-func (p *Picker) silent(instance string, now time.Time) bool {
+// still tells whether streams that ran at the target have stopped to bring events.
+func (r *record) still(now time.Time) bool {
+	return r.running > 0 && now.Sub(r.progress) > stillAfter
+}
+
+// health is what this daemon's own requests show of a target.
+type health int
+
+const (
+	unknown health = iota // no stream runs there that would show it
+	alive                 // streams bring events
+	still                 // streams have stopped to, or requests failed lately
+)
+
+// health tells what is known of a target.
+func (p *Picker) health(instance string, now time.Time) health {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.records[instance]
-	return r != nil && (now.Before(r.suspectUntil) || r.inFlight > 0 && now.Sub(r.progress) > silentAfter)
+	switch {
+	case r == nil:
+		return unknown
+	case r.still(now) || now.Before(r.suspectUntil):
+		return still
+	case r.running > 0:
+		return alive
+	}
+	return unknown
 }
 
 // record returns a target's record; p.mu is held.
@@ -133,11 +153,23 @@
 	return r
 }
 
-// done ends a request at a target.
-func (p *Picker) done(t *target) {
+// done ends a request at a target; ran tells whether it was a stream that had
+// brought an event.
+func (p *Picker) done(t *target, ran bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(t.instance)
+	r.inFlight--
+	if ran {
+		r.running--
+	}
+}
+
+// runs notes the first event of a stream at a target.
+func (p *Picker) runs(t *target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.instance).inFlight--
+	p.record(t.instance).running++
 }
 
 // progressed notes that a target did something for a request.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -75,7 +75,8 @@
 			zap.Int64("time_ms", x.deadline.Sub(x.now).Milliseconds()))
 	}
 	if x.req.Model != "" {
-		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()))
+		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()),
+			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()))
 	}
 	if x.view != nil {
 		out = append(out, zap.Uint64("view_revision", x.view.Revision))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,10 +18,14 @@
 
 // Silence after which a stream goes on at another replica, if it may.
 const (
-	// firstEventShare is the part of the objective a first event may take.
-	firstEventShare = 0.8
+	// firstEventTimes is how many times the objective a first event may take at a
+	// replica of which nothing else is known. Where other streams bring events the
+	// request only waits its turn, and moving would add load to an overload.
+	firstEventTimes = 1.5
 	// defaultFirstEvent stands in for a route without an objective.
 	defaultFirstEvent = 2 * time.Second
+	// checkEvery is how often a silent stream's replica is looked at.
+	checkEvery = 50 * time.Millisecond
 	// defaultGap stands in for a route without an objective for pauses.
 	defaultGap = time.Second
 )
@@ -56,7 +61,8 @@
 
 // run makes one send; true: the request is answered, or cut for good.
 func (x *exchange) run(ctx context.Context, t *target) bool {
-	defer x.gateway.Picker.done(t)
+	before := x.events
+	defer func() { x.gateway.Picker.done(t, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := x.watch(t, cancel)
@@ -99,25 +105,25 @@
 // watch ends the send when its stream stands still and may go on elsewhere. It
 // is reset with each event.
 func (x *exchange) watch(t *target, cancel context.CancelCauseFunc) *watcher {
-	limit := defaultFirstEvent
-	if x.route.Objective > 0 {
-		limit = time.Duration(float64(x.route.Objective) * firstEventShare)
-	}
-	if x.begun {
-		limit = max(limit, x.gap())
-	}
 	w := &watcher{}
 	if !x.route.Repeatable() || x.sent+1 >= x.route.Attempts {
 		w.timer = time.AfterFunc(time.Hour, func() {})
 		return w
 	}
-	elsewhere := x.elsewhere(t)
-	w.arm(limit, func() bool {
-		if elsewhere() {
-			cancel(errSilent)
-			return false
+	patience := defaultFirstEvent
+	if x.route.Objective > 0 {
+		patience = time.Duration(float64(x.route.Objective) * firstEventTimes)
+	}
+	sent, elsewhere, picker := time.Now(), x.elsewhere(t), x.gateway.Picker
+	w.arm(stillAfter, func() bool {
+		now := time.Now()
+		stands := picker.health(t.instance, now) == still
+		waiting := picker.health(t.instance, now) == alive && !w.begun.Load()
+		if !stands && (waiting || !w.begun.Load() && now.Sub(sent) < patience) || !elsewhere() {
+			return true
 		}
-		return true
+		cancel(errSilent)
+		return false
 	})
 	return w
 }
@@ -132,16 +138,14 @@
 			return false
 		}
 		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o target) bool {
-			return o.instance != t.instance && !tried[o.instance] && !g.Picker.silent(o.instance, time.Now())
+			return o.instance != t.instance && !tried[o.instance] && g.Picker.health(o.instance, time.Now()) != still
 		})
 	}
 }
 
-// rearm is after which time a watcher that found no other replica looks again.
-const rearm = 100 * time.Millisecond
-
 // watcher is a timer that asks again as long as its function returns true.
 type watcher struct {
+	begun   atomic.Bool // an event came
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
@@ -150,7 +154,7 @@
 func (w *watcher) arm(limit time.Duration, expired func() bool) {
 	w.timer = time.AfterFunc(limit, func() {
 		if expired() {
-			w.Reset(rearm)
+			w.Reset(checkEvery)
 		}
 	})
 }
@@ -204,14 +208,20 @@
 		watch.Reset(x.gap())
 		now := time.Now()
 		x.gateway.Picker.progressed(t, now)
-		if !x.begun {
+		if !watch.begun.Swap(true) {
+			x.gateway.Picker.runs(t)
+		}
+		if x.begun {
+			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
+		} else {
 			x.firstAt = now.Sub(x.now)
 			x.head(resp, -1)
 		}
+		x.eventAt = now
+		x.events++
 		if _, err := x.w.Write(ev.raw); err != nil {
 			return errors.Annotate(err, "caller")
 		}
-		x.events++
 		if ev.hasID {
 			x.lastEvent, x.hasLast = ev.id, true
 		}
