Admission: a stream that would begin late everywhere is refused at once

What a queue takes is known without asking: the longest wait of this daemon's own requests at a group and its last first event.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,6 +13,9 @@
 	retryUnknown = 100 * time.Millisecond
 	// retryBusy is for refusals by upstreams that are full.
 	retryBusy = 100 * time.Millisecond
+	// retryOverload is for refusals because all replicas have queues: about the time
+	// in which a queue of a batch empties.
+	retryOverload = 400 * time.Millisecond
 )
 
 // refuse answers with a status of our own. Unless retry is 0 the caller is told
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,10 @@
 // record is what this daemon itself saw of a target.
 type record struct {
 	inFlight     int
-	running      int       // of these, streams that brought an event
+	running      int           // of these, streams that brought an event
+	waiting      []time.Time   // when those that brought none were sent, oldest first
+	first        time.Duration // the last first event took this long
+	firstAt      time.Time
 	progress     time.Time // of any request, last
 	suspectUntil time.Time
 	used         time.Time
@@ -32,6 +36,9 @@
 	otherZonePenalty = 0.5
 	// stillPenalty puts a target that stands still behind others.
 	stillPenalty = 40
+	// waitUnit of expected wait for the first event counts like a request in
+	// progress.
+	waitUnit = 50 * time.Millisecond
 	// suspectPenalty puts a target that failed lately behind others.
 	suspectPenalty = 20
 )
@@ -42,6 +49,8 @@
 	// before it counts as standing still. Passes of an engine take some ten
 	// milliseconds, with long prompts to read up to two hundred.
 	stillAfter = 250 * time.Millisecond
+	// firstFor is how long a measured first event counts as what the next will take.
+	firstFor = 500 * time.Millisecond
 	// suspectFor is how long a target that failed is avoided.
 	suspectFor = 1500 * time.Millisecond
 	// forgetAfter is how long an unused target is remembered.
@@ -103,7 +112,7 @@
 	if r == nil {
 		return score
 	}
-	score += float64(r.inFlight)
+	score += float64(r.inFlight) + float64(r.expected(now))/float64(waitUnit)
 	if r.still(now) {
 		score += stillPenalty
 	}
@@ -118,6 +127,40 @@
 	return r.running > 0 && now.Sub(r.progress) > stillAfter
 }
 
+// expected is how long the next first event will take at least, by the longest
+// wait of those that wait now and by the last one measured.
+func (r *record) expected(now time.Time) time.Duration {
+	var d time.Duration
+	if len(r.waiting) > 0 {
+		d = now.Sub(r.waiting[0])
+	}
+	if now.Sub(r.firstAt) < firstFor {
+		d = max(d, r.first)
+	}
+	return d
+}
+
+// soonest returns the least time that a first event will take at any of the
+// targets that do not stand still, as far as is known; ok is false if there are
+// none.
+func (p *Picker) soonest(targets []target, now time.Time) (least time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range targets {
+		r := p.records[targets[i].instance]
+		if r == nil {
+			return 0, true
+		}
+		if r.still(now) || now.Before(r.suspectUntil) {
+			continue
+		}
+		if d := r.expected(now); !ok || d < least {
+			least, ok = d, true
+		}
+	}
+	return least, ok
+}
+
 // health is what this daemon's own requests show of a target.
 type health int
 
@@ -153,23 +196,49 @@
 	return r
 }
 
-// done ends a request at a target; ran tells whether it was a stream that had
-// brought an event.
-func (p *Picker) done(t *target, ran bool) {
+// waits notes that a stream was sent and waits for its first event.
+func (p *Picker) waits(t *target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.record(t.instance)
-	r.inFlight--
-	if ran {
-		r.running--
+	r.waiting = append(r.waiting, now)
+}
+
+// runs notes the first event of a stream that was sent at a time.
+func (p *Picker) runs(t *target, sent, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(t.instance)
+	r.running++
+	r.first, r.firstAt = now.Sub(sent), now
+	r.unwait(sent)
+}
+
+func (r *record) unwait(sent time.Time) {
+	if i := slices.Index(r.waiting, sent); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 }
 
-// runs notes the first event of a stream at a target.
-func (p *Picker) runs(t *target) {
+// done ends a request at a target.
+func (p *Picker) done(t *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(t.instance).inFlight--
+}
+
+// ended ends a stream that was sent at a time; ran tells whether it brought an
+// event.
+func (p *Picker) ended(t *target, sent time.Time, ran bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.instance).running++
+	r := p.record(t.instance)
+	r.inFlight--
+	if ran {
+		r.running--
+	} else {
+		r.unwait(sent)
+	}
 }
 
 // progressed notes that a target did something for a request.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -42,7 +42,7 @@
 
 // try makes one send; true: the request is answered.
 func (x *exchange) try(ctx context.Context, t *target) bool {
-	defer x.gateway.Picker.done(t, false)
+	defer x.gateway.Picker.done(t)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if x.route.Repeatable() && x.route.Objective > 0 && x.sent+1 < x.route.Attempts {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,10 @@
 	if id, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
 		x.lastEvent, x.hasLast = id, true
 	}
+	if x.overloaded() {
+		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", retryOverload)
+		return
+	}
 	for {
 		t := x.next()
 		if t == nil {
@@ -59,10 +63,26 @@
 	}
 }
 
+// lateShare is the part of the objective that a first event may be expected to
+// take when a new stream is admitted. Beyond it the stream would be late, and so
+// would those behind it; refused at once it may be in time elsewhere, or later.
+const lateShare = 0.85
+
+// overloaded tells whether the first event would come late wherever the request
+// went.
+func (x *exchange) overloaded() bool {
+	if x.route.Objective <= 0 {
+		return false
+	}
+	least, ok := x.gateway.Picker.soonest(x.targets(), x.now)
+	return ok && least > time.Duration(lateShare*float64(x.route.Objective))
+}
+
 // run makes one send; true: the request is answered, or cut for good.
 func (x *exchange) run(ctx context.Context, t *target) bool {
-	before := x.events
-	defer func() { x.gateway.Picker.done(t, x.events > before) }()
+	before, sent := x.events, time.Now()
+	x.gateway.Picker.waits(t, sent)
+	defer func() { x.gateway.Picker.ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := x.watch(t, cancel)
@@ -94,7 +114,7 @@
 		x.broke(attempt, t, errors.New("answer without signature"))
 		return false
 	}
-	if err := x.relay(t, resp, watch); err != nil {
+	if err := x.relay(t, sent, resp, watch); err != nil {
 		x.broke(attempt, t, err)
 		return false
 	}
@@ -185,7 +205,7 @@
 }
 
 // relay passes the events of one answer on. nil: the stream is whole.
-func (x *exchange) relay(t *target, resp *http.Response, watch *watcher) error {
+func (x *exchange) relay(t *target, sent time.Time, resp *http.Response, watch *watcher) error {
 	reader := newEventReader(resp.Body)
 	flusher, _ := x.w.(http.Flusher)
 	for {
@@ -209,7 +229,7 @@
 		now := time.Now()
 		x.gateway.Picker.progressed(t, now)
 		if !watch.begun.Swap(true) {
-			x.gateway.Picker.runs(t)
+			x.gateway.Picker.runs(t, sent, now)
 		}
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
