Groups: members of a group that stands still are probed

Cause: an engine that goes dark keeps its entry for three heartbeats (3.6 s), and a pair goes every three seconds, so two groups of about eighteen stood still unseen at any time. Now the planner probes the members of groups whose streams stand still at its own daemon; two probes without an answer count as dead for six seconds. A target that fails again is avoided twice as long.

--- a/cmd/pearlanding/front.go
+++ b/cmd/pearlanding/front.go
@@ -70,6 +70,7 @@
 		ReadinessPath: platform.ReadinessPath, DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
 		Codec:  platform.Codec{},
 		Orders: func(p *upstream.Pool) formation.Orders { return &platform.Orders{Pool: p} },
+		Prober: func(p *upstream.Pool) formation.Prober { return &platform.Orders{Pool: p} },
 	}
 }
 
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -23,8 +23,12 @@
 	View    func() *fleet.View
 	Changed <-chan struct{} // signalled after the view changed
 	Table   func() *routes.Table
-	Log     *zap.Logger
+	Prober  Prober
+	// Still lists the instances whose streams stand still for this daemon.
+	Still func(now time.Time) []string
+	Log   *zap.Logger
 
+	search   *search
 	planners map[string]*Planner // by service, of the current term
 	told     map[string]summary  // logged last, by service
 	ended    chan endedOrder
@@ -49,7 +53,7 @@
 
 // Run plans until ctx ends; then the lease is released.
 func (m *Manager) Run(ctx context.Context) {
-	m.ended = make(chan endedOrder)
+	m.ended, m.search = make(chan endedOrder), newSearch(m.Prober, m.Log)
 	stopped := make(chan struct{})
 	taken := make(chan struct{}, 1)
 	go m.keepLease(ctx, taken, stopped)
@@ -107,6 +111,8 @@
 	if term != m.term {
 		m.term, m.planners = term, map[string]*Planner{}
 	}
+	m.search.look(ctx, view, m.Still(now), now)
+	view = m.search.without(view, table.ModelSize)
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
 		if s.Engine == nil {
--- /dev/null
+++ b/internal/formation/probe.go
@@ -0,0 +1,131 @@
+package formation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pearlanding/internal/fleet"
+)
+
+// Prober asks instances whether they live.
+type Prober interface {
+	// Probe returns nil if the instance answered as itself.
+	Probe(ctx context.Context, in *fleet.Instance) error
+}
+
+// Times of the search for dead members.
+const (
+	// probeTimeout is far above an answer's time (some milliseconds, more on a
+	// slowed machine) and far below the three heartbeats an entry takes to lapse.
+	probeTimeout = 400 * time.Millisecond
+	// probeEvery bounds how often the members of a group that stands still are asked.
+	probeEvery = 600 * time.Millisecond
+	// deadFor is how long an instance that did not answer counts as dead. By then
+	// its entry lapses, or it lives after all.
+	deadFor = 6 * time.Second
+	// probesToDie is how many probes in a row must fail.
+	probesToDie = 2
+)
+
+// search finds the member that makes a group stand still, before its entry
+// lapses. Only groups whose running streams stand still are looked at.
+type search struct {
+	prober Prober
+	log    *zap.Logger
+	mu     sync.Mutex
+	asked  map[fleet.Key]time.Time
+	failed map[string]int       // probes in a row without an answer
+	dead   map[string]time.Time // since when an instance counts as dead
+}
+
+func newSearch(prober Prober, log *zap.Logger) *search {
+	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, failed: map[string]int{}, dead: map[string]time.Time{}}
+}
+
+// look probes the members of the groups led by the given heads.
+func (s *search) look(ctx context.Context, v *fleet.View, heads []string, now time.Time) {
+	for _, id := range heads {
+		in := v.Instances[id]
+		if in == nil || in.Group.Name == "" || !s.due(in.Group.Key(), now) {
+			continue
+		}
+		for _, m := range v.Groups[in.Group.Key()].Members {
+			go s.probe(ctx, m)
+		}
+	}
+	s.expire(now)
+}
+
+func (s *search) due(key fleet.Key, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.asked[key]) < probeEvery {
+		return false
+	}
+	s.asked[key] = now
+	return true
+}
+
+func (s *search) probe(ctx context.Context, in *fleet.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := s.prober.Probe(ctx, in)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		delete(s.failed, in.ID)
+		if _, ok := s.dead[in.ID]; ok {
+			delete(s.dead, in.ID)
+			s.log.Info("instance answers again", zap.String("instance", in.ID))
+		}
+		return
+	}
+	if s.failed[in.ID]++; s.failed[in.ID] >= probesToDie {
+		if _, ok := s.dead[in.ID]; !ok {
+			s.log.Info("instance taken for dead", zap.String("instance", in.ID), zap.String("group", in.Group.Name),
+				zap.Uint64("epoch", in.Group.Epoch), zap.Int("probes", s.failed[in.ID]), zap.Error(err))
+		}
+		s.dead[in.ID] = time.Now()
+	}
+}
+
+func (s *search) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.dead {
+		if now.Sub(at) > deadFor {
+			delete(s.dead, id)
+			delete(s.failed, id)
+		}
+	}
+	for key, at := range s.asked {
+		if now.Sub(at) > deadFor {
+			delete(s.asked, key)
+		}
+	}
+}
+
+// without returns the view without the instances that count as dead.
+func (s *search) without(v *fleet.View, size fleet.SizeOf) *fleet.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.dead) == 0 {
+		return v
+	}
+	living := make(map[string]*fleet.Instance, len(v.Instances))
+	removed := make(map[string]fleet.Gone, len(v.Removed)+len(s.dead))
+	for id, gone := range v.Removed {
+		removed[id] = gone
+	}
+	for id, in := range v.Instances {
+		if at, ok := s.dead[id]; ok {
+			removed[id] = fleet.Gone{Instance: in, At: at}
+		} else {
+			living[id] = in
+		}
+	}
+	return fleet.Build(v.Revision, v.Seen, living, removed, size)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,6 +37,7 @@
 	DecodeInstance fleet.Decode
 	Codec          gateway.Codec
 	Orders         func(*upstream.Pool) formation.Orders
+	Prober         func(*upstream.Pool) formation.Prober
 }
 
 // leaseKey holds the lease of the daemon that plans groups, in a kind of our own.
@@ -140,12 +141,7 @@
 	if table == nil {
 		return 0
 	}
-	if s := table.Service(service); s != nil && s.Engine != nil {
-		if m, ok := s.Engine.Model(model); ok {
-			return m.Size
-		}
-	}
-	return 0
+	return table.ModelSize(service, model)
 }
 
 // background starts all loops. Planning ends with ctx, the rest with work, as
@@ -166,7 +162,7 @@
 	holder := d.Settings().Node + "/" + uuid.NewString()
 	return &formation.Manager{
 		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
-		Orders: d.Outside.Orders(d.pool), View: d.fleet.View, Changed: d.fleet.Changed(), Table: d.config.Table,
+		Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still, View: d.fleet.View, Changed: d.fleet.Changed(), Table: d.config.Table,
 		Log: d.Log,
 	}
 }
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -26,6 +26,7 @@
 	firstAt      time.Time
 	progress     time.Time // of any request, last
 	suspectUntil time.Time
+	suspicion    time.Duration // the next suspicion lasts
 	used         time.Time
 }
 
@@ -51,8 +52,10 @@
 	stillAfter = 250 * time.Millisecond
 	// firstFor is how long a measured first event counts as what the next will take.
 	firstFor = 500 * time.Millisecond
-	// suspectFor is how long a target that failed is avoided.
-	suspectFor = 1500 * time.Millisecond
+	// suspectFor is how long a target that failed is avoided; it doubles with each
+	// failure up to suspectMost until the target brings something again.
+	suspectFor  = 1500 * time.Millisecond
+	suspectMost = 8 * time.Second
 	// forgetAfter is how long an unused target is remembered.
 	forgetAfter = 30 * time.Second
 )
@@ -246,14 +249,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.record(t.instance)
-	r.progress, r.used = now, now
+	r.progress, r.used, r.suspicion = now, now, 0
 }
 
 // suspect notes that a target failed; it is avoided for a while.
 func (p *Picker) suspect(t *target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.instance).suspectUntil = now.Add(suspectFor)
+	r := p.record(t.instance)
+	if now.Before(r.suspectUntil) {
+		return // failed together with others
+	}
+	r.suspicion = min(max(2*r.suspicion, suspectFor), suspectMost)
+	r.suspectUntil = now.Add(r.suspicion)
+}
+
+// Still lists the instances whose running streams have stopped to bring events,
+// or to which requests failed lately.
+func (p *Picker) Still(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, r := range p.records {
+		if r.still(now) || now.Before(r.suspectUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // Sweep forgets targets that were not used lately.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -189,3 +189,14 @@
 
 // Workspace returns the workspace that holds a key, or nil.
 func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
+
+// ModelSize returns how many instances a replica of a service's model takes; 0:
+// unknown.
+func (t *Table) ModelSize(service, model string) int {
+	s := t.Service(service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	m, _ := s.Engine.Model(model)
+	return m.Size
+}
