--- a/cmd/pearlanding/front.go
+++ b/cmd/pearlanding/front.go
@@ -14,9 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"pearlanding/internal/decisionlog"
-	"pearlanding/internal/formation"
 	"pearlanding/internal/front"
-	"pearlanding/internal/upstream"
 	"pearlanding/platform"
 )
 
@@ -54,7 +52,7 @@
 	go watchSettings(ctx, file, &current, log)
 	set := metrics.NewSet()
 	set.GetOrCreateGauge("pearlanding_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
-	d := &front.Daemon{Settings: func() front.Settings { return *current.Load() }, Outside: platformOutside(s), Log: log,
+	d := &front.Daemon{Settings: func() front.Settings { return *current.Load() }, Outside: platform.Outside(s), Log: log,
 		Metrics: set, MetricsAddress: metricsAddress}
 	if err := d.Run(ctx); err != nil {
 		log.Error("ended", zap.Error(err))
@@ -63,17 +61,6 @@
 	return exitOK
 }
 
-// platformOutside joins the daemon to the users' platform.
-func platformOutside(s front.Settings) front.Outside {
-	return front.Outside{
-		Feed: platform.NewStore(s.Store.Address), ConfigKey: platform.ConfigKey, InstancesKind: platform.InstancesKind,
-		ReadinessPath: platform.ReadinessPath, DecodeConfig: platform.DecodeConfig, DecodeInstance: platform.DecodeInstance,
-		Codec:  platform.Codec{},
-		Orders: func(p *upstream.Pool) formation.Orders { return &platform.Orders{Pool: p} },
-		Prober: func(p *upstream.Pool) formation.Prober { return &platform.Orders{Pool: p} },
-	}
-}
-
 // watchSettings takes a changed settings file in, after SIGHUP or without it.
 // Addresses of listeners stay as they were at the start.
 func watchSettings(ctx context.Context, file string, current *atomic.Pointer[front.Settings], log *zap.Logger) {
