Streams: a whole event is not held back by the first bytes of the next

Cause (found by the whole-path test TestStreamWithoutAnotherReplicaIsCut): an event was flushed only when nothing more was buffered; the first bytes of the next event, torn off by a dying engine, kept it back, and it was lost with the cut. Now the reader tells whether a whole event is ahead.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -68,5 +68,11 @@
 	}
 }
 
-// more tells whether the next event may be read without waiting.
-func (r *eventReader) more() bool { return r.src.Buffered() > 0 }
+// more tells whether the next whole event may be read without waiting.
+func (r *eventReader) more() bool {
+	ahead, err := r.src.Peek(r.src.Buffered())
+	if err != nil {
+		return false
+	}
+	return bytes.Contains(ahead, []byte("\n\n")) || bytes.Contains(ahead, []byte("\n\r\n"))
+}
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestEventReaderReturnsWholeEventsOnly(t *testing.T) {
+	r := newEventReader(strings.NewReader("id: 4\ndata: a\n\nid:5\r\ndata: b\r\n\r\nid: 6\nda"))
+	for _, want := range []struct {
+		raw string
+		id  int64
+	}{{"id: 4\ndata: a\n\n", 4}, {"id:5\r\ndata: b\r\n\r\n", 5}} {
+		ev, err := r.next()
+		must.NoError(t, err)
+		must.Eq(t, want.raw, string(ev.raw))
+		must.Eq(t, want.id, ev.id)
+	}
+	_, err := r.next()
+	must.ErrorIs(t, err, errTornEvent)
+}
+
+// A whole event must not wait in a buffer for the rest of the next one (seen: the
+// last event before a cut was lost).
+func TestEventReaderTellsWhetherAWholeEventIsAhead(t *testing.T) {
+	r := newEventReader(strings.NewReader("id: 1\n\nid: 2\n\nid: 3\nda"))
+	for _, want := range []bool{true, false} {
+		_, err := r.next()
+		must.NoError(t, err)
+		must.Eq(t, want, r.more())
+	}
+}
+
+// oneByOne returns one byte a read.
+type oneByOne struct{ io.Reader }
+
+func (r oneByOne) Read(b []byte) (int, error) { return r.Reader.Read(b[:min(1, len(b))]) }
+
+func TestEventReaderChangesNoByte(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var text strings.Builder
+		for range rapid.IntRange(0, 8).Draw(r, "events") {
+			for range rapid.IntRange(1, 4).Draw(r, "lines") {
+				text.WriteString(rapid.StringMatching(`[a-z]{1,9}: ?[^\n\r]{1,40}`).Draw(r, "line") + "\n")
+			}
+			text.WriteString("\n")
+		}
+		reader := newEventReader(oneByOne{strings.NewReader(text.String())})
+		var got strings.Builder
+		for {
+			ev, err := reader.next()
+			if err == io.EOF {
+				break
+			}
+			must.NoError(r, err)
+			got.Write(ev.raw)
+		}
+		must.Eq(r, text.String(), got.String())
+	})
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		reader, n := newEventReader(strings.NewReader(text)), 0
+		for {
+			ev, err := reader.next()
+			if err != nil {
+				break
+			}
+			n += len(ev.raw)
+		}
+		if n > len(text) {
+			t.Fatal("more came out than went in")
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -207,7 +207,10 @@
 // relay passes the events of one answer on. nil: the stream is whole.
 func (x *exchange) relay(t *target, sent time.Time, resp *http.Response, watch *watcher) error {
 	reader := newEventReader(resp.Body)
-	flusher, _ := x.w.(http.Flusher)
+	flusher, ok := x.w.(http.Flusher)
+	if !ok {
+		return errors.New("answer can't be passed on piece by piece")
+	}
 	for {
 		ev, err := reader.next()
 		if err == io.EOF && x.events > 0 {
@@ -245,7 +248,7 @@
 		if ev.hasID {
 			x.lastEvent, x.hasLast = ev.id, true
 		}
-		if !reader.more() && flusher != nil {
+		if !reader.more() {
 			flusher.Flush()
 		}
 	}
