Planner: plans only on a view that was proved within its term

Cause (from its log): the new planner's watch had heard nothing since the store forgot its history, so it planned at 16.28 s on a view of 7 s, and freed an instance whose entry showed a group that it had long left for another. Ruled out: late orders (all were answered). Now a taken lease asks for a whole listing and waits for it; a watch lasts 3 s, and one that heard nothing doesn't move the revision on.

--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,50 @@
+package decisionlog
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// A pipe that nobody reads must not hold up who logs.
+func TestUnreadPipeBlocksNobody(t *testing.T) {
+	r, w, err := os.Pipe()
+	must.NoError(t, err)
+	defer r.Close()
+	out := NewWriter(w)
+	log := Logger(out, zapcore.InfoLevel)
+	for range 5 * bufferLines {
+		log.Info("request", zap.String("id", "0123456789abcdef"), zap.Int("status", 200), zap.String("reason", "a reason of some length"))
+	}
+	must.Positive(t, out.Dropped())
+	w.Close()
+	out.Close(time.Second)
+}
+
+func TestLinesArriveWholeAndInOrder(t *testing.T) {
+	var buf bytes.Buffer
+	out := NewWriter(&buf)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, err := out.Write([]byte(line))
+		must.NoError(t, err)
+	}
+	out.Close(time.Minute)
+	must.Eq(t, "one\ntwo\nthree\n", buf.String())
+	must.Eq(t, 0, out.Dropped())
+}
+
+func BenchmarkRequestLine(b *testing.B) {
+	null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	must.NoError(b, err)
+	out := NewWriter(null)
+	log := Logger(out, zapcore.InfoLevel)
+	for b.Loop() {
+		log.Info("request", zap.String("id", "0123456789abcdef"), zap.Int("status", 503), zap.String("reason", "no_replica"), zap.Int64("took_ms", 4))
+	}
+	out.Close(time.Second)
+}
--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -93,7 +93,7 @@
 	b.forget(id, now)
 }
 
-// Advance sets the revision the belief is current to.
+// Advance notes a change that the belief holds.
 func (b *Belief) Advance(revision uint64) { b.revision = max(b.revision, revision) }
 
 // Revision is the store's revision up to which all changes are known.
--- /dev/null
+++ b/internal/fleet/belief_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const heartbeat = time.Second
+
+var start = time.Unix(1000, 0)
+
+func sizes(_, model string) int { return map[string]int{"large": 2}[model] }
+
+func testBelief(ids ...string) *Belief {
+	b := NewBelief(heartbeat, sizes)
+	for i, id := range ids {
+		b.Put(&Instance{ID: id, Service: "s", Version: uint64(i + 1)})
+	}
+	return b
+}
+
+func (b *Belief) ids() []string {
+	var out []string
+	for _, in := range b.View(start).Services["s"] {
+		out = append(out, in.ID)
+	}
+	return out
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	b := testBelief("a", "b")
+	b.Remove("a", start)
+	must.Eq(t, []string{"b"}, b.ids())
+	must.MapContainsKey(t, b.View(start).Removed, "a")
+}
+
+func TestEntryThatLapsedInAnOutageIsBelievedUntilTheGraceEnds(t *testing.T) {
+	b := testBelief("a", "b", "leaving")
+	b.Put(&Instance{ID: "leaving", Service: "s", Draining: true, Version: 9})
+	b.Lost(start)
+	back := start.Add(5 * heartbeat)
+	b.Reached(back)
+	b.Replace(nil, 20, back)
+	must.Eq(t, []string{"a", "b"}, b.ids())
+	b.Put(&Instance{ID: "a", Service: "s", Version: 21}) // it lives, and came back
+	must.False(t, b.Expire(back.Add(returnGrace-1)))
+	must.True(t, b.Expire(back.Add(returnGrace)))
+	must.Eq(t, []string{"a"}, b.ids())
+}
+
+func TestShortLossOfTheStoreIsNoOutage(t *testing.T) {
+	b := testBelief("a")
+	b.Lost(start)
+	b.Reached(start.Add(heartbeat / 2))
+	b.Remove("a", start.Add(heartbeat/2))
+	must.SliceEmpty(t, b.ids())
+}
+
+func TestNothingLapsesWhileTheStoreIsAwayAgain(t *testing.T) {
+	b := testBelief("a")
+	b.Lost(start)
+	back := start.Add(5 * heartbeat)
+	b.Reached(back)
+	b.Remove("a", back)
+	b.Lost(back.Add(time.Second))
+	must.False(t, b.Expire(back.Add(time.Minute)))
+	must.Eq(t, []string{"a"}, b.ids())
+}
+
+func TestOlderEntryIsIgnored(t *testing.T) {
+	b := testBelief()
+	b.Put(&Instance{ID: "a", Service: "s", Draining: true, Version: 7})
+	b.Put(&Instance{ID: "a", Service: "s", Version: 6})
+	must.True(t, b.View(start).Instances["a"].Draining)
+}
+
+func member(id string, rank int, state GroupState) *Instance {
+	return &Instance{ID: id, Service: "s", Models: []string{"large"}, Group: Membership{Name: "g", Epoch: 3, Rank: rank, State: state}}
+}
+
+func TestGroupServesOnlyWhenOpenCompleteAndStaying(t *testing.T) {
+	for name, c := range map[string]struct {
+		members []*Instance
+		serves  bool
+	}{
+		"whole":            {[]*Instance{member("a", 0, Open), member("b", 1, Ready)}, true},
+		"head not open":    {[]*Instance{member("a", 0, Ready), member("b", 1, Ready)}, false},
+		"member missing":   {[]*Instance{member("a", 0, Open)}, false},
+		"head missing":     {[]*Instance{member("b", 1, Ready)}, false},
+		"member joining":   {[]*Instance{member("a", 0, Open), member("b", 1, Joining)}, false},
+		"member broken":    {[]*Instance{member("a", 0, Open), member("b", 1, Broken)}, false},
+		"one too many":     {[]*Instance{member("a", 0, Open), member("b", 1, Ready), member("c", 1, Ready)}, false},
+		"another's member": {[]*Instance{member("a", 0, Open), {ID: "b", Service: "s", Group: Membership{Name: "g", Epoch: 4, Rank: 1, State: Ready}}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBelief(heartbeat, sizes)
+			for _, m := range c.members {
+				b.Put(m)
+			}
+			g := b.View(start).Groups[Key{"g", 3}]
+			must.Eq(t, c.serves, g.Serving())
+			for _, m := range c.members {
+				m.Draining = true
+			}
+			must.False(t, b.View(start).Groups[Key{"g", 3}].Serving())
+		})
+	}
+}
+
+func TestGroupOfAnUnknownModelDoesNotServe(t *testing.T) {
+	b := NewBelief(heartbeat, func(string, string) int { return 0 })
+	b.Put(member("a", 0, Open))
+	must.False(t, b.View(start).Groups[Key{"g", 3}].Serving())
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -14,9 +14,10 @@
 
 // Periods of following the instances' entries.
 const (
-	// followWait is how long one call waits for a change. A silent link is noticed
-	// by the connection's own probes, not by this.
-	followWait = 10 * time.Second
+	// followWait is how long one call waits for a change. While the store forgets
+	// its history a watch may hear nothing until it ends, so this bounds how long
+	// changes are missed.
+	followWait = 3 * time.Second
 	// followPause follows each call that brought changes, so that a burst of them
 	// costs one call and not one each. It is a tenth of the shortest bound on
 	// leaving instances seen so far (2 s).
@@ -39,13 +40,15 @@
 	Log    *zap.Logger
 	belief *Belief
 	view   atomic.Pointer[View]
+	proved atomic.Int64 // when the last call that succeeded was sent, unix nanoseconds
 	change chan struct{}
 	sizes  chan struct{}
+	list   chan struct{}
 }
 
 // NewFollower returns a follower of one kind of entries.
 func NewFollower(feed objectapi.Feed, kind string, decode Decode, belief *Belief, log *zap.Logger) *Follower {
-	return &Follower{Feed: feed, Kind: kind, Decode: decode, Log: log, belief: belief, change: make(chan struct{}, 1), sizes: make(chan struct{}, 1)}
+	return &Follower{Feed: feed, Kind: kind, Decode: decode, Log: log, belief: belief, change: make(chan struct{}, 1), sizes: make(chan struct{}, 1), list: make(chan struct{}, 1)}
 }
 
 // View returns the newest view, nil before the first listing.
@@ -63,11 +66,23 @@
 	}
 }
 
+// Proved returns when the call was sent that last brought the view up to date.
+func (f *Follower) Proved() time.Time { return time.Unix(0, f.proved.Load()) }
+
+// Refresh asks for a whole listing now: unlike a watch it can't have missed
+// anything.
+func (f *Follower) Refresh() {
+	select {
+	case f.list <- struct{}{}:
+	default:
+	}
+}
+
 // result is what one call to the store brought.
 type result struct {
 	listing  *objectapi.Listing
 	events   []objectapi.Event
-	revision uint64
+	revision uint64 // to go on from after the events
 	asked    time.Time
 	err      error
 }
@@ -118,7 +133,10 @@
 	for _, e := range r.events {
 		f.apply(e, now)
 	}
-	f.belief.Advance(r.revision)
+	if len(r.events) > 0 {
+		f.belief.Advance(r.revision)
+	}
+	f.proved.Store(r.asked.UnixNano())
 	if r.listing != nil || len(r.events) > 0 {
 		f.publish(r.asked)
 	}
@@ -170,12 +188,19 @@
 	}
 }
 
-// call lists once and then follows, listing again when history was lost.
+// call lists once and then follows, listing again when history was lost or when
+// asked to. It goes on from the last change that it saw and not from the store's
+// revision in an answer without changes: a watch that heard nothing may have missed
+// some.
 func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
 	list := true
 	var revision uint64
 	for ctx.Err() == nil {
-		r := f.once(ctx, list, revision)
+		r, asked := f.once(ctx, list, revision)
+		if asked {
+			list = true
+			continue
+		}
 		select {
 		case results <- r:
 		case <-ctx.Done():
@@ -201,16 +226,30 @@
 	}
 }
 
-func (f *Follower) once(ctx context.Context, list bool, revision uint64) result {
-	r := result{asked: time.Now()}
+// once makes one call; listAsked tells that a watch was broken off for a listing.
+func (f *Follower) once(ctx context.Context, list bool, revision uint64) (r result, listAsked bool) {
+	r = result{asked: time.Now()}
 	if list {
 		var l objectapi.Listing
 		l, r.err = f.Feed.ListKind(ctx, f.Kind)
-		r.listing, r.revision = &l, l.Revision
-		return r
+		r.listing = &l
+		return r, false
 	}
-	r.events, r.revision, r.err = f.Feed.Follow(ctx, f.Kind, revision, followWait)
-	return r
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	var broken atomic.Bool
+	go func() {
+		select {
+		case <-f.list:
+			broken.Store(true)
+			cancel()
+		case <-done:
+		}
+	}()
+	r.events, r.revision, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	close(done)
+	return r, broken.Load()
 }
 
 // pause waits for d or until ctx ends.
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -22,6 +22,10 @@
 	Orders  Orders
 	View    func() *fleet.View
 	Changed <-chan struct{} // signalled after the view changed
+	// Proved tells when the call was sent that last brought the view up to date;
+	// Refresh asks for a whole listing.
+	Proved  func() time.Time
+	Refresh func()
 	Table   func() *routes.Table
 	Prober  Prober
 	// Still lists the instances whose streams stand still for this daemon.
@@ -33,6 +37,7 @@
 	told     map[string]summary  // logged last, by service
 	ended    chan endedOrder
 	term     uint64
+	began    time.Time // when this daemon noticed that it holds the lease
 }
 
 // endedOrder is what came of an order.
@@ -99,6 +104,17 @@
 	}
 }
 
+// viewFor is how old a view's proof may be for planning: two calls that follow
+// the entries, and some time for slow answers.
+const viewFor = 8 * time.Second
+
+// current tells whether the view can be planned on: it was proved after the lease
+// was taken, so that it holds all that the holder before did, and not long ago.
+func (m *Manager) current(now time.Time) bool {
+	proved := m.Proved()
+	return proved.After(m.began) && now.Sub(proved) < viewFor
+}
+
 // plan runs the planners of all model services and sends their orders.
 func (m *Manager) plan(ctx context.Context, now time.Time) {
 	term := m.Lease.Held(now)
@@ -107,7 +123,11 @@
 		return
 	}
 	if term != m.term {
-		m.term, m.planners = term, map[string]*Planner{}
+		m.term, m.planners, m.began = term, map[string]*Planner{}, now
+		m.Refresh()
+	}
+	if !m.current(now) {
+		return
 	}
 	m.search.look(ctx, view, m.Still(now), now)
 	view = m.search.without(view, table.ModelSize)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -163,7 +163,7 @@
 	holder := d.Settings().Node + "/" + uuid.NewString()
 	return &formation.Manager{
 		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
-		Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still, View: d.fleet.View, Changed: d.fleet.Changed(), Table: d.config.Table,
+		Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still, View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Log: d.Log,
 	}
 }
