--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -24,23 +24,24 @@
 func (p *Planner) form(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time) []Order {
 	var out []Order
 	loading := p.loading(v, now)
-	models := p.assign(v, engine)
+	models, cold := p.assign(v, engine), p.Idle && p.cold(v)
 	for {
-		best := p.best(v, engine, models, p.free(v, busy, now))
+		best := p.best(v, engine, models, p.free(v, busy, now), cold)
 		if best == nil {
 			break
 		}
-		if !mayLoad(engine, loading, best.loads) {
+		if !p.mayLoad(engine, cold, loading, best.loads, now) {
 			return out
 		}
 		loading += best.loads
+		p.began(best.loads, now)
 		f := p.begin(best, now)
 		for _, in := range best.members {
 			busy[in.ID] = true
 			out = append(out, p.send(now, p.join(f, in, "new group"))...)
 		}
 	}
-	return append(out, p.stage(v, engine, models, p.free(v, busy, now), loading, now)...)
+	return append(out, p.stage(v, engine, models, p.free(v, busy, now), cold, loading, now)...)
 }
 
 // begin records a new group.
@@ -86,17 +87,56 @@
 	return n
 }
 
-// mayLoad tells whether n more loads may begin. Loads beyond LoadsAtOnce slow one
-// another, so a few more than that keep the weight store busy while views lag.
-func mayLoad(engine *routes.Engine, loading, n int) bool {
-	return loading < max(engine.LoadsAtOnce, 1) || n == 0
+// Loads that may be under way at a time, in multiples of LoadsAtOnce. Beyond one,
+// loads slow one another, and the weight store stays busy while views lag.
+const (
+	coldLoads = 3 // before requests come: only the last one's end counts
+	warmLoads = 2 // later: the first ones' ends count too
+	// loadPart of the allowed loads in a window is used, so that two planners, one
+	// after the other, stay within it.
+	loadPart = 0.45
+)
+
+// mayLoad tells whether n more loads may begin.
+func (p *Planner) mayLoad(engine *routes.Engine, cold bool, loading, n int, now time.Time) bool {
+	if n == 0 {
+		return true
+	}
+	atOnce := max(engine.LoadsAtOnce, 1)
+	if cold {
+		return loading < coldLoads*atOnce
+	}
+	return loading < warmLoads*atOnce && p.begun(now)+n <= p.ceiling(engine)
+}
+
+// ceiling is how many loads this planner may begin within a window.
+func (p *Planner) ceiling(engine *routes.Engine) int {
+	if engine.LoadsPerSecond <= 0 || p.Window <= 0 {
+		return unlimited
+	}
+	return max(int(loadPart*engine.LoadsPerSecond*p.Window.Seconds()), 1)
+}
+
+// unlimited stands in for a ceiling that the deployment doesn't set.
+const unlimited = 1 << 30
+
+// begun counts the loads that this planner began within the last window.
+func (p *Planner) begun(now time.Time) int {
+	p.loads = slices.DeleteFunc(p.loads, func(at time.Time) bool { return now.Sub(at) > p.Window })
+	return len(p.loads)
+}
+
+// began notes loads that begin now.
+func (p *Planner) began(n int, now time.Time) {
+	for range n {
+		p.loads = append(p.loads, now)
+	}
 }
 
 // best returns the best group to form next, nil if there is none. Groups that
 // need no load go first; then the model that lacks most of its target.
-func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance) *option {
+func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, cold bool) *option {
 	needs := p.needs(v, engine)
-	cold := p.cold(v)
 	var best *option
 	for _, domain := range sortedDomains(free) {
 		for _, m := range models[domain] {
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -28,6 +28,10 @@
 	Refresh func()
 	Table   func() *routes.Table
 	Prober  Prober
+	// Idle tells that this daemon has had no request yet; Window is that of the
+	// ceiling on loads.
+	Idle   func() bool
+	Window func() time.Duration
 	// Still lists the instances whose streams stand still for this daemon.
 	Still func(now time.Time) []string
 	Log   *zap.Logger
@@ -141,7 +145,7 @@
 			p = NewPlanner(s.Name, term, m.Lease.Inherited(), now)
 			m.planners[s.Name] = p
 		}
-		p.MayResend = m.Lease.Noted()
+		p.MayResend, p.Idle, p.Window = m.Lease.Noted(), m.Idle(), m.Window()
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.order(ctx, s.Name, term, o, view.Revision)
 		}
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -20,13 +20,13 @@
 const (
 	// probeTimeout is far above an answer's time (some milliseconds, more on a
 	// slowed machine) and far below the three heartbeats an entry takes to lapse.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
 	// probeEvery bounds how often the members of a group that stands still are asked.
 	probeEvery = 600 * time.Millisecond
 	// deadFor is how long an instance that did not answer counts as dead. By then
 	// its entry lapses, or it lives after all.
 	deadFor = 6 * time.Second
-	// probesToDie is how many probes in a row must fail.
+	// probesToDie is how many probes in a row must fail: a single packet may be lost.
 	probesToDie = 2
 )
 
@@ -37,12 +37,11 @@
 	log    *zap.Logger
 	mu     sync.Mutex
 	asked  map[fleet.Key]time.Time
-	failed map[string]int       // probes in a row without an answer
 	dead   map[string]time.Time // since when an instance counts as dead
 }
 
 func newSearch(prober Prober, log *zap.Logger) *search {
-	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, failed: map[string]int{}, dead: map[string]time.Time{}}
+	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, dead: map[string]time.Time{}}
 }
 
 // look probes the members of the groups led by the given heads.
@@ -69,26 +68,36 @@
 	return true
 }
 
+// probe asks one member, again if there was no answer.
 func (s *search) probe(ctx context.Context, in *fleet.Instance) {
+	var err error
+	for range probesToDie {
+		if err = s.try(ctx, in); err == nil {
+			s.lives(in)
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.dead[in.ID]; !known {
+		s.log.Info("instance taken for dead", zap.String("instance", in.ID), zap.String("group", in.Group.Name),
+			zap.Uint64("epoch", in.Group.Epoch), zap.Int("probes", probesToDie), zap.String("error", err.Error()))
+	}
+	s.dead[in.ID] = time.Now()
+}
+
+func (s *search) try(ctx context.Context, in *fleet.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	err := s.prober.Probe(ctx, in)
+	return s.prober.Probe(ctx, in)
+}
+
+func (s *search) lives(in *fleet.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil {
-		delete(s.failed, in.ID)
-		if _, ok := s.dead[in.ID]; ok {
-			delete(s.dead, in.ID)
-			s.log.Info("instance answers again", zap.String("instance", in.ID))
-		}
-		return
-	}
-	if s.failed[in.ID]++; s.failed[in.ID] >= probesToDie {
-		if _, ok := s.dead[in.ID]; !ok {
-			s.log.Info("instance taken for dead", zap.String("instance", in.ID), zap.String("group", in.Group.Name),
-				zap.Uint64("epoch", in.Group.Epoch), zap.Int("probes", s.failed[in.ID]), zap.Error(err))
-		}
-		s.dead[in.ID] = time.Now()
+	if _, known := s.dead[in.ID]; known {
+		delete(s.dead, in.ID)
+		s.log.Info("instance answers again", zap.String("instance", in.ID))
 	}
 }
 
@@ -98,7 +107,6 @@
 	for id, at := range s.dead {
 		if now.Sub(at) > deadFor {
 			delete(s.dead, id)
-			delete(s.failed, id)
 		}
 	}
 	for key, at := range s.asked {
--- a/internal/formation/sim_test.go
+++ b/internal/formation/sim_test.go
@@ -307,6 +307,37 @@
 	must.Eq(t, OpClose, orders[0].Op)
 }
 
+// Loads from the weight store begin no faster than the ceiling allows two planners
+// together, once requests come.
+func TestLoadsKeepTheCeiling(t *testing.T) {
+	s := newSim(t, 6, 10)
+	s.engine.LoadsAtOnce = 100
+	p := NewPlanner(simService, 1, false, s.now)
+	p.Window = 5 * time.Second
+	var begun []time.Time
+	for range 200 {
+		for _, o := range p.Plan(s.view(), s.engine, s.now) {
+			if in := s.engines[o.Instance]; o.Op == OpStage || o.Op == OpJoin && !in.in.HasStaged(o.Model) {
+				begun = append(begun, s.now)
+			}
+			s.apply(o)
+		}
+		s.step(100 * time.Millisecond)
+	}
+	most := 0
+	for i, from := range begun {
+		n := 0
+		for _, at := range begun[i:] {
+			if at.Sub(from) <= p.Window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	must.Positive(t, most)
+	must.LessEq(t, int(s.engine.LoadsPerSecond*p.Window.Seconds())/2, most)
+}
+
 func TestEpochsRiseOverTerms(t *testing.T) {
 	a, b := NewPlanner(simService, 7, false, time.Time{}), NewPlanner(simService, 8, false, time.Time{})
 	last := uint64(0)
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -22,7 +22,7 @@
 
 // stage loads its domain's model to the host of each free instance that lacks it,
 // so that it can join a group without a load. The model that lacks most goes first.
-func (p *Planner) stage(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, loading int, now time.Time) []Order {
+func (p *Planner) stage(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, cold bool, loading int, now time.Time) []Order {
 	if now.Sub(p.started) < settle {
 		return nil
 	}
@@ -38,10 +38,11 @@
 			if p.staging[in.ID].model != "" || useful(in, models[domain]) {
 				continue
 			}
-			if !mayLoad(engine, loading, 1) {
+			if !p.mayLoad(engine, cold, loading, 1, now) {
 				return out
 			}
 			loading++
+			p.began(1, now)
 			p.staging[in.ID] = staging{model: m.Name, since: now, patience: 2*m.Load + formPatience}
 			out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "a free instance lacks its domain's model"})
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -91,6 +91,7 @@
 	fleet    *fleet.Follower
 	pool     *upstream.Pool
 	picker   *gateway.Picker
+	gateway  *gateway.Gateway
 	stopping atomic.Bool
 }
 
@@ -110,6 +111,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	d.gateway = d.newGateway()
 	server := d.callersServer()
 	go d.serve(server, callers)
 	go d.serve(d.readinessServer(), ready)
@@ -164,7 +166,9 @@
 	return &formation.Manager{
 		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
 		Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still, View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
-		Log: d.Log,
+		Idle:   d.gateway.Idle,
+		Window: func() time.Duration { return d.Settings().Bounds.CeilingWindow },
+		Log:    d.Log,
 	}
 }
 
@@ -177,12 +181,15 @@
 	}
 }
 
-func (d *Daemon) callersServer() *http.Server {
-	g := &gateway.Gateway{
+func (d *Daemon) newGateway() *gateway.Gateway {
+	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
 		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
-	return &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+}
+
+func (d *Daemon) callersServer() *http.Server {
+	return &http.Server{Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(d.Log)}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,12 @@
 	Log      *zap.Logger
 	budgets  budgets
 	sampled  atomic.Uint64
+	any      atomic.Bool
 }
 
+// Idle tells whether no request came yet.
+func (g *Gateway) Idle() bool { return !g.any.Load() }
+
 // defaultBodyBytes bounds a caller's body while no configuration says otherwise.
 const defaultBodyBytes = 4 << 20
 
@@ -52,6 +56,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), now: time.Now()}
 	x.req.Arrived = x.now
+	g.any.Store(true)
 	if g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -67,12 +67,13 @@
 	uniform func(n int) int
 	mu      sync.Mutex
 	records map[string]*record
+	floors  map[string]time.Duration // quickest first events of late, by model
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a number in
 // [0, n).
 func NewPicker(zone string, uniform func(n int) int) *Picker {
-	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}}
+	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}}
 }
 
 // pick takes the least loaded target that was not tried, nil if there is none.
@@ -208,15 +209,38 @@
 }
 
 // runs notes the first event of a stream that was sent at a time.
-func (p *Picker) runs(t *target, sent, now time.Time) {
+func (p *Picker) runs(t *target, model string, sent, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learn(model, now.Sub(sent))
 	r := p.record(t.instance)
 	r.running++
 	r.first, r.firstAt = now.Sub(sent), now
 	r.unwait(sent)
 }
 
+// floorRise is the part by which each slower first event lifts the floor, so that
+// it follows an engine that changed within some thousand requests.
+const floorRise = 0.001
+
+// learn keeps the floor of a model's first events; p.mu is held.
+func (p *Picker) learn(model string, first time.Duration) {
+	floor, known := p.floors[model]
+	if !known || first < floor {
+		p.floors[model] = first
+		return
+	}
+	p.floors[model] = floor + time.Duration(floorRise*float64(first-floor))
+}
+
+// Floor returns the quickest first event that a model showed of late: what a
+// stream takes where nothing waits before it. 0: not known.
+func (p *Picker) Floor(model string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.floors[model]
+}
+
 func (r *record) unwait(sent time.Time) {
 	if i := slices.Index(r.waiting, sent); i >= 0 {
 		r.waiting = slices.Delete(r.waiting, i, i+1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,19 +63,19 @@
 	}
 }
 
-// lateShare is the part of the objective that a first event may be expected to
-// take when a new stream is admitted. Beyond it the stream would be late, and so
-// would those behind it; refused at once it may be in time elsewhere, or later.
-const lateShare = 0.85
+// queueShare is the part of what the objective leaves beyond the quickest first
+// event that a queue may take when a new stream is admitted. Beyond it the stream
+// would come late, and so would those behind it; refused at once it may be in time
+// elsewhere, or later.
+const queueShare = 0.3
 
 // overloaded tells whether the first event would come late wherever the request
 // went.
 func (x *exchange) overloaded() bool {
-	if x.route.Objective <= 0 {
-		return false
-	}
-	least, ok := x.gateway.Picker.soonest(x.targets(), x.now)
-	return ok && least > time.Duration(lateShare*float64(x.route.Objective))
+	picker, objective := x.gateway.Picker, x.route.Objective
+	floor := min(picker.Floor(x.req.Model), objective)
+	least, ok := picker.soonest(x.targets(), x.now)
+	return objective > 0 && ok && least > floor+time.Duration(queueShare*float64(objective-floor))
 }
 
 // run makes one send; true: the request is answered, or cut for good.
@@ -232,7 +232,7 @@
 		now := time.Now()
 		x.gateway.Picker.progressed(t, now)
 		if !watch.begun.Swap(true) {
-			x.gateway.Picker.runs(t, sent, now)
+			x.gateway.Picker.runs(t, x.req.Model, sent, now)
 		}
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
