pearlanding trace: one request's story from saved logs; mixed domains stage what lacks most

A domain of two models staged only its first one (TestOneDomainHoldsBothModels, red since the change to loads).

--- a/cmd/pearlanding/main.go
+++ b/cmd/pearlanding/main.go
@@ -44,6 +44,7 @@
 	}))
 	addServe(app, run)
 	addFront(app, run)
+	addTrace(app, run)
 	addCheck(app, run)
 	addOperator(app, run)
 	addStandin(app, run)
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -33,7 +33,6 @@
 	})
 	var out []Order
 	for _, domain := range domains {
-		m := models[domain][0]
 		for _, in := range free[domain] {
 			if p.staging[in.ID].model != "" || useful(in, models[domain]) {
 				continue
@@ -41,6 +40,7 @@
 			if !p.mayLoad(engine, cold, loading, 1, now) {
 				return out
 			}
+			m := p.scarcest(v, engine, models[domain])
 			loading++
 			p.began(1, now)
 			p.staging[in.ID] = staging{model: m.Name, since: now, patience: 2*m.Load + formPatience}
@@ -50,6 +50,15 @@
 	return out
 }
 
+// scarcest returns the model of a domain that lacks most of its target.
+func (p *Planner) scarcest(v *fleet.View, engine *routes.Engine, models []routes.Model) routes.Model {
+	if len(models) == 1 {
+		return models[0]
+	}
+	needs := p.needs(v, engine)
+	return slices.MaxFunc(models, func(a, b routes.Model) int { return cmp.Compare(needs[a.Name].part(), needs[b.Name].part()) })
+}
+
 // useful tells whether an instance holds one of its domain's models.
 func useful(in *fleet.Instance, models []routes.Model) bool {
 	for _, m := range models {
