Configuration: reads alone keep the bound on a change

Cause: after a silent outage of the store (18 to 26 s) the watch for news stayed deaf until its wait ended, and reads were 2.8 s apart for a bound of 2 s. Ruled out: a version that went back. Entries are followed with pauses of 0.4 of the bound on leaving instances.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -19,9 +19,12 @@
 	// changes are missed.
 	followWait = 3 * time.Second
 	// followPause follows each call that brought changes, so that a burst of them
-	// costs one call and not one each. It is a third of the shortest bound on
-	// leaving instances seen so far (2 s).
+	// costs one call and not one each, where the deployment sets no bound on
+	// leaving instances.
 	followPause = 700 * time.Millisecond
+	// drainPart of that bound is the pause otherwise; as much again is for a slow
+	// answer.
+	drainPart = 0.4
 	// closePause is the same for the daemon that plans: each of its steps waits for
 	// what the one before changed.
 	closePause = 200 * time.Millisecond
@@ -45,10 +48,12 @@
 	view   atomic.Pointer[View]
 	// Closely asks for a short pause between calls.
 	Closely func() bool
-	proved  atomic.Int64 // when the last call that succeeded was sent, unix nanoseconds
-	change  chan struct{}
-	sizes   chan struct{}
-	list    chan struct{}
+	// Drain is the bound until a leaving instance gets no more requests; 0: none.
+	Drain  func() time.Duration
+	proved atomic.Int64 // when the last call that succeeded was sent, unix nanoseconds
+	change chan struct{}
+	sizes  chan struct{}
+	list   chan struct{}
 }
 
 // NewFollower returns a follower of one kind of entries.
@@ -234,8 +239,12 @@
 // rest pauses after a call that brought changes; a daemon that begins to plan
 // meanwhile goes on at once.
 func (f *Follower) rest(ctx context.Context) {
+	whole := followPause
+	if f.Drain != nil && f.Drain() > 0 {
+		whole = time.Duration(drainPart * float64(f.Drain()))
+	}
 	pause(ctx, closePause)
-	for waited := closePause; waited < followPause && (f.Closely == nil || !f.Closely()); waited += closePause {
+	for waited := closePause; waited < whole && (f.Closely == nil || !f.Closely()); waited += closePause {
 		pause(ctx, closePause)
 	}
 }
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -15,21 +14,35 @@
 )
 
 // Periods of following the configuration. Every call has its price, and there may
-// be hundreds of daemons.
+// be hundreds of daemons; but a watch may hear nothing, so reads alone decide.
 const (
-	// proveEvery is how often the whole configuration is read as proof that it is
-	// current. With a lost read and its timeout it stays within the shortest bound
-	// on removed keys seen so far (5 s).
-	proveEvery = 2800 * time.Millisecond
-	// newsWait is how long a watch for changes waits; it brings a change at once.
-	newsWait = 15 * time.Second
-	// retryPause follows a call that failed.
+	// configPart of the bound on a change, and revokePart of the bound on removed
+	// keys, may pass between two reads; the rest is for slow answers and, for keys,
+	// for a read that is lost.
+	configPart = 0.7
+	revokePart = 0.5
+	// defaultRead stands in where the deployment sets neither bound.
+	defaultRead = 2 * time.Second
+	// retryPause follows a read that failed.
 	retryPause = 300 * time.Millisecond
 	// firstPause follows a read that found no configuration: groups should form as
 	// soon as there is one.
 	firstPause = 100 * time.Millisecond
 )
 
+// readEvery is how often the whole configuration is read: each read is both the
+// news and the proof that there is none.
+func readEvery(b Bounds) time.Duration {
+	every := defaultRead
+	if b.Config > 0 {
+		every = min(every, time.Duration(configPart*float64(b.Config)))
+	}
+	if b.Revoke > 0 {
+		every = min(every, time.Duration(revokePart*float64(b.Revoke)))
+	}
+	return every
+}
+
 // configFollower keeps the configuration in force. Within its life it never goes
 // back to an older version, whatever order answers arrive in. Run owns its state.
 type configFollower struct {
@@ -37,9 +50,9 @@
 	key     string
 	decode  func(value []byte) (*routes.Config, error)
 	log     *zap.Logger
-	version uint64        // of the store's object
-	seen    atomic.Uint64 // the same, for the watch
+	version uint64 // of the store's object
 	lost    bool
+	bounds  func() Bounds
 	changed func() // called after another configuration came into force
 	current atomic.Pointer[gateway.Config]
 }
@@ -55,62 +68,20 @@
 // Table returns the table in force, or nil.
 func (f *configFollower) Table() *routes.Table { return f.Current().Table }
 
-// Run follows until ctx ends. Reads are made by this goroutine alone: after each
-// change that a watch tells of, and regularly as proof. A watch proves nothing: it
-// may hear nothing.
+// Run follows until ctx ends.
 func (f *configFollower) Run(ctx context.Context) {
-	news := make(chan struct{}, 1)
-	go f.watch(ctx, news)
 	for ctx.Err() == nil {
 		asked := time.Now()
 		o, err := f.feed.Get(ctx, f.key)
 		f.take(o, err, asked)
-		wait := proveEvery
+		wait := readEvery(f.bounds()) - time.Since(asked)
 		switch {
 		case f.version == 0:
 			wait = firstPause
 		case err != nil:
 			wait = retryPause
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-news:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-	}
-}
-
-// watch signals news when the configuration seems to have changed.
-func (f *configFollower) watch(ctx context.Context, news chan<- struct{}) {
-	kind, _, _ := strings.Cut(f.key, "/")
-	for ctx.Err() == nil {
-		after := f.seen.Load()
-		if after == 0 {
-			pause(ctx, firstPause)
-			continue
-		}
-		events, _, err := f.feed.Follow(ctx, kind, after, newsWait)
-		if err == nil && len(events) == 0 {
-			continue
-		}
-		select {
-		case news <- struct{}{}:
-		default:
-		}
-		f.settle(ctx, after)
-	}
-}
-
-// settle waits until the change that a watch told of was read, or a while if the
-// watch failed or history is gone.
-func (f *configFollower) settle(ctx context.Context, after uint64) {
-	for range int(time.Second / firstPause) {
-		pause(ctx, firstPause)
-		if f.seen.Load() != after || ctx.Err() != nil {
-			return
-		}
+		pause(ctx, max(wait, firstPause))
 	}
 }
 
@@ -142,7 +113,6 @@
 		return
 	}
 	f.version = o.Version
-	f.seen.Store(o.Version)
 	f.current.Store(&gateway.Config{Table: routes.Compile(c), Proved: asked})
 	f.log.Info("configuration in force", zap.Uint64("object_version", o.Version), zap.Uint64("config_version", c.Version),
 		zap.Int("routes", len(c.Routes)), zap.Int("workspaces", len(c.Workspaces)))
--- a/internal/front/config_test.go
+++ b/internal/front/config_test.go
@@ -56,3 +56,11 @@
 	f.take(objectapi.Object{}, objectapi.ErrNotFound, now)
 	must.Nil(t, f.Table())
 }
+
+// A watch that hears nothing must not delay a change (seen as CONFIG: after an
+// outage of the store reads were 2.8 s apart, and the watch deaf).
+func TestReadsAloneKeepTheBounds(t *testing.T) {
+	must.Eq(t, 1400*time.Millisecond, readEvery(Bounds{Config: 2 * time.Second, Revoke: 5 * time.Second}))
+	must.Eq(t, 500*time.Millisecond, readEvery(Bounds{Config: 3 * time.Second, Revoke: time.Second}))
+	must.Eq(t, defaultRead, readEvery(Bounds{}))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -128,7 +128,8 @@
 }
 
 func (d *Daemon) build(s Settings) {
-	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log}
+	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
+		bounds: func() Bounds { return d.Settings().Bounds }}
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	d.fleet = fleet.NewFollower(d.Outside.Feed, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
@@ -156,6 +157,7 @@
 	}
 	manager := d.manager()
 	d.fleet.Closely = func() bool { return manager.Lease.Held(time.Now()) != 0 }
+	d.fleet.Drain = func() time.Duration { return d.Settings().Bounds.Drain }
 	run(work, d.config.Run)
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
