--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -245,7 +245,7 @@
 	timed, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	outcome, err := m.Orders.Send(timed, o)
-	m.Log.Info("order", append(fields, zap.Int("outcome", int(outcome)), zap.Error(err))...)
+	m.Log.Info("order", append(fields, zap.Stringer("outcome", outcome), zap.Error(err))...)
 	select {
 	case m.ended <- endedOrder{service, term, o, outcome}:
 	case <-ctx.Done():
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -271,6 +271,11 @@
 	Unanswered
 )
 
+// String names the outcome for the log.
+func (o Outcome) String() string {
+	return [...]string{"taken", "refused", "unanswered"}[o]
+}
+
 // Ended takes in what came of an order, before any entry shows it.
 func (p *Planner) Ended(o Order, outcome Outcome) {
 	if o.Op == OpLeave && outcome != Unanswered {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,9 @@
 	events    int
 	eventAt   time.Time     // when the last event was passed on
 	maxGap    time.Duration // longest pause between events
+	replicas  int           // that could take the request on arrival
+	expected  time.Duration // least time to a first event at any of them, as known
+	floor     time.Duration // the quickest first event of late
 }
 
 // serve answers the request.
@@ -231,6 +234,7 @@
 // next chooses where to send the request, nil if it may go nowhere else.
 func (x *exchange) next() *target {
 	if x.sent >= x.route.Attempts || len(x.sends) >= maxSends {
+		x.note("attempts_spent")
 		return nil
 	}
 	now, rule := time.Now(), x.gateway.Bounds().Retry
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -76,7 +76,8 @@
 	}
 	if x.req.Model != "" {
 		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()),
-			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()))
+			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int("replicas", x.replicas),
+			zap.Int64("expected_ms", x.expected.Milliseconds()), zap.Int64("floor_ms", x.floor.Milliseconds()))
 	}
 	if x.view != nil {
 		out = append(out, zap.Uint64("view_revision", x.view.Revision))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,10 +72,11 @@
 // overloaded tells whether the first event would come late wherever the request
 // went.
 func (x *exchange) overloaded() bool {
-	picker, objective := x.gateway.Picker, x.route.Objective
-	floor := min(picker.Floor(x.req.Model), objective)
-	least, ok := picker.soonest(x.targets(), x.now)
-	return objective > 0 && ok && least > floor+time.Duration(queueShare*float64(objective-floor))
+	picker, objective, targets := x.gateway.Picker, x.route.Objective, x.targets()
+	x.replicas, x.floor = len(targets), min(picker.Floor(x.req.Model), objective)
+	var known bool
+	x.expected, known = picker.soonest(targets, x.now)
+	return objective > 0 && known && x.expected > x.floor+time.Duration(queueShare*float64(objective-x.floor))
 }
 
 // run makes one send; true: the request is answered, or cut for good.
