Connections: few are kept idle, and a new one is watched before a request that must not be repeated

Cause: instances reset connections over their cap (48 for all daemons); each at-most-once request opened a connection that stayed idle for 4 s.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,7 +50,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	// Fresh asks for a new connection: no idle one can turn out closed.
+	// Fresh asks for a new connection: no idle one can turn out closed. It is also
+	// given a moment in which an upstream that has too many can reset it, before the
+	// request goes out and could have run.
 	Fresh bool
 	// Own tells whether an answer with this head is to this request; others are
 	// passed over. nil takes any.
@@ -124,7 +126,27 @@
 		p.release(call.Address)
 		return nil, errors.WithType(err, ErrNotSent)
 	}
-	return &kept{Conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	c := &kept{Conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBuffer)}
+	if call.Fresh && !settled(ctx, conn) {
+		p.drop(c)
+		return nil, errors.WithType(errors.Errorf("%s closed a new connection", call.Address), ErrNotSent)
+	}
+	return c, nil
+}
+
+// settleFor is how long a new connection is watched before a request that must not
+// be repeated goes out: some round trips within a region.
+const settleFor = 4 * time.Millisecond
+
+// settled tells whether a new connection stays open for a moment.
+func settled(ctx context.Context, conn net.Conn) bool {
+	timer := time.NewTimer(settleFor)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return alive(conn)
 }
 
 // readBuffer holds a few events of a stream, or the head of an answer.
@@ -174,10 +196,20 @@
 	}
 	c.deadline = time.Now().Add(keepFor)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	full := len(p.idle[c.address]) >= idlePerAddress
+	if !full {
+		p.idle[c.address] = append(p.idle[c.address], c)
+	}
+	p.mu.Unlock()
+	if full {
+		p.drop(c)
+	}
 }
 
+// idlePerAddress is how many idle connections are kept to one upstream, which
+// accepts only so many from all callers together.
+const idlePerAddress = 3
+
 // Sweep closes idle connections that are past their time.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*kept
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -183,3 +183,43 @@
 	must.MapEmpty(t, p.idle)
 	must.MapEmpty(t, p.open)
 }
+
+// An upstream with too many connections resets new ones. A request that must not be
+// repeated was not sent then (seen in an incident: 140 answers "may have run").
+func TestFreshConnectionThatIsResetWasNotSentOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	call := get(l.Addr().String())
+	call.Fresh = true
+	_, err = read(t, testPool(), call)
+	must.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestPoolKeepsFewIdleConnections(t *testing.T) {
+	url, _ := server(t, func(_ int64, c net.Conn) { _, _ = io.WriteString(c, own) })
+	p := testPool()
+	var open []*http.Response
+	for range 2 * idlePerAddress {
+		resp, err := p.Do(context.Background(), get(address(url)))
+		must.NoError(t, err)
+		open = append(open, resp)
+	}
+	for _, resp := range open {
+		_, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+	}
+	must.Len(t, idlePerAddress, p.idle[address(url)])
+	must.Eq(t, idlePerAddress, p.open[address(url)])
+}
