--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -28,8 +28,10 @@
 	// closePause is the same for the daemon that plans: each of its steps waits for
 	// what the one before changed.
 	closePause = 200 * time.Millisecond
-	// retryPause follows a call that failed.
+	// retryPause follows a call that failed; it doubles with each further one up to
+	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 250 * time.Millisecond
+	retryMost  = time.Second
 	// expireTick is how often lapsed entries are looked at.
 	expireTick = 250 * time.Millisecond
 )
@@ -203,7 +205,7 @@
 // revision in an answer without changes: a watch that heard nothing may have missed
 // some.
 func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
-	list := true
+	list, retry := true, retryPause
 	var revision uint64
 	for ctx.Err() == nil {
 		r, asked := f.once(ctx, list, revision)
@@ -226,10 +228,11 @@
 			list = true
 			continue
 		case r.err != nil:
-			pause(ctx, retryPause)
+			pause(ctx, retry)
+			retry = min(2*retry, retryMost)
 			continue
 		}
-		list = false
+		list, retry = false, retryPause
 		if len(r.events) > 0 {
 			f.rest(ctx)
 		}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -23,8 +23,10 @@
 	revokePart = 0.5
 	// defaultRead stands in where the deployment sets neither bound.
 	defaultRead = 2 * time.Second
-	// retryPause follows a read that failed.
+	// retryPause follows a read that failed; it doubles with each further one up to
+	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 300 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
 	// firstPause follows a read that found no configuration: groups should form as
 	// soon as there is one.
 	firstPause = 100 * time.Millisecond
@@ -70,16 +72,19 @@
 
 // Run follows until ctx ends.
 func (f *configFollower) Run(ctx context.Context) {
+	retry := retryPause
 	for ctx.Err() == nil {
 		asked := time.Now()
 		o, err := f.feed.Get(ctx, f.key)
 		f.take(o, err, asked)
 		wait := readEvery(f.bounds()) - time.Since(asked)
 		switch {
-		case f.version == 0:
+		case err == nil:
+			retry = retryPause
+		case errors.Is(err, objectapi.ErrNotFound):
 			wait = firstPause
-		case err != nil:
-			wait = retryPause
+		default:
+			wait, retry = retry, min(2*retry, retryMost)
 		}
 		pause(ctx, max(wait, firstPause))
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,6 +92,7 @@
 	pool     *upstream.Pool
 	picker   *gateway.Picker
 	gateway  *gateway.Gateway
+	calls    *countedFeed
 	stopping atomic.Bool
 }
 
@@ -128,6 +129,8 @@
 }
 
 func (d *Daemon) build(s Settings) {
+	d.calls = &countedFeed{Feed: d.Outside.Feed, set: d.Metrics}
+	d.Outside.Feed = d.calls
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
 		bounds: func() Bounds { return d.Settings().Bounds }}
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
@@ -161,6 +164,7 @@
 	run(work, d.config.Run)
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
+	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
 	run(ctx, manager.Run)
 	return group.Wait
 }
