Fault soak of daemons on the users' platform, as separate processes

Seeded faults from outside: signals (kill, stop, pause, reload, several at once), proxies to the store that delay, silence, cut one way or reset, troubles of the store and of engines, keys taken away. Judged from what callers saw, what the engines ran, and the groups' rules as the engines really are.

--- /dev/null
+++ b/cmd/platformsoak/main.go
@@ -0,0 +1,48 @@
+// Command platformsoak makes long soaks of daemons on the users' platform, one for
+// each seed, and exits 1 if any promise was broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearlanding/platform/soak"
+)
+
+func main() {
+	app := kingpin.New("platformsoak", "Seeded soaks of daemons on the users' platform, as separate processes.")
+	binary := app.Flag("binary", "The pearlanding binary.").Required().ExistingFile()
+	dir := app.Flag("dir", "Folder for settings and logs.").Required().ExistingDir()
+	first := app.Flag("seed", "First seed.").Default("1").Uint64()
+	seeds := app.Flag("seeds", "How many seeds.").Default("1").Uint64()
+	duration := app.Flag("duration", "How long faults are injected, for each seed.").Default("20s").Duration()
+	daemons := app.Flag("daemons", "How many daemons.").Default("4").Int()
+	callers := app.Flag("callers", "How many callers.").Default("12").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	broken := 0
+	for seed := *first; seed < *first+*seeds; seed++ {
+		out := filepath.Join(*dir, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(out, 0o755); err != nil {
+			kingpin.Fatalf("%v", err)
+		}
+		report, err := soak.Run(ctx, soak.Options{Binary: *binary, Dir: out, Seed: seed, Duration: *duration, Daemons: *daemons, Callers: *callers})
+		if err != nil {
+			kingpin.Fatalf("seed %d could not be run: %v", seed, err)
+		}
+		fmt.Println(report)
+		if len(report.Violations) > 0 {
+			broken++
+		}
+	}
+	fmt.Printf("%d of %d seeds broke a promise\n", broken, *seeds)
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
