Groups: models with larger groups get more domains

Shares were split by engines, but a dead member makes a whole group stand, and 18 engines hold only two groups of eight.

--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -22,9 +22,12 @@
 			byDomain[in.Domain] = append(byDomain[in.Domain], in)
 		}
 	}
+	for _, list := range byDomain {
+		p.domainSize = max(p.domainSize, len(list))
+	}
 	out := assignment{}
-	lacking := targets(engine, len(byDomain)) // in domains: they are of about one size
-	zones := map[string]map[string]int{}      // zone, model: domains
+	lacking := p.targets(engine, len(byDomain)) // in domains: they are of about one size
+	zones := map[string]map[string]int{}        // zone, model: domains
 	take := func(domain string, m routes.Model) {
 		out[domain] = []routes.Model{m}
 		lacking[m.Name]--
@@ -51,23 +54,36 @@
 	return out.mix(engine, byDomain, lacking)
 }
 
-// targets splits a total by the models' shares of the work.
-func targets(engine *routes.Engine, total int) map[string]float64 {
-	shares := 0.0
+// standing is the part of its capacity that a model loses for each member of its
+// groups, as one dead member makes the whole group stand. Source: a pair of sixty
+// engines lost every three seconds, and about five seconds until a group forms again.
+const standing = 0.05
+
+// targets splits a total by the models' shares of the work. Models with larger
+// groups get more: they stand more often, and fill a domain less well.
+func (p *Planner) targets(engine *routes.Engine, total int) map[string]float64 {
+	out, sum := map[string]float64{}, 0.0
 	for _, m := range engine.Models {
-		shares += m.Share
+		out[m.Name] = max(m.Share, leastShare) * (1 + standing*float64(m.Size)) / packing(p.domainSize, m.Size)
+		sum += out[m.Name]
 	}
-	out := map[string]float64{}
-	for _, m := range engine.Models {
-		part := 1 / float64(len(engine.Models))
-		if shares > 0 {
-			part = m.Share / shares
-		}
-		out[m.Name] = float64(total) * part
+	for name, weight := range out {
+		out[name] = float64(total) * weight / sum
 	}
 	return out
 }
 
+// leastShare stands in for a share that is not told.
+const leastShare = 0.01
+
+// packing is the part of a domain that groups of a size can fill.
+func packing(domain, size int) float64 {
+	if size <= 0 || domain < size {
+		return 1
+	}
+	return float64(domain/size*size) / float64(domain)
+}
+
 // held returns the model that most of a domain's instances hold, if they are
 // enough for a group.
 func (p *Planner) held(instances []*fleet.Instance, engine *routes.Engine) (routes.Model, bool) {
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -79,18 +79,20 @@
 	// and don't count for the ceiling.
 	Idle bool
 	// Window is that of the ceiling on loads; 0: there is none.
-	Window   time.Duration
-	loads    []time.Time // begun within the window
-	forming  map[fleet.Key]*forming
-	sent     map[sentKey]time.Time
-	left     map[string]fleet.Key    // groups that instances left, until their entries show it
-	asked    map[fleet.Key]bool      // heads that an order to leave was sent to, and ended
-	doubled  map[string]time.Time    // when a join was last sent again, by instance
-	staging  map[string]staging      // by instance
-	given    map[string]string       // model of each domain
-	closing  map[fleet.Key]time.Time // when a group was first asked to close
-	heads    map[fleet.Key]string    // last known head of each group
-	headless map[fleet.Key]time.Time
+	Window  time.Duration
+	loads   []time.Time // begun within the window
+	forming map[fleet.Key]*forming
+	sent    map[sentKey]time.Time
+	left    map[string]fleet.Key // groups that instances left, until their entries show it
+	asked   map[fleet.Key]bool   // heads that an order to leave was sent to, and ended
+	doubled map[string]time.Time // when a join was last sent again, by instance
+	staging map[string]staging   // by instance
+	given   map[string]string    // model of each domain
+	// domainSize is the most instances seen in one domain.
+	domainSize int
+	closing    map[fleet.Key]time.Time // when a group was first asked to close
+	heads      map[fleet.Key]string    // last known head of each group
+	headless   map[fleet.Key]time.Time
 }
 
 type sentKey struct {
