--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -22,7 +22,7 @@
 	// costs one call and not one each, where the deployment sets no bound on
 	// leaving instances.
 	followPause = 700 * time.Millisecond
-	// drainPart of that bound is the pause otherwise; the rest is for a slow
+	// drainPart of that bound is the pause otherwise; as much again is for a slow
 	// answer.
 	drainPart = 0.4
 	// closePause is the same for the daemon that plans: each of its steps waits for
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,8 +38,6 @@
 	Codec          gateway.Codec
 	Orders         func(*upstream.Pool) formation.Orders
 	Prober         func(*upstream.Pool) formation.Prober
-	// Load asks an instance for its requests in progress and waiting.
-	Load func(*upstream.Pool) func(ctx context.Context, address, instance string) (int, error)
 }
 
 // leaseKey holds the lease of the daemon that plans groups, in a kind of our own.
@@ -194,7 +192,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Load: d.Outside.Load(d.pool), Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,13 +39,11 @@
 	Stopping func() bool // answers carry Connection: close
 	Pool     *upstream.Pool
 	Picker   *Picker
-	// Load asks an instance for its requests in progress and waiting; nil: not asked.
-	Load    func(ctx context.Context, address, instance string) (int, error)
-	Metrics *Metrics
-	Log     *zap.Logger
-	budgets budgets
-	sampled atomic.Uint64
-	any     atomic.Bool
+	Metrics  *Metrics
+	Log      *zap.Logger
+	budgets  budgets
+	sampled  atomic.Uint64
+	any      atomic.Bool
 }
 
 // Idle tells whether no request came yet.
@@ -245,47 +242,13 @@
 		x.note("retry_budget_spent")
 		return nil
 	}
-	t := x.gateway.Picker.pick(x.narrow(x.targets(), now), x.tried, now)
+	t := x.gateway.Picker.pick(x.targets(), x.tried, now)
 	if t != nil && x.sent > 0 {
 		x.budget().Repeat(rule, now)
 	}
 	return t
 }
 
-// askTimeout is how long the answers about load are waited for: some round trips
-// within a region, and little beside any objective.
-const askTimeout = 25 * time.Millisecond
-
-// narrow leaves one of two targets where a model is crowded: the one that says it
-// has less to do. Daemons that choose by what they know themselves meet at the same
-// replicas by chance, the more the less each of them sees.
-func (x *exchange) narrow(targets []target, now time.Time) []target {
-	g := x.gateway
-	if x.service.Engine == nil || g.Load == nil || !g.Picker.crowded(x.req.Model) {
-		return targets
-	}
-	two := g.Picker.two(targets, x.tried, now)
-	if len(two) < 2 {
-		return targets
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	var loads [2]int
-	var errs [2]error
-	var both sync.WaitGroup
-	for i := range two {
-		both.Go(func() { loads[i], errs[i] = g.Load(ctx, two[i].address, two[i].instance) })
-	}
-	both.Wait()
-	switch {
-	case errs[0] != nil && errs[1] != nil:
-		return targets
-	case errs[0] != nil, errs[1] == nil && loads[1] < loads[0]:
-		return two[1:]
-	}
-	return two[:1]
-}
-
 func (x *exchange) budget() *Budget { return x.gateway.budgets.of(x.service.Name) }
 
 // maxSends bounds the tries of one request, those included that never left.
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -69,13 +68,12 @@
 	mu      sync.Mutex
 	records map[string]*record
 	floors  map[string]time.Duration // quickest first events of late, by model
-	slow    map[string]float64       // part of the first events that came slowly, by model
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a number in
 // [0, n).
 func NewPicker(zone string, uniform func(n int) int) *Picker {
-	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}, slow: map[string]float64{}}
+	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}}
 }
 
 // pick takes the least loaded target that was not tried, nil if there is none.
@@ -235,61 +233,6 @@
 	p.floors[model] = floor + time.Duration(floorRise*float64(first-floor))
 }
 
-// Parameters of telling a crowded model.
-const (
-	// slowMemory is the weight of the newest first event: about the last fifty count.
-	slowMemory = 0.02
-	// crowdedFrom is the part of slow first events from which replicas are asked for
-	// their load before one is chosen. Asking has its price; below, it gains nothing.
-	crowdedFrom = 0.04
-)
-
-// began notes whether a first event came slowly.
-func (p *Picker) began(model string, slowly bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v := 0.0
-	if slowly {
-		v = 1
-	}
-	p.slow[model] += slowMemory * (v - p.slow[model])
-}
-
-// crowded tells whether so many first events of a model come slowly that it pays
-// to ask replicas for their load.
-func (p *Picker) crowded(model string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.slow[model] > crowdedFrom
-}
-
-// two returns the two least loaded targets that were not tried, as far as this
-// daemon knows; fewer if there are none.
-func (p *Picker) two(targets []target, tried map[string]bool, now time.Time) []target {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	type scored struct {
-		target target
-		score  float64
-	}
-	var list []scored
-	for _, t := range targets {
-		if !tried[t.instance] {
-			list = append(list, scored{t, p.score(&t, now)})
-		}
-	}
-	for i := range list { // ties in random order
-		j := i + p.uniform(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-	}
-	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	var out []target
-	for _, s := range list[:min(2, len(list))] {
-		out = append(out, s.target)
-	}
-	return out
-}
-
 // Floor returns the quickest first event that a model showed of late: what a
 // stream takes where nothing waits before it. 0: not known.
 func (p *Picker) Floor(model string) time.Duration {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,12 +76,7 @@
 	x.replicas, x.floor = len(targets), min(picker.Floor(x.req.Model), objective)
 	var known bool
 	x.expected, known = picker.soonest(targets, x.now)
-	return objective > 0 && known && x.expected > x.admitted()
-}
-
-// admitted is the longest first event that a new stream may be expected to take.
-func (x *exchange) admitted() time.Duration {
-	return x.floor + time.Duration(queueShare*float64(x.route.Objective-x.floor))
+	return objective > 0 && known && x.expected > x.floor+time.Duration(queueShare*float64(objective-x.floor))
 }
 
 // run makes one send; true: the request is answered, or cut for good.
@@ -239,7 +234,6 @@
 		x.gateway.Picker.progressed(t, now)
 		if !watch.begun.Swap(true) {
 			x.gateway.Picker.runs(t, x.req.Model, sent, now)
-			x.gateway.Picker.began(x.req.Model, now.Sub(sent) > x.admitted())
 		}
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
