--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
 )
 
 // Periods of following the instances' entries.
@@ -228,7 +229,7 @@
 			list = true
 			continue
 		case r.err != nil:
-			pause(ctx, retry)
+			pause.For(ctx, retry)
 			retry = min(2*retry, retryMost)
 			continue
 		}
@@ -246,9 +247,9 @@
 	if f.Drain != nil && f.Drain() > 0 {
 		whole = time.Duration(drainPart * float64(f.Drain()))
 	}
-	pause(ctx, closePause)
+	pause.For(ctx, closePause)
 	for waited := closePause; waited < whole && (f.Closely == nil || !f.Closely()); waited += closePause {
-		pause(ctx, closePause)
+		pause.For(ctx, closePause)
 	}
 }
 
@@ -277,13 +278,3 @@
 	close(done)
 	return r, broken.Load()
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
 )
 
@@ -104,7 +105,7 @@
 				taken <- struct{}{}
 			}
 		}
-		pause(ctx, renewEvery)
+		pause.For(ctx, renewEvery)
 	}
 	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
@@ -149,15 +150,6 @@
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // viewFor is how old a view's proof may be for planning: two calls that follow
 // the entries, and some time for slow answers.
 const viewFor = 8 * time.Second
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -84,15 +84,12 @@
 	forming map[fleet.Key]*forming
 	sent    map[sentKey]time.Time
 	left    map[string]fleet.Key // groups that instances left, until their entries show it
-	asked   map[fleet.Key]bool   // heads that an order to leave was sent to, and ended
 	doubled map[string]time.Time // when a join was last sent again, by instance
 	staging map[string]staging   // by instance
 	given   map[string]string    // model of each domain
 	// domainSize is the most instances seen in one domain.
 	domainSize int
 	closing    map[fleet.Key]time.Time // when a group was first asked to close
-	heads      map[fleet.Key]string    // last known head of each group
-	headless   map[fleet.Key]time.Time
 }
 
 type sentKey struct {
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
 )
 
 // countedFeed counts the calls to the store by kind and outcome.
@@ -91,7 +92,7 @@
 // tell logs the number of calls regularly.
 func (c *countedFeed) tell(ctx context.Context, log *zap.Logger) {
 	for ctx.Err() == nil {
-		pause(ctx, tellEvery)
+		pause.For(ctx, tellEvery)
 		fields := make([]zap.Field, 0, callKinds)
 		for kind, name := range callNames {
 			fields = append(fields, zap.Uint64(name, c.total[kind].Load()))
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -10,6 +10,7 @@
 
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
 )
 
@@ -86,7 +87,7 @@
 		default:
 			wait, retry = retry, min(2*retry, retryMost)
 		}
-		pause(ctx, max(wait, firstPause))
+		pause.For(ctx, max(wait, firstPause))
 	}
 }
 
@@ -123,12 +124,3 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("workspaces", len(c.Workspaces)))
 	f.changed()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	"pearlanding/internal/formation"
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/upstream"
 )
@@ -60,9 +61,6 @@
 	// memoryShare is the part of the process's memory at which the collector works
 	// harder.
 	memoryShare = 0.6
-	// connectionShare is the part of an instance's connections one daemon may hold.
-	connectionShare = 0.1
-	minConnections  = 24
 	// proofMargin is taken off the age up to which a configuration's proof counts.
 	proofMargin = 100 * time.Millisecond
 )
@@ -182,7 +180,7 @@
 
 func (d *Daemon) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepEvery)
+		pause.For(ctx, sweepEvery)
 		now := time.Now()
 		d.pool.Sweep(now)
 		d.picker.Sweep(now)
--- a/internal/objectapi/platform.go
+++ b/internal/objectapi/objectapi.go
@@ -19,18 +19,18 @@
 // Errors of the object API. Compare with errors.Is.
 const (
 	// ErrNotFound: no such object; nothing was applied.
-	ErrNotFound = errors.ConstError("platform: object not found")
+	ErrNotFound = errors.ConstError("objectapi: object not found")
 	// ErrConflict: the version given is not the current one, or the object to
 	// create exists already; nothing was applied.
-	ErrConflict = errors.ConstError("platform: version conflict")
+	ErrConflict = errors.ConstError("objectapi: version conflict")
 	// ErrUnavailable: the platform could not be reached or refused the call;
 	// nothing was applied.
-	ErrUnavailable = errors.ConstError("platform: unavailable")
+	ErrUnavailable = errors.ConstError("objectapi: unavailable")
 	// ErrUnknownOutcome: the write was sent and no whole answer came back; it
 	// may have been applied. Read back before anything else.
-	ErrUnknownOutcome = errors.ConstError("platform: outcome unknown")
+	ErrUnknownOutcome = errors.ConstError("objectapi: outcome unknown")
 	// ErrTooLarge: the value exceeds MaxValueBytes; nothing was applied.
-	ErrTooLarge = errors.ConstError("platform: value too large")
+	ErrTooLarge = errors.ConstError("objectapi: value too large")
 )
 
 // Object is one versioned value. Version is the platform-wide revision of its
