--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -22,9 +22,6 @@
 			byDomain[in.Domain] = append(byDomain[in.Domain], in)
 		}
 	}
-	for _, list := range byDomain {
-		p.domainSize = max(p.domainSize, len(list))
-	}
 	out := assignment{}
 	lacking := p.targets(engine, len(byDomain)) // in domains: they are of about one size
 	zones := map[string]map[string]int{}        // zone, model: domains
@@ -56,15 +53,17 @@
 
 // standing is the part of its capacity that a model loses for each member of its
 // groups, as one dead member makes the whole group stand. Source: a pair of sixty
-// engines lost every three seconds, and about five seconds until a group forms again.
-const standing = 0.05
+// engines lost every three seconds, and about half a second to two until a group
+// with a spare at hand forms again. 0.05, and more for domains that large groups
+// fill badly, left the models of small groups short.
+const standing = 0.02
 
 // targets splits a total by the models' shares of the work. Models with larger
-// groups get more: they stand more often, and fill a domain less well.
+// groups get a little more.
 func (p *Planner) targets(engine *routes.Engine, total int) map[string]float64 {
 	out, sum := map[string]float64{}, 0.0
 	for _, m := range engine.Models {
-		out[m.Name] = max(m.Share, leastShare) * (1 + standing*float64(m.Size)) / packing(p.domainSize, m.Size)
+		out[m.Name] = max(m.Share, leastShare) * (1 + standing*float64(m.Size))
 		sum += out[m.Name]
 	}
 	for name, weight := range out {
@@ -76,14 +75,6 @@
 // leastShare stands in for a share that is not told.
 const leastShare = 0.01
 
-// packing is the part of a domain that groups of a size can fill.
-func packing(domain, size int) float64 {
-	if size <= 0 || domain < size {
-		return 1
-	}
-	return float64(domain/size*size) / float64(domain)
-}
-
 // held returns the model that most of a domain's instances hold, if they are
 // enough for a group.
 func (p *Planner) held(instances []*fleet.Instance, engine *routes.Engine) (routes.Model, bool) {
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -83,13 +83,11 @@
 	loads   []time.Time // begun within the window
 	forming map[fleet.Key]*forming
 	sent    map[sentKey]time.Time
-	left    map[string]fleet.Key // groups that instances left, until their entries show it
-	doubled map[string]time.Time // when a join was last sent again, by instance
-	staging map[string]staging   // by instance
-	given   map[string]string    // model of each domain
-	// domainSize is the most instances seen in one domain.
-	domainSize int
-	closing    map[fleet.Key]time.Time // when a group was first asked to close
+	left    map[string]fleet.Key    // groups that instances left, until their entries show it
+	doubled map[string]time.Time    // when a join was last sent again, by instance
+	staging map[string]staging      // by instance
+	given   map[string]string       // model of each domain
+	closing map[fleet.Key]time.Time // when a group was first asked to close
 }
 
 type sentKey struct {
