--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -57,3 +57,14 @@
 		}
 	})
 }
+
+func TestBudgetOfAnEarlierWindowIsGone(t *testing.T) {
+	var b Budget
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		b.Request(testRule, now)
+	}
+	must.Positive(t, b.Left(testRule, now)-budgetStart)
+	later := now.Add(testRule.Window + time.Second)
+	must.Eq(t, float64(budgetStart), b.Left(testRule, later))
+}
