Embedded system: daemons listen before they are told their addresses

Cause, by reading: internal/embedded chose a free port, closed it and let the daemon open it later, so any process could take it between. The daemon's error went into a channel that only the clean-up read, so a waiter saw 'not ready' after 30 s. Ruled out: the engines' stand-ins, which keep their listeners open.

--- a/cmd/pearlanding/serve.go
+++ b/cmd/pearlanding/serve.go
@@ -33,7 +33,12 @@
 		return fail(err)
 	}
 	d := daemon.New(s, objectapi.NewClient(s.Platform.URL, s.Platform.Timeout), log)
-	if err := d.Run(ctx); err != nil {
+	listeners, err := daemon.Listen(s.Listen)
+	if err != nil {
+		log.Error("not started", zap.Error(err))
+		return exitRefused
+	}
+	if err := d.Run(ctx, listeners); err != nil {
 		log.Error("stopped", zap.Error(err))
 		return exitRefused
 	}
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -25,7 +25,11 @@
 	Append(ctx context.Context, req AppendRequest) (AppendReply, error)
 }
 
-// Serve answers peers on the listener until ctx ends.
+// errListenerEnded: the listener was closed while it was still needed.
+const errListenerEnded = errors.ConstError("cluster: the peers' listener closed")
+
+// Serve answers peers on the listener until ctx ends. It always returns an error
+// if it ends earlier: a daemon that no peer can reach must not go on.
 func Serve(ctx context.Context, listener net.Listener, h Handler) error {
 	methods := handler.Map{
 		MethodSync:   handler.New(h.Sync),
@@ -39,6 +43,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
+	if err == nil { // the library takes a closed listener for a planned end
+		err = errListenerEnded
+	}
 	return errors.Trace(err)
 }
 
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -16,14 +16,8 @@
 	Write time.Duration // for each write
 }
 
-// Listen listens on an address; its connections are bounded.
-func Listen(address string, l Limits) (net.Listener, error) {
-	inner, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &listener{inner, l}, nil
-}
+// Bound returns a listener whose connections are bounded.
+func Bound(inner net.Listener, l Limits) net.Listener { return &listener{inner, l} }
 
 type listener struct {
 	net.Listener
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -13,8 +13,9 @@
 // pair returns a bounded connection and its peer.
 func pair(t *testing.T, l Limits) (net.Conn, net.Conn) {
 	t.Helper()
-	listener, err := Listen("127.0.0.1:0", l)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	listener := Bound(inner, l)
 	t.Cleanup(func() { listener.Close() })
 	peer, err := net.Dial("tcp", listener.Addr().String())
 	must.NoError(t, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,14 +152,11 @@
 // Control gives access to the control state.
 func (d *Daemon) Control() *control.Control { return d.control }
 
-// Run serves until ctx ends, then stops in order: it admits nothing new,
-// finishes what it has, gives up its slot and ends. It returns early when its
-// slot is taken by another process or a listener fails.
-func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := d.listen()
-	if err != nil {
-		return err
-	}
+// Run serves on the listeners, which it closes, until ctx ends, then stops in
+// order: it admits nothing new, finishes what it has, gives up its slot and ends.
+// It returns early when its slot is taken by another process or a listener fails.
+func (d *Daemon) Run(ctx context.Context, listeners *Listeners) error {
+	d.serveHTTP(listeners)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	failed := make(chan error, 4)
 	var wg sync.WaitGroup
@@ -172,7 +169,7 @@
 	start(d.manager.Run)
 	start(d.prober.Run)
 	start(func(ctx context.Context) {
-		report(failed, cluster.Serve(ctx, listener, &peerHandler{d.control, d.ledger}))
+		report(failed, cluster.Serve(ctx, listeners.Peers, &peerHandler{d.control, d.ledger}))
 	})
 	registering, stopRegistering := context.WithCancel(background)
 	wg.Go(func() { report(failed, d.membership.registerLoop(registering)) })
@@ -180,15 +177,15 @@
 	go func() { report(failed, d.operators.Run()) }()
 	d.log.Info("serving", zap.String("callers", d.settings.Listen.Callers), zap.String("operators", d.settings.Listen.Operators),
 		zap.String("peers", d.settings.Listen.Peers))
+	var err error
 	select {
 	case <-ctx.Done():
-		err = nil
 	case err = <-failed:
 	}
 	stopRegistering()
 	d.stop(background)
 	cancel()
-	listener.Close()
+	listeners.Close()
 	d.peers.Close()
 	wg.Wait()
 	return err
@@ -197,27 +194,49 @@
 // idleTimeout is how long a connection without a request is kept.
 const idleTimeout = time.Minute
 
-// listen opens all three listeners, so that a taken address is an error at once.
-// It returns the peers'.
-func (d *Daemon) listen() (net.Listener, error) {
-	l := connlimit.Limits{Idle: idleTimeout, Read: d.settings.Limits.ReadTimeout, Write: d.settings.Limits.WriteTimeout}
-	callers, err := connlimit.Listen(d.settings.Listen.Callers, l)
-	if err != nil {
-		return nil, errors.Annotate(err, "callers' listener")
-	}
-	operators, err := connlimit.Listen(d.settings.Listen.Operators, l)
-	if err != nil {
-		callers.Close()
-		return nil, errors.Annotate(err, "operators' listener")
+// Listeners are a daemon's open listening sockets.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Listen opens all three listeners, so that a taken address is an error at once,
+// with nothing left open.
+func Listen(addresses settings.Listen) (*Listeners, error) {
+	l := &Listeners{}
+	for _, open := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"callers", addresses.Callers, &l.Callers},
+		{"operators", addresses.Operators, &l.Operators},
+		{"peers", addresses.Peers, &l.Peers},
+	} {
+		opened, err := net.Listen("tcp", open.address)
+		if err != nil {
+			l.Close()
+			return nil, errors.Annotatef(err, "listener for %s", open.name)
+		}
+		*open.to = opened
 	}
-	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
-	if err != nil {
-		callers.Close()
-		operators.Close()
-		return nil, errors.Annotate(err, "peers' listener")
+	return l, nil
+}
+
+// Close closes those that are open.
+func (l *Listeners) Close() {
+	for _, open := range []net.Listener{l.Callers, l.Operators, l.Peers} {
+		if open != nil {
+			open.Close()
+		}
 	}
-	d.callers, d.operators = d.api.Server(callers), d.operator.Server(operators)
-	return peers, nil
+}
+
+// serveHTTP makes the servers for callers and operators over the open listeners.
+func (d *Daemon) serveHTTP(l *Listeners) {
+	limits := connlimit.Limits{Idle: idleTimeout, Read: d.settings.Limits.ReadTimeout, Write: d.settings.Limits.WriteTimeout}
+	d.callers = d.api.Server(connlimit.Bound(l.Callers, limits))
+	d.operators = d.operator.Server(connlimit.Bound(l.Operators, limits))
 }
 
 func report(failed chan<- error, err error) {
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -55,6 +55,10 @@
 	Settings settings.Settings
 	Stop     context.CancelFunc // clean stop
 	Done     chan error
+
+	listeners *daemon.Listeners
+	ended     context.CancelCauseFunc // ends whoever waits for it to be ready
+	life      context.Context
 }
 
 // System is a running embedded system.
@@ -123,41 +127,68 @@
 
 // AddDaemon starts one more daemon.
 func (s *System) AddDaemon() (*Running, error) {
-	text := s.settingsText(len(s.Daemons) + 1)
+	r, err := s.prepareDaemon()
+	if err != nil {
+		return nil, err
+	}
+	r.launch(s.ctx)
+	s.Daemons = append(s.Daemons, r)
+	return r, nil
+}
+
+// prepareDaemon makes one more daemon with its listeners open.
+func (s *System) prepareDaemon() (*Running, error) {
+	listeners, err := daemon.Listen(settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort})
+	if err != nil {
+		return nil, err
+	}
 	var list findings.List
-	parsed := settings.Parse("embedded.ini", []byte(text), &list)
+	parsed := settings.Parse("embedded.ini", []byte(s.settingsText(len(s.Daemons)+1, listeners)), &list)
 	if err := list.Err(); err != nil {
+		listeners.Close()
 		return nil, err
 	}
 	log := s.Options.Log
 	if log == nil {
 		log = zap.NewNop()
 	}
-	ctx, stop := context.WithCancel(s.ctx)
 	d := daemon.New(parsed, objectapi.NewClient(s.PlatformURL, parsed.Platform.Timeout), log)
-	r := &Running{Daemon: d, Settings: parsed, Stop: stop, Done: make(chan error, 1)}
-	go func() { r.Done <- d.Run(ctx) }()
-	s.Daemons = append(s.Daemons, r)
-	return r, nil
+	return &Running{Daemon: d, Settings: parsed, Done: make(chan error, 1), listeners: listeners}, nil
 }
 
-// freePort finds a port that is free now.
-func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0
+// launch runs the daemon until ctx ends or Stop is called.
+func (r *Running) launch(ctx context.Context) {
+	ctx, r.Stop = context.WithCancel(ctx)
+	r.life, r.ended = context.WithCancelCause(context.WithoutCancel(ctx))
+	go func() {
+		err := r.Run(ctx, r.listeners)
+		r.ended(errors.Annotate(err, "daemon ended"))
+		r.Done <- err
+	}()
+}
+
+// Ready waits until the daemon admits requests. The error tells why it ended, if
+// it did.
+func (r *Running) Ready(ctx context.Context) error {
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(r.life, func() { cancel(context.Cause(r.life)) })()
+	if err := r.Daemon.Ready(waiting); err != nil {
+		return errors.Annotate(context.Cause(waiting), "daemon not ready")
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return nil
 }
 
-func (s *System) settingsText(n int) string {
+// anyPort is a loopback address whose port the system chooses.
+const anyPort = "127.0.0.1:0"
+
+func (s *System) settingsText(n int, l *daemon.Listeners) string {
 	values := map[string]map[string]string{
 		"daemon": {"name": fmt.Sprintf("entry-%d", n), "place": Place, "domain": Domain},
 		"listen": {
-			"callers":   fmt.Sprintf("127.0.0.1:%d", freePort()),
-			"operators": fmt.Sprintf("127.0.0.1:%d", freePort()),
-			"peers":     fmt.Sprintf("127.0.0.1:%d", freePort()),
+			"callers":   l.Callers.Addr().String(),
+			"operators": l.Operators.Addr().String(),
+			"peers":     l.Peers.Addr().String(),
 		},
 		"platform": {"url": s.PlatformURL},
 	}
@@ -223,7 +254,7 @@
 func (s *System) WaitServing(ctx context.Context) error {
 	for _, d := range s.Daemons {
 		if err := d.Ready(ctx); err != nil {
-			return errors.Annotate(err, "daemon not ready")
+			return err
 		}
 	}
 	if _, err := s.Daemons[0].Operator().Apply(ctx, "embedded.ini", []byte(s.Configuration())); err != nil {
