--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -5,8 +5,11 @@
 package cluster
 
 import (
+	"context"
 	"encoding/json"
 
+	"github.com/creachadair/jrpc2/handler"
+
 	"pearlanding/internal/group"
 	"pearlanding/internal/ledger"
 	"pearlanding/internal/revision"
@@ -19,6 +22,22 @@
 	MethodAppend = "ledger.append"
 )
 
+// Handler answers the calls of peers. Methods run on many goroutines.
+type Handler interface {
+	Sync(ctx context.Context, req SyncRequest) (SyncReply, error)
+	Offer(ctx context.Context, head HeadCopy) (OfferReply, error)
+	Append(ctx context.Context, req AppendRequest) (AppendReply, error)
+}
+
+// Methods returns the handler's methods by name.
+func Methods(h Handler) handler.Map {
+	return handler.Map{
+		MethodSync:   handler.New(h.Sync),
+		MethodOffer:  handler.New(h.Offer),
+		MethodAppend: handler.New(h.Append),
+	}
+}
+
 // SyncRequest asks a peer for what it knows; From says what the asker has, so
 // that only what is newer comes back.
 type SyncRequest struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"pearlanding/internal/operator"
 	"pearlanding/internal/revision"
 	"pearlanding/internal/router"
+	"pearlanding/internal/rpc"
 	"pearlanding/internal/settings"
 	"pearlanding/internal/telemetry"
 	"pearlanding/internal/upstream"
@@ -42,7 +43,7 @@
 	operator   *operator.Operator
 	callers    *server.Hertz
 	operators  *server.Hertz
-	peers      *cluster.Peers
+	peers      *rpc.Peers
 	manager    *group.Manager
 	prober     *group.Prober
 }
@@ -71,7 +72,7 @@
 	log = log.With(zap.String("daemon", s.Daemon.Name))
 	cfg := control.Config{Slot: s.Daemon.Name, Incarnation: incarnation, SyncInterval: s.Timing.SyncInterval,
 		AdmissionLease: s.Timing.AdmissionLease, EvidenceAge: s.Timing.EvidenceAge}
-	d := &Daemon{settings: s, log: log, peers: cluster.NewPeers(s.Timing.SyncInterval * 2)}
+	d := &Daemon{settings: s, log: log, peers: rpc.NewPeers(s.Timing.SyncInterval * 2)}
 	d.control = control.New(cfg, func() cluster.DaemonLoad { return cluster.DaemonLoad{InUse: gate.InUse()} })
 	d.membership = &membership{
 		cfg: cfg, store: counted, control: d.control, peers: d.peers, log: log, started: time.Now(),
@@ -169,7 +170,7 @@
 	start(d.manager.Run)
 	start(d.prober.Run)
 	start(func(ctx context.Context) {
-		report(failed, cluster.Serve(ctx, listeners.Peers, &peerHandler{d.control, d.ledger}))
+		report(failed, rpc.Serve(ctx, listeners.Peers, cluster.Methods(&peerHandler{d.control, d.ledger})))
 	})
 	registering, stopRegistering := context.WithCancel(background)
 	wg.Go(func() { report(failed, d.membership.registerLoop(registering)) })
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -13,6 +13,7 @@
 	"pearlanding/internal/control"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/revision"
+	"pearlanding/internal/rpc"
 )
 
 // membership keeps this daemon in the registry and in touch with its peers and
@@ -23,7 +24,7 @@
 	timing  membershipTiming
 	store   objectapi.Store
 	control *control.Control
-	peers   *cluster.Peers
+	peers   *rpc.Peers
 	log     *zap.Logger
 	started time.Time
 }
@@ -74,7 +75,7 @@
 	switch {
 	case err == nil && reply.Slot == slot:
 		m.control.Synced(reply, sent)
-	case errors.Is(err, cluster.ErrRefused):
+	case errors.Is(err, rpc.ErrRefused):
 		m.control.Refused(slot, sent)
 	}
 }
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -8,6 +8,7 @@
 	"pearlanding/internal/cluster"
 	"pearlanding/internal/control"
 	"pearlanding/internal/ledger"
+	"pearlanding/internal/rpc"
 )
 
 // peerHandler answers other daemons.
@@ -38,7 +39,7 @@
 // forwarder hands ledger records to the shard's preferred daemon.
 type forwarder struct {
 	control *control.Control
-	peers   *cluster.Peers
+	peers   *rpc.Peers
 }
 
 // Forward implements ledger.Forwarder.
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -11,6 +11,7 @@
 
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
+	"pearlanding/internal/steady"
 )
 
 // Periods of following the instances' entries.
@@ -19,16 +20,12 @@
 	// its history a watch may hear nothing until it ends, so this bounds how long
 	// changes are missed.
 	followWait = 3 * time.Second
-	// followPause follows each call that brought changes, so that a burst of them
-	// costs one call and not one each, where the deployment sets no bound on
-	// leaving instances.
+	// followPause follows each call that brought changes where nobody sets a pace,
+	// so that a burst of them costs one call and not one each.
 	followPause = 700 * time.Millisecond
-	// drainPart of that bound is the pause otherwise; as much again is for a slow
-	// answer.
-	drainPart = 0.4
-	// closePause is the same for the daemon that plans: each of its steps waits for
-	// what the one before changed.
-	closePause = 200 * time.Millisecond
+	// paceTick is how often the pace is asked for during a pause: it may become
+	// faster meanwhile.
+	paceTick = 200 * time.Millisecond
 	// retryPause follows a call that failed; it doubles with each further one up to
 	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 250 * time.Millisecond
@@ -49,11 +46,9 @@
 	Log    *zap.Logger
 	belief *Belief
 	view   atomic.Pointer[View]
-	// Closely asks for a short pause between calls.
-	Closely func() bool
-	// Drain is the bound until a leaving instance gets no more requests; 0: none.
-	Drain  func() time.Duration
-	proved atomic.Int64 // when the last call that succeeded was sent, unix nanoseconds
+	// Pace returns the pause after a call that brought changes; nil: followPause.
+	Pace   func() time.Duration
+	proved steady.Time // when the last call that succeeded was sent
 	change chan struct{}
 	sizes  chan struct{}
 	list   chan struct{}
@@ -80,7 +75,7 @@
 }
 
 // Proved returns when the call was sent that last brought the view up to date.
-func (f *Follower) Proved() time.Time { return time.Unix(0, f.proved.Load()) }
+func (f *Follower) Proved() time.Time { return f.proved.Load() }
 
 // Refresh asks for a whole listing now: unlike a watch it can't have missed
 // anything.
@@ -91,13 +86,12 @@
 	}
 }
 
-// result is what one call to the store brought.
+// result is what one call brought.
 type result struct {
-	listing  *objectapi.Listing
-	events   []objectapi.Event
-	revision uint64 // to go on from after the events
-	asked    time.Time
-	err      error
+	listing *objectapi.Listing
+	changes objectapi.Changes
+	proved  time.Time // when the store was asked for it, at the latest
+	err     error
 }
 
 // Run follows until ctx ends.
@@ -143,15 +137,17 @@
 	if r.listing != nil {
 		f.replace(r.listing, now)
 	}
-	for _, e := range r.events {
+	for _, e := range r.changes.Events {
 		f.apply(e, now)
 	}
-	if len(r.events) > 0 {
-		f.belief.Advance(r.revision)
+	if len(r.changes.Events) > 0 {
+		f.belief.Advance(r.changes.Revision)
 	}
-	f.proved.Store(r.asked.UnixNano())
-	if r.listing != nil || len(r.events) > 0 {
-		f.publish(r.asked)
+	if r.proved.After(f.proved.Load()) {
+		f.proved.Store(r.proved)
+	}
+	if r.listing != nil || len(r.changes.Events) > 0 {
+		f.publish(r.proved)
 	}
 }
 
@@ -234,28 +230,29 @@
 			continue
 		}
 		list, retry = false, retryPause
-		if len(r.events) > 0 {
+		if len(r.changes.Events) > 0 {
 			f.rest(ctx)
 		}
 	}
 }
 
-// rest pauses after a call that brought changes; a daemon that begins to plan
-// meanwhile goes on at once.
+// rest pauses after a call that brought changes, no longer than the pace allows
+// at any moment of the pause.
 func (f *Follower) rest(ctx context.Context) {
-	whole := followPause
-	if f.Drain != nil && f.Drain() > 0 {
-		whole = time.Duration(drainPart * float64(f.Drain()))
+	pace := func() time.Duration { return followPause }
+	if f.Pace != nil {
+		pace = f.Pace
 	}
-	pause.For(ctx, closePause)
-	for waited := closePause; waited < whole && (f.Closely == nil || !f.Closely()); waited += closePause {
-		pause.For(ctx, closePause)
+	for waited := time.Duration(0); waited < pace() && ctx.Err() == nil; {
+		step := min(paceTick, pace()-waited)
+		pause.For(ctx, step)
+		waited += step
 	}
 }
 
 // once makes one call; listAsked tells that a watch was broken off for a listing.
 func (f *Follower) once(ctx context.Context, list bool, revision uint64) (r result, listAsked bool) {
-	r = result{asked: time.Now()}
+	r = result{proved: time.Now()}
 	if list {
 		var l objectapi.Listing
 		l, r.err = f.Feed.ListKind(ctx, f.Kind)
@@ -274,7 +271,8 @@
 		case <-done:
 		}
 	}()
-	r.events, r.revision, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	r.proved = r.proved.Add(-r.changes.Age)
 	close(done)
 	return r, broken.Load()
 }
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -26,6 +26,7 @@
 type followAnswer struct {
 	events   []objectapi.Event
 	revision uint64
+	age      time.Duration
 	err      error
 }
 
@@ -38,18 +39,18 @@
 	}
 }
 
-func (f *scriptedFeed) Follow(ctx context.Context, _ string, after uint64, _ time.Duration) ([]objectapi.Event, uint64, error) {
+func (f *scriptedFeed) Follow(ctx context.Context, _ string, after uint64, _ time.Duration) (objectapi.Changes, error) {
 	call := followCall{after, make(chan followAnswer, 1)}
 	select {
 	case f.follows <- call:
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return objectapi.Changes{}, ctx.Err()
 	}
 	select {
 	case a := <-call.answer:
-		return a.events, a.revision, a.err
+		return objectapi.Changes{Events: a.events, Revision: a.revision, Age: a.age}, a.err
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return objectapi.Changes{}, ctx.Err()
 	}
 }
 
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -34,6 +34,9 @@
 	// ceiling on loads.
 	Idle   func() bool
 	Window func() time.Duration
+	// Relayed tells that this daemon follows the instances through another one, which
+	// then looks for work that nobody does; nil: it does not.
+	Relayed func() bool
 	// Still lists the instances whose streams stand still for this daemon.
 	Still func(now time.Time) []string
 	Log   *zap.Logger
@@ -117,8 +120,10 @@
 	// lookEvery is how often it is looked at when all seems well.
 	lookEvery = 20 * time.Second
 	// neglectAfter is how long work may stand before the lease is looked at. Most
-	// of a planner's steps take less.
-	neglectAfter = 800 * time.Millisecond
+	// of a planner's steps take less. A daemon that follows through another one
+	// leaves that to it for longer, or hundreds would look at once.
+	neglectAfter   = 800 * time.Millisecond
+	neglectRelayed = 5 * time.Second
 	// noticeEvery is how often work that stands is looked for.
 	noticeEvery = 400 * time.Millisecond
 )
@@ -130,7 +135,11 @@
 	} else if m.standing.IsZero() {
 		m.standing = now
 	}
-	m.neglected.Store(!m.standing.IsZero() && now.Sub(m.standing) > neglectAfter)
+	patience := neglectAfter
+	if m.Relayed != nil && m.Relayed() {
+		patience = neglectRelayed
+	}
+	m.neglected.Store(!m.standing.IsZero() && now.Sub(m.standing) > patience)
 }
 
 // workStands tells whether a planner that knew nothing but the view would give an
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,27 +17,25 @@
 	"pearlanding/internal/pause"
 )
 
-// countedFeed counts the calls to the store by kind and outcome.
+// countedFeed counts the calls to the store by call, kind of object and outcome.
 type countedFeed struct {
 	objectapi.Feed
 	set   *metrics.Set
-	total [callKinds]atomic.Uint64
+	mu    sync.Mutex
+	total map[string]uint64 // by call and kind
 }
 
-// Kinds of calls.
-const (
-	callGet = iota
-	callList
-	callFollow
-	callWrite
-	callKinds
-)
-
-var callNames = [callKinds]string{"get", "list", "follow", "write"}
+func newCountedFeed(feed objectapi.Feed, set *metrics.Set) *countedFeed {
+	return &countedFeed{Feed: feed, set: set, total: map[string]uint64{}}
+}
 
-func (c *countedFeed) count(kind int, err error) {
-	c.total[kind].Add(1)
-	c.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_store_calls_total{call=%q,outcome=%q}", callNames[kind], outcome(err))).Inc()
+// count notes one call about an object or a kind of objects.
+func (c *countedFeed) count(call, key string, err error) {
+	kind, _, _ := strings.Cut(key, "/")
+	c.mu.Lock()
+	c.total[call+" "+kind]++
+	c.mu.Unlock()
+	c.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_store_calls_total{call=%q,kind=%q,outcome=%q}", call, kind, outcome(err))).Inc()
 }
 
 // outcome names an error of the store for a metric.
@@ -54,35 +55,35 @@
 // Get implements objectapi.Feed.
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	o, err := c.Feed.Get(ctx, key)
-	c.count(callGet, err)
+	c.count("get", key, err)
 	return o, err
 }
 
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
 	l, err := c.Feed.ListKind(ctx, kind)
-	c.count(callList, err)
+	c.count("list", kind, err)
 	return l, err
 }
 
 // Follow implements objectapi.Feed.
-func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectapi.Event, uint64, error) {
-	events, revision, err := c.Feed.Follow(ctx, kind, after, wait)
-	c.count(callFollow, err)
-	return events, revision, err
+func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	changes, err := c.Feed.Follow(ctx, kind, after, wait)
+	c.count("follow", kind, err)
+	return changes, err
 }
 
 // Create implements objectapi.Feed.
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
 	version, err := c.Feed.Create(ctx, key, value)
-	c.count(callWrite, err)
+	c.count("create", key, err)
 	return version, err
 }
 
 // Update implements objectapi.Feed.
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
 	v, err := c.Feed.Update(ctx, key, version, value)
-	c.count(callWrite, err)
+	c.count("update", key, err)
 	return v, err
 }
 
@@ -93,10 +94,12 @@
 func (c *countedFeed) tell(ctx context.Context, log *zap.Logger) {
 	for ctx.Err() == nil {
 		pause.For(ctx, tellEvery)
-		fields := make([]zap.Field, 0, callKinds)
-		for kind, name := range callNames {
-			fields = append(fields, zap.Uint64(name, c.total[kind].Load()))
+		c.mu.Lock()
+		fields := make([]zap.Field, 0, len(c.total))
+		for _, name := range slices.Sorted(maps.Keys(c.total)) {
+			fields = append(fields, zap.Uint64(name, c.total[name]))
 		}
+		c.mu.Unlock()
 		log.Info("store calls so far", fields...)
 	}
 }
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -22,15 +22,20 @@
 	// for a read that is lost.
 	configPart = 0.7
 	revokePart = 0.5
+	// relayPart of that time is what a relay takes: its peers count their proofs from
+	// its reads, and must hear of the next one before they ask themselves.
+	relayPart = 0.5
 	// defaultRead stands in where the deployment sets neither bound.
 	defaultRead = 2 * time.Second
 	// retryPause follows a read that failed; it doubles with each further one up to
 	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 300 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
-	// firstPause follows a read that found no configuration: groups should form as
-	// soon as there is one.
-	firstPause = 100 * time.Millisecond
+	// leastPause is kept between any two reads.
+	leastPause = 100 * time.Millisecond
+	// firstPause follows a read that found no configuration. The daemon that plans
+	// asks again after leastPause: groups should form as soon as there is one.
+	firstPause = 500 * time.Millisecond
 )
 
 // readEvery is how often the whole configuration is read: each read is both the
@@ -57,7 +62,33 @@
 	lost    bool
 	bounds  func() Bounds
 	changed func() // called after another configuration came into force
-	current atomic.Pointer[gateway.Config]
+	// noted, if set, is told of every read: the object's version and when it was
+	// asked for. serving, if set, tells that peers count on these reads.
+	noted   func(version uint64, asked time.Time)
+	serving func() bool
+	// planning, if set, tells that this daemon forms the groups.
+	planning func() bool
+	heard    chan confirmation
+	current  atomic.Pointer[gateway.Config]
+}
+
+// confirmation is another daemon's word that the configuration's object had a
+// version at a time.
+type confirmation struct {
+	version uint64
+	proved  time.Time
+}
+
+// confirm takes in another daemon's word. It never blocks; only the newest counts.
+func (f *configFollower) confirm(version uint64, proved time.Time) {
+	select {
+	case <-f.heard:
+	default:
+	}
+	select {
+	case f.heard <- confirmation{version, proved}:
+	default:
+	}
 }
 
 // Current returns the configuration in force; its table is nil before the first.
@@ -78,19 +109,71 @@
 		asked := time.Now()
 		o, err := f.feed.Get(ctx, f.key)
 		f.take(o, err, asked)
-		wait := readEvery(f.bounds()) - time.Since(asked)
+		next := asked.Add(f.interval())
 		switch {
 		case err == nil:
 			retry = retryPause
 		case errors.Is(err, objectapi.ErrNotFound):
-			wait = firstPause
+			next = time.Now().Add(f.untilFirst())
 		default:
-			wait, retry = retry, min(2*retry, retryMost)
+			next, retry = time.Now().Add(retry), min(2*retry, retryMost)
 		}
-		pause.For(ctx, max(wait, firstPause))
+		pause.For(ctx, leastPause)
+		f.rest(ctx, next, err == nil)
 	}
 }
 
+// interval is the time between two reads, as long as nobody else confirms what is
+// in force.
+func (f *configFollower) interval() time.Duration {
+	every := readEvery(f.bounds())
+	if f.serving != nil && f.serving() {
+		every = time.Duration(relayPart * float64(every))
+	}
+	return every
+}
+
+// untilFirst is the pause after a read that found no configuration.
+func (f *configFollower) untilFirst() time.Duration {
+	if f.planning != nil && f.planning() {
+		return leastPause
+	}
+	return firstPause
+}
+
+// rest waits until it is time to read: when the proof gets old, or when another
+// daemon has seen a newer version and the store answered lately.
+func (f *configFollower) rest(ctx context.Context, next time.Time, reached bool) {
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case c := <-f.heard:
+			if c.version > f.version && reached {
+				return
+			}
+			if f.confirmed(c) {
+				timer.Reset(time.Until(c.proved.Add(f.interval())))
+			}
+		}
+	}
+}
+
+// confirmed makes a confirmation of the version in force its proof; false: it is
+// no news.
+func (f *configFollower) confirmed(c confirmation) bool {
+	current := f.Current()
+	if c.version != f.version || current.Table == nil || !c.proved.After(current.Proved) {
+		return false
+	}
+	f.current.Store(&gateway.Config{Table: current.Table, Proved: c.proved})
+	return true
+}
+
 // take takes one read. asked is when it was sent: it proves what it shows from
 // then on.
 func (f *configFollower) take(o objectapi.Object, err error, asked time.Time) {
@@ -101,6 +184,9 @@
 		}
 		return
 	}
+	if f.noted != nil {
+		f.noted(o.Version, asked)
+	}
 	if f.lost {
 		f.lost = false
 		f.log.Info("store reached again", zap.Uint64("version", o.Version))
@@ -110,7 +196,7 @@
 		f.log.Warn("older configuration ignored", zap.Uint64("version", o.Version), zap.Uint64("in_force", f.version))
 		return
 	case o.Version == f.version:
-		f.current.Store(&gateway.Config{Table: f.Table(), Proved: asked})
+		f.confirmed(confirmation{o.Version, asked})
 		return
 	}
 	c, err := f.decode(o.Value)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,7 +24,9 @@
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
+	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/rpc"
 	"pearlanding/internal/upstream"
 )
 
@@ -41,8 +43,30 @@
 	Prober         func(*upstream.Pool) formation.Prober
 }
 
-// leaseKey holds the lease of the daemon that plans groups, in a kind of our own.
-const leaseKey = "pearlanding-leases/groups"
+// Objects of our own in the store.
+const (
+	// leaseKey holds the lease of the daemon that plans groups.
+	leaseKey = "pearlanding-leases/groups"
+	// relayKind holds the record of each zone's relay, by the zone's name.
+	relayKind = "pearlanding-relays/"
+)
+
+// Pauses after news of instances.
+const (
+	// planPace is that of the daemon that plans: each of its steps waits for what the
+	// one before changed.
+	planPace = 200 * time.Millisecond
+	// relayPace is that of a relay, on which peers wait.
+	relayPace = 300 * time.Millisecond
+	// peerPace is that of a daemon that asks a relay, which costs no call to the
+	// store.
+	peerPace = 250 * time.Millisecond
+	// drainPart of the bound on leaving instances is the pause otherwise; as much
+	// again is for a slow answer.
+	drainPart = 0.4
+	// defaultPace stands in where there is no such bound.
+	defaultPace = 700 * time.Millisecond
+)
 
 // Figures of the daemon.
 const (
@@ -91,6 +115,8 @@
 	picker   *gateway.Picker
 	gateway  *gateway.Gateway
 	calls    *countedFeed
+	relay    *relay.Node // nil: this daemon has no address for peers
+	lease    *formation.Lease
 	stopping atomic.Bool
 }
 
@@ -101,7 +127,8 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	}
-	d.build(s)
+	holder := s.Node + "/" + uuid.NewString()
+	d.build(s, holder)
 	callers, err := net.Listen("tcp", s.Callers)
 	if err != nil {
 		return errors.Trace(err)
@@ -110,6 +137,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	var peers net.Listener
+	if d.relay != nil {
+		if peers, err = net.Listen("tcp", s.Peers); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	d.gateway = d.newGateway()
 	server := d.callersServer()
 	go d.serve(server, callers)
@@ -117,6 +150,9 @@
 	d.serveMetrics()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	if peers != nil {
+		go d.answerPeers(work, peers)
+	}
 	wait := d.background(ctx, work)
 	d.Log.Info("started", zap.String("node", s.Node), zap.String("zone", s.Zone), zap.String("callers", s.Callers))
 	<-ctx.Done()
@@ -126,20 +162,83 @@
 	return nil
 }
 
-func (d *Daemon) build(s Settings) {
-	d.calls = &countedFeed{Feed: d.Outside.Feed, set: d.Metrics}
+func (d *Daemon) build(s Settings, holder string) {
+	d.calls = newCountedFeed(d.Outside.Feed, d.Metrics)
 	d.Outside.Feed = d.calls
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
-		bounds: func() Bounds { return d.Settings().Bounds }}
+		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
+	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
+	d.config.planning = d.planning
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
-	d.fleet = fleet.NewFollower(d.Outside.Feed, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
+	entries := d.Outside.Feed
+	if s.Peers != "" {
+		d.relay = d.newRelay(s, holder)
+		entries, d.config.noted, d.config.serving = d.relay, d.relay.NoteConfig, d.relay.Serving
+	}
+	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
 	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", d.following)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
 }
 
+// Values of the metric that tells how this daemon follows the instances.
+const (
+	followsAlone   = 0
+	followsRelayed = 1
+	followsForAll  = 2
+)
+
+// following tells how this daemon follows the instances.
+func (d *Daemon) following() float64 {
+	switch {
+	case d.relay != nil && d.relay.Serving():
+		return followsForAll
+	case d.relay != nil && d.relay.Relayed():
+		return followsRelayed
+	}
+	return followsAlone
+}
+
+// newRelay joins the relays of this daemon's zone.
+func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
+	return relay.NewNode(relay.Options{
+		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + s.Zone, Holder: holder, Address: s.Peers,
+		Peers: relay.NewPeers(), Direct: d.planning, Confirm: d.config.confirm,
+		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
+		Now:     time.Now, Log: d.Log,
+	})
+}
+
+// answerPeers serves other daemons until ctx ends.
+func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	if err := rpc.Serve(ctx, l, d.relay.Methods()); err != nil {
+		d.Log.Error("peers not answered any more", zap.Error(err))
+	}
+}
+
+// planning tells whether this daemon forms the groups.
+func (d *Daemon) planning() bool { return d.lease.Held(time.Now()) != 0 }
+
+// pace is how long this daemon rests after news of instances.
+func (d *Daemon) pace() time.Duration {
+	bound := d.Settings().Bounds.Drain
+	switch {
+	case d.planning():
+		return planPace
+	case d.relay != nil && d.relay.Serving():
+		return relayPace
+	case d.relay != nil && d.relay.Relayed():
+		return peerPace
+	case bound <= 0:
+		return defaultPace
+	}
+	return time.Duration(drainPart * float64(bound))
+}
+
 // modelSize tells how many instances a replica of a model takes.
 func (d *Daemon) modelSize(service, model string) int {
 	table := d.config.Table()
@@ -157,8 +256,7 @@
 		group.Go(func() { f(ctx) })
 	}
 	manager := d.manager()
-	d.fleet.Closely = func() bool { return manager.Lease.Held(time.Now()) != 0 }
-	d.fleet.Drain = func() time.Duration { return d.Settings().Bounds.Drain }
+	d.fleet.Pace = d.pace
 	run(work, d.config.Run)
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
@@ -168,13 +266,13 @@
 }
 
 func (d *Daemon) manager() *formation.Manager {
-	holder := d.Settings().Node + "/" + uuid.NewString()
 	return &formation.Manager{
-		Lease:  &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log},
-		Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still, View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
-		Idle:   d.gateway.Idle,
-		Window: func() time.Duration { return d.Settings().Bounds.CeilingWindow },
-		Log:    d.Log,
+		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still,
+		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
+		Idle:    d.gateway.Idle,
+		Relayed: func() bool { return d.relay != nil && d.relay.Relayed() },
+		Window:  func() time.Duration { return d.Settings().Bounds.CeilingWindow },
+		Log:     d.Log,
 	}
 }
 
@@ -255,6 +353,9 @@
 func (d *Daemon) stop(server *http.Server) {
 	begun := time.Now()
 	d.stopping.Store(true)
+	if d.relay != nil {
+		d.relay.Close()
+	}
 	d.Log.Info("stopping", zap.String("decision", "not_ready"))
 	grace := d.Settings().Bounds.Grace
 	if grace <= 0 {
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -11,6 +11,7 @@
 	IP        string
 	Callers   string // address that serves callers
 	Readiness string // address asked whether this daemon takes connections
+	Peers     string // address that answers other daemons; empty: none may ask
 	Store     Store
 	Heartbeat time.Duration // between the writes of an instance's own entry
 	MaxFiles  int           // descriptors of the process
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -26,6 +26,17 @@
 	Revision uint64
 }
 
+// Changes are what a call of Follow brought.
+type Changes struct {
+	Events []Event // possibly none
+	// Revision is the store's revision to go on from after Events.
+	Revision uint64
+	// Age is how long before the answer the call was sent to the store that brought
+	// these changes; zero where the answer is the store's own. Counted back from when
+	// the caller asked, it is never too young.
+	Age time.Duration
+}
+
 // Feed is an object API that tells removals too and whose lists are current, not
 // lagging: what a daemon needs to follow whole kinds of objects. A key is
 // "kind/name". All methods are safe for concurrent use; errors are those of
@@ -36,8 +47,8 @@
 	// ListKind returns all objects of a kind.
 	ListKind(ctx context.Context, kind string) (Listing, error)
 	// Follow waits up to wait for changes of a kind after a revision. It returns
-	// them, possibly none, with the revision to go on from, or ErrCompacted.
-	Follow(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// them, possibly none, or ErrCompacted.
+	Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
 	// Create writes an object that must not exist and returns its version.
 	Create(ctx context.Context, key string, value []byte) (uint64, error)
 	// Update replaces the object if version is current and returns the new
--- /dev/null
+++ b/internal/relay/protocol.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/creachadair/jrpc2"
+	"github.com/creachadair/jrpc2/handler"
+
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/rpc"
+)
+
+// methodNews asks a relay for what is new.
+const methodNews = "relay.news"
+
+// codeNotRelaying is the error of a daemon that doesn't follow the store itself, or
+// can't reach it.
+const codeNotRelaying = jrpc2.Code(1)
+
+// NewsRequest asks for the changes after a revision, and for a read of the
+// configuration later than the one with the number ConfigSeq.
+type NewsRequest struct {
+	After     uint64 `json:"after"`
+	ConfigSeq uint64 `json:"config_seq"`
+	WaitMS    int64  `json:"wait_ms"` // how long to wait for either
+}
+
+// NewsReply is what a relay knows. Ages are in milliseconds before the reply was
+// made, rounded up; the asker counts them back from when it sent the request.
+type NewsReply struct {
+	Gap        bool     `json:"gap,omitempty"` // the changes are no longer known: list
+	Events     []change `json:"events,omitempty"`
+	Revision   uint64   `json:"revision"`
+	EntriesAge int64    `json:"entries_age_ms"`
+	// ConfigVersion is the version of the configuration's object; 0: not read yet.
+	ConfigVersion uint64 `json:"config_version"`
+	ConfigSeq     uint64 `json:"config_seq"`
+	ConfigAge     int64  `json:"config_age_ms"`
+}
+
+// change is one event on the wire.
+type change struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Removed bool            `json:"removed,omitempty"`
+}
+
+func toChanges(events []objectapi.Event) []change {
+	out := make([]change, 0, len(events))
+	for _, e := range events {
+		out = append(out, change{e.Object.Key, e.Object.Version, e.Object.Value, e.Removed})
+	}
+	return out
+}
+
+func fromChanges(changes []change) []objectapi.Event {
+	out := make([]objectapi.Event, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, objectapi.Event{Object: objectapi.Object{Key: c.Key, Version: c.Version, Value: c.Value}, Removed: c.Removed})
+	}
+	return out
+}
+
+// ageMS is the age of a proof in whole milliseconds, never too young.
+func ageMS(now, proved time.Time) int64 {
+	return int64(math.Ceil(float64(now.Sub(proved)) / float64(time.Millisecond)))
+}
+
+// Methods returns the calls that peers may make.
+func (n *Node) Methods() handler.Map { return handler.Map{methodNews: handler.New(n.news)} }
+
+// maxWait bounds how long a peer's call is held.
+const maxWait = 2 * time.Second
+
+// news answers a peer: at once if something is new, otherwise when something is or
+// the wait is over.
+func (n *Node) news(ctx context.Context, r NewsRequest) (NewsReply, error) {
+	n.askedAt.Store(n.now())
+	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
+	defer timer.Stop()
+	for expired := false; ; {
+		if !n.relaying() {
+			return NewsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
+		}
+		entries, config, news := n.history.state()
+		events, end, gap := n.history.after(r.After)
+		if expired || gap || len(events) > 0 || config.seq != r.ConfigSeq {
+			return n.reply(entries, config, events, end, gap), nil
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			expired = true
+		case <-ctx.Done():
+			return NewsReply{}, ctx.Err()
+		}
+	}
+}
+
+func (n *Node) reply(entries time.Time, config configProof, events []objectapi.Event, end uint64, gap bool) NewsReply {
+	now := n.now()
+	out := NewsReply{Gap: gap, Revision: end, EntriesAge: ageMS(now, entries), ConfigSeq: config.seq, ConfigVersion: config.version}
+	if !gap {
+		out.Events = toChanges(events)
+	}
+	if config.version != 0 {
+		out.ConfigAge = ageMS(now, config.proved)
+	}
+	return out
+}
+
+// Peers asks other daemons over JSON-RPC.
+type Peers struct{ rpc *rpc.Peers }
+
+// NewPeers returns a transport without connections.
+func NewPeers() *Peers { return &Peers{rpc: rpc.NewPeers(askWait + askMargin)} }
+
+// News implements Transport.
+func (p *Peers) News(ctx context.Context, address string, r NewsRequest) (NewsReply, error) {
+	var out NewsReply
+	err := p.rpc.Call(ctx, address, methodNews, r, &out)
+	return out, err
+}
+
+// Close ends all connections.
+func (p *Peers) Close() { p.rpc.Close() }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,284 @@
+// Package relay lets the daemons of one zone follow the store through one of them.
+// Every call to the store has its price and the store bounds their number; with
+// hundreds of daemons most calls would tell each of them the same.
+//
+// One daemon of a zone, named in a record of the store, follows it itself; the
+// others ask that one for the changes of the instances' entries and for how long
+// ago it saw which version of the configuration. A relay saves effort only. What
+// a daemon may believe rests on ages that it counts itself, from when it asked: a
+// proof that came through a relay is never taken for younger than it is, and who
+// hears nothing new in time asks the store itself, as if there were no relays. So
+// a relay that is dead, frozen, cut off or deaf costs calls, but breaks no bound.
+// The configuration itself is never relayed: keys stay between the store and each
+// daemon.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/steady"
+)
+
+// Times of following through a relay.
+const (
+	// askWait is how long a relay may hold a call, askMargin how much longer its
+	// answer may take. Together they bound what a silent relay costs; the shortest
+	// bound on news that deployments set is two seconds.
+	askWait   = 800 * time.Millisecond
+	askMargin = 300 * time.Millisecond
+	// staleAfter is the age at which a relay's proof shows that it is out of touch:
+	// it asks at least each servingWait and rests less than that after news.
+	staleAfter = 2 * time.Second
+	// servingWait is how long a relay's own watch waits. A watch may hear nothing,
+	// and each new one is a proof to its peers.
+	servingWait = time.Second
+	// servingFor is how long after a peer's call a relay still counts as asked.
+	servingFor = 3 * time.Second
+	// settle spreads the looks at the record by chance, so that the daemons that
+	// lose a relay together don't all write.
+	settleLeast = 300 * time.Millisecond
+	settleMost  = 1500 * time.Millisecond
+	// conflictLeast and conflictMost are the same after a lost race: the winner has
+	// begun to follow by then.
+	conflictLeast = 100 * time.Millisecond
+	conflictMost  = 300 * time.Millisecond
+	// recheckEvery is how often a relay looks whether the record still names it.
+	recheckEvery = 20 * time.Second
+)
+
+// errStale: the relay answered, but has not heard from the store for long.
+const errStale = errors.ConstError("relay: out of touch with the store")
+
+// record names the daemon that relays, in the store.
+type record struct {
+	Holder  string `json:"holder"`  // unique for each life of a process
+	Address string `json:"address"` // where it answers peers, IP:port
+}
+
+// Transport asks a relay at an address.
+type Transport interface {
+	News(ctx context.Context, address string, r NewsRequest) (NewsReply, error)
+}
+
+// Options of a Node; all are needed.
+type Options struct {
+	Store   objectapi.Feed
+	Kind    string // of the entries that are relayed
+	Key     string // of the zone's record
+	Holder  string // unique for each life of a process
+	Address string // where this daemon answers peers, IP:port
+	Peers   Transport
+	// Direct tells that this daemon must follow the store itself now.
+	Direct func() bool
+	// Confirm hands on that the configuration's object had a version at a time.
+	Confirm func(version uint64, proved time.Time)
+	// Uniform returns a duration in [least, most) by chance.
+	Uniform func(least, most time.Duration) time.Duration
+	Now     func() time.Time
+	Log     *zap.Logger
+}
+
+// Node is one daemon's part. It is an objectapi.Feed whose Follow goes through the
+// zone's relay where it can; everything else goes to the store. Follow and ListKind
+// of the relayed kind are called by one goroutine; the rest is safe for concurrent
+// use.
+type Node struct {
+	objectapi.Feed
+	o       Options
+	history *history
+	holding atomic.Bool // the record names this daemon, as far as it knows
+	reached atomic.Bool // the last call to the store for entries succeeded
+	closed  atomic.Bool // this daemon stops
+	askedAt steady.Time // when a peer asked last
+	via     atomic.Bool // the last call of Follow went through a relay
+
+	// State of the goroutine that calls Follow.
+	peer      string // the relay's address; empty: none that is known to work
+	suspect   string // a relay that failed
+	configSeq uint64 // last heard from peer
+	lookAt    time.Time
+}
+
+// NewNode returns a node that first follows the store itself.
+func NewNode(o Options) *Node {
+	return &Node{Feed: o.Store, o: o, history: newHistory(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
+}
+
+func (n *Node) now() time.Time { return n.o.Now() }
+
+// Serving tells whether peers ask this daemon.
+func (n *Node) Serving() bool {
+	return n.relaying() && n.now().Sub(n.askedAt.Load()) < servingFor
+}
+
+// Relayed tells whether this daemon follows through a relay.
+func (n *Node) Relayed() bool { return n.via.Load() }
+
+// Close sends peers elsewhere.
+func (n *Node) Close() { n.closed.Store(true) }
+
+func (n *Node) relaying() bool { return n.holding.Load() && n.reached.Load() && !n.closed.Load() }
+
+// NoteConfig takes in this daemon's own read of the configuration's object, for its
+// peers.
+func (n *Node) NoteConfig(version uint64, asked time.Time) { n.history.noteConfig(version, asked) }
+
+// ListKind implements objectapi.Feed.
+func (n *Node) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
+	asked := n.now()
+	l, err := n.Feed.ListKind(ctx, kind)
+	if kind == n.o.Kind {
+		n.reached.Store(err == nil)
+		if err == nil {
+			n.history.listed(l.Revision, asked)
+		}
+	}
+	return l, err
+}
+
+// Follow implements objectapi.Feed.
+func (n *Node) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	if kind != n.o.Kind {
+		return n.Feed.Follow(ctx, kind, after, wait)
+	}
+	n.locate(ctx, after)
+	if n.peer != "" && !n.o.Direct() {
+		changes, err := n.ask(ctx, n.peer, after, askWait)
+		if err == nil || errors.Is(err, objectapi.ErrCompacted) || ctx.Err() != nil {
+			n.via.Store(true)
+			return changes, err
+		}
+		n.lost(err)
+	}
+	n.via.Store(false)
+	return n.follow(ctx, after, wait)
+}
+
+// follow asks the store.
+func (n *Node) follow(ctx context.Context, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	if n.Serving() {
+		wait = min(wait, servingWait)
+	}
+	asked := n.now()
+	changes, err := n.Feed.Follow(ctx, n.o.Kind, after, wait)
+	n.reached.Store(err == nil)
+	if err == nil {
+		n.history.followed(after, changes, asked)
+	}
+	return changes, err
+}
+
+// ask asks a relay.
+func (n *Node) ask(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	asked := n.now()
+	r, err := n.o.Peers.News(ctx, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		return objectapi.Changes{}, err
+	}
+	age := time.Duration(r.EntriesAge) * time.Millisecond
+	if age > staleAfter {
+		return objectapi.Changes{}, errStale
+	}
+	n.configSeq = r.ConfigSeq
+	if r.ConfigVersion != 0 {
+		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
+	}
+	if r.Gap {
+		return objectapi.Changes{}, objectapi.ErrCompacted
+	}
+	return objectapi.Changes{Events: fromChanges(r.Events), Revision: r.Revision, Age: age}, nil
+}
+
+// lost gives a relay up for a while.
+func (n *Node) lost(err error) {
+	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
+	n.suspect, n.peer = n.peer, ""
+	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
+}
+
+// locate finds the zone's relay, or becomes it, when it is time to.
+func (n *Node) locate(ctx context.Context, after uint64) {
+	if n.peer != "" || n.now().Before(n.lookAt) || n.closed.Load() {
+		return
+	}
+	if n.suspect != "" {
+		if _, err := n.ask(ctx, n.suspect, after, 0); err == nil || errors.Is(err, objectapi.ErrCompacted) {
+			n.use(n.suspect)
+			return
+		}
+	}
+	n.look(ctx)
+}
+
+// look reads the record. A record that names nobody, this daemon's own address or a
+// relay that failed twice is taken over.
+func (n *Node) look(ctx context.Context) {
+	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
+	o, err := n.Feed.Get(ctx, n.o.Key)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		_, err = n.Feed.Create(ctx, n.o.Key, n.value())
+		n.wrote(err)
+		return
+	}
+	if err != nil {
+		return
+	}
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		n.o.Log.Error("relay's record not understood; replaced", zap.Error(err))
+	}
+	switch {
+	case r.Holder == n.o.Holder:
+		n.hold()
+	case r.Address == "" || r.Address == n.o.Address || r.Address == n.suspect:
+		_, err = n.Feed.Update(ctx, n.o.Key, o.Version, n.value())
+		n.wrote(err)
+	default:
+		n.use(r.Address)
+	}
+}
+
+func (n *Node) value() []byte {
+	value, err := json.Marshal(record{n.o.Holder, n.o.Address})
+	if err != nil {
+		n.o.Log.Error("relay's record not encoded", zap.Error(err))
+	}
+	return value
+}
+
+// wrote takes in what became of a write of the record. One whose outcome is unknown
+// is read back by the next look.
+func (n *Node) wrote(err error) {
+	switch {
+	case err == nil:
+		n.hold()
+	case errors.Is(err, objectapi.ErrConflict):
+		n.suspect = "" // whoever won may be the one that failed before
+		n.lookAt = n.now().Add(n.o.Uniform(conflictLeast, conflictMost))
+	}
+}
+
+// hold makes this daemon the relay.
+func (n *Node) hold() {
+	if !n.holding.Swap(true) {
+		n.o.Log.Info("relay taken", zap.String("decision", "follow_the_store_for_the_zone"), zap.String("address", n.o.Address))
+	}
+	n.suspect = ""
+	n.lookAt = n.now().Add(recheckEvery)
+}
+
+// use makes another daemon this one's relay.
+func (n *Node) use(address string) {
+	if n.holding.Swap(false) {
+		n.o.Log.Info("relay given up", zap.String("relay", address))
+	}
+	n.o.Log.Info("relay used", zap.String("relay", address))
+	n.peer, n.suspect, n.configSeq = address, "", 0
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,259 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"pearlanding/internal/objectapi"
+)
+
+// rounds lets every daemon make some steps, a while apart.
+func (z *zone) rounds(t must.T, n int) {
+	for range n {
+		z.pass(500 * time.Millisecond)
+		for _, d := range z.daemons {
+			must.NoError(t, d.step())
+		}
+	}
+}
+
+// relays lists the daemons that relay.
+func (z *zone) relays() []*daemon {
+	var out []*daemon
+	for _, d := range z.daemons {
+		if !d.dead && d.relaying() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func TestOneDaemonOfAZoneFollowsTheStore(t *testing.T) {
+	z := newZone(5)
+	z.change("a", false)
+	z.rounds(t, 6)
+	must.Len(t, 1, z.relays())
+	relay := z.relays()[0]
+	must.True(t, relay.Serving())
+	z.follows = map[*daemon]int{}
+	z.change("b", false)
+	z.rounds(t, 4)
+	must.Eq(t, map[*daemon]int{relay: 4}, z.follows)
+	for _, d := range z.daemons {
+		must.Eq(t, z.state(), d.state)
+		must.True(t, d == relay || d.Relayed())
+		must.True(t, d == relay || d.version == z.config[0].version)
+	}
+}
+
+// A daemon that plans needs the store's own word.
+func TestPlannerFollowsTheStoreItself(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	planner := z.daemons[0]
+	if planner.relaying() {
+		planner = z.daemons[1]
+	}
+	planner.planner = true
+	before := z.follows[planner]
+	z.rounds(t, 3)
+	must.Eq(t, before+3, z.follows[planner])
+}
+
+func TestRelayedProofsAreNeverTooYoung(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	other := z.daemons[0]
+	if other == relay {
+		other = z.daemons[1]
+	}
+	must.NoError(t, relay.step())
+	asked := z.now
+	z.pass(900*time.Millisecond + time.Nanosecond)
+	c, err := other.Follow(context.Background(), entriesKind, other.at, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, 901*time.Millisecond, c.Age)
+	must.True(t, z.now.Add(-c.Age).Before(asked))
+	must.False(t, other.config.After(asked))
+}
+
+func TestRelayOutOfTouchIsLeftForTheStore(t *testing.T) {
+	z := newZone(3)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	z.pass(staleAfter + time.Millisecond) // the relay asks the store nothing
+	z.change("late", false)
+	for _, d := range z.daemons {
+		if d != relay {
+			must.NoError(t, d.step())
+			must.False(t, d.Relayed())
+			must.Eq(t, z.state(), d.state)
+		}
+	}
+}
+
+// A relay that failed once is asked again before anybody takes its place: after an
+// outage of the store all relays look stale at once.
+func TestRelayThatIsBackStays(t *testing.T) {
+	z := newZone(3)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	z.down = true
+	for range 8 {
+		z.pass(500 * time.Millisecond)
+		for _, d := range z.daemons {
+			_ = d.step() // the first ones still hear the relay
+		}
+	}
+	for _, d := range z.daemons {
+		must.ErrorIs(t, d.step(), objectapi.ErrUnavailable)
+	}
+	z.down = false
+	writes := z.writes
+	must.NoError(t, relay.step())
+	z.rounds(t, 6)
+	must.Eq(t, writes, z.writes)
+	must.Eq(t, []*daemon{relay}, z.relays())
+	for _, d := range z.daemons {
+		must.True(t, d == relay || d.Relayed())
+	}
+}
+
+func TestDeadRelayIsReplaced(t *testing.T) {
+	z := newZone(4)
+	z.rounds(t, 6)
+	dead := z.relays()[0]
+	dead.dead = true
+	z.change("x", false)
+	z.rounds(t, 1)
+	for _, d := range z.daemons {
+		must.True(t, d == dead || !d.Relayed() && len(d.state) == 1, must.Sprint("nobody waits for a new relay"))
+	}
+	z.rounds(t, 6)
+	must.Len(t, 1, z.relays())
+	for _, d := range z.daemons {
+		must.True(t, d.dead || d.relaying() || d.Relayed())
+	}
+	dead.restart() // it finds the record and asks the new relay
+	z.rounds(t, 6)
+	must.Len(t, 1, z.relays())
+	must.True(t, dead.Relayed())
+}
+
+// A relay that a part of the zone could not reach, and that was replaced, gives up
+// when it looks at the record again.
+func TestReplacedRelayGivesUp(t *testing.T) {
+	z := newZone(3)
+	z.rounds(t, 6)
+	old := z.relays()[0]
+	old.dead = true // for the others
+	z.rounds(t, 6)
+	old.dead = false
+	must.True(t, old.relaying())
+	z.pass(recheckEvery)
+	z.rounds(t, 3)
+	must.Len(t, 1, z.relays())
+	must.True(t, old.Relayed())
+}
+
+func TestRelayThatStopsSendsPeersElsewhere(t *testing.T) {
+	z := newZone(3)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	relay.Close()
+	z.rounds(t, 7)
+	must.Len(t, 1, z.relays())
+	must.False(t, z.relays()[0] == relay)
+}
+
+func TestAskerThatLacksTooMuchLists(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	for range replyEvents + 1 {
+		z.change("a", false)
+	}
+	must.NoError(t, relay.step())
+	r, err := relay.news(context.Background(), NewsRequest{After: 1})
+	must.NoError(t, err)
+	must.True(t, r.Gap)
+	must.SliceEmpty(t, r.Events)
+	z.rounds(t, 2)
+	for _, d := range z.daemons {
+		must.Eq(t, z.state(), d.state)
+	}
+}
+
+// Whatever fails, what a daemon takes as proved was so: every change up to the
+// proof is in its view, and the configuration had the version that it was told of.
+// When nothing fails any more, all know everything, and most through relays.
+func TestRelayedProofsHoldUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := newZone(rapid.IntRange(2, 5).Draw(t, "daemons"))
+		changed := map[uint64]time.Time{} // when the store took a change
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			z.pass(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			d := z.daemons[rapid.IntRange(0, len(z.daemons)-1).Draw(t, "daemon")]
+			switch rapid.IntRange(0, 19).Draw(t, "what") {
+			case 0:
+				d.dead = true
+			case 1:
+				if d.dead {
+					d.restart()
+				}
+			case 2:
+				d.cut = !d.cut
+			case 3:
+				z.down = !z.down
+			case 4:
+				d.planner = !d.planner
+			case 5, 6, 7:
+				z.change([]string{"a", "b", "c"}[rapid.IntRange(0, 2).Draw(t, "key")], rapid.Bool().Draw(t, "removed"))
+				changed[z.revision] = z.now
+			case 8:
+				z.configure()
+			default:
+				_ = d.step() // an error only means that it learns nothing
+			}
+			z.checkProofs(t, changed)
+		}
+		z.down = false
+		for _, d := range z.daemons {
+			d.cut, d.planner = false, false
+			if d.dead {
+				d.restart()
+			}
+		}
+		z.rounds(t, 60)
+		for _, d := range z.daemons {
+			must.Eq(t, z.state(), d.state)
+			must.True(t, d.relaying() || d.Relayed())
+		}
+		must.Len(t, 1, z.relays())
+	})
+}
+
+func (z *zone) checkProofs(t must.T, changed map[uint64]time.Time) {
+	for _, d := range z.daemons {
+		if d.dead || !d.listed {
+			continue
+		}
+		least := map[string]uint64{} // newest change of each key up to the proof
+		for _, e := range z.entries {
+			if !changed[e.Object.Version].After(d.proved) && changed[e.Object.Version] != d.proved {
+				least[e.Object.Key] = e.Object.Version
+			}
+		}
+		for key, version := range least {
+			must.True(t, d.state[key] >= version || d.at >= version, must.Sprint(d.name, " missed a change that its proof covers"))
+		}
+		if !d.config.IsZero() {
+			must.True(t, z.configAt(d.config.Add(-time.Nanosecond)) <= d.version, must.Sprint("configuration"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/zone_test.go
@@ -0,0 +1,239 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/objectapi"
+)
+
+const (
+	entriesKind = "entries"
+	recordKey   = "relays/zone"
+)
+
+// zone is a store and the daemons of one zone, played step by step on one
+// goroutine with a clock of its own.
+type zone struct {
+	now      time.Time
+	revision uint64
+	entries  []objectapi.Event // all changes, by revision
+	config   []configChange
+	record   objectapi.Object
+	down     bool
+	follows  map[*daemon]int // calls of Follow that reached the store
+	writes   int
+	daemons  []*daemon
+}
+
+type configChange struct {
+	version uint64
+	at      time.Time
+}
+
+// daemon is a Node with what a follower keeps beside it.
+type daemon struct {
+	*Node
+	zone    *zone
+	name    string
+	dead    bool
+	cut     bool // from the store
+	state   map[string]uint64
+	at      uint64    // revision
+	proved  time.Time // of state
+	listed  bool
+	planner bool
+	// The configuration as other daemons confirmed it.
+	version uint64
+	config  time.Time
+}
+
+var errDown = errors.WithType(errors.New("down"), objectapi.ErrUnavailable)
+
+func newZone(daemons int) *zone {
+	z := &zone{now: start, follows: map[*daemon]int{}}
+	z.configure()
+	for range daemons {
+		z.add()
+	}
+	return z
+}
+
+func (z *zone) add() *daemon {
+	d := &daemon{zone: z, name: fmt.Sprint("d", len(z.daemons))}
+	d.Node = z.node(d)
+	z.daemons = append(z.daemons, d)
+	return d
+}
+
+func (z *zone) node(d *daemon) *Node {
+	d.state = map[string]uint64{}
+	return NewNode(Options{Store: &storeOf{z: z, d: d}, Kind: entriesKind, Key: recordKey, Holder: fmt.Sprint(d.name, " ", z.revision, z.now),
+		Address: d.name, Peers: z, Direct: func() bool { return d.planner },
+		Confirm: func(version uint64, proved time.Time) { d.version, d.config = version, proved },
+		Uniform: func(least, _ time.Duration) time.Duration { return least },
+		Now:     func() time.Time { return z.now }, Log: zap.NewNop()})
+}
+
+// restart starts a daemon's process anew.
+func (d *daemon) restart() {
+	d.dead, d.listed, d.at, d.proved, d.config = false, false, 0, time.Time{}, time.Time{}
+	d.Node = d.zone.node(d)
+}
+
+// pass lets time pass.
+func (z *zone) pass(d time.Duration) { z.now = z.now.Add(d) }
+
+// change changes an entry.
+func (z *zone) change(key string, removed bool) {
+	z.revision++
+	e := objectapi.Event{Object: objectapi.Object{Key: entriesKind + "/" + key, Version: z.revision, Value: []byte(`{}`)}, Removed: removed}
+	z.entries = append(z.entries, e)
+}
+
+func (z *zone) configure() {
+	z.revision++
+	z.config = append(z.config, configChange{z.revision, z.now})
+}
+
+// configAt is the version of the configuration at a time.
+func (z *zone) configAt(at time.Time) uint64 {
+	version := uint64(0)
+	for _, c := range z.config {
+		if !c.at.After(at) {
+			version = c.version
+		}
+	}
+	return version
+}
+
+// step makes one call of a daemon's follower, or a list where one is needed, and
+// one read of the configuration for peers.
+func (d *daemon) step() error {
+	if d.dead {
+		return nil
+	}
+	ctx := context.Background()
+	asked := d.zone.now
+	if d.relaying() && !d.zone.down && !d.cut {
+		d.NoteConfig(d.zone.configAt(asked), asked)
+	}
+	if !d.listed {
+		l, err := d.ListKind(ctx, entriesKind)
+		if err != nil {
+			return err
+		}
+		d.state = map[string]uint64{}
+		for _, o := range l.Objects {
+			d.state[o.Key] = o.Version
+		}
+		d.at, d.listed, d.proved = l.Revision, true, asked
+		return nil
+	}
+	c, err := d.Follow(ctx, entriesKind, d.at, time.Second)
+	if errors.Is(err, objectapi.ErrCompacted) {
+		d.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, e := range c.Events {
+		applyTo(d.state, e)
+	}
+	if len(c.Events) > 0 {
+		d.at = max(d.at, c.Revision)
+	}
+	if at := asked.Add(-c.Age); at.After(d.proved) {
+		d.proved = at
+	}
+	return nil
+}
+
+// News implements Transport between the zone's daemons.
+func (z *zone) News(ctx context.Context, address string, r NewsRequest) (NewsReply, error) {
+	for _, d := range z.daemons {
+		if d.name == address && !d.dead {
+			r.WaitMS = 0
+			return d.news(ctx, r)
+		}
+	}
+	return NewsReply{}, errors.New("refused")
+}
+
+// storeOf is the store as one daemon reaches it.
+type storeOf struct {
+	z *zone
+	d *daemon
+}
+
+func (s *storeOf) reached() bool { return !s.z.down && !s.d.cut }
+
+func (s *storeOf) Get(_ context.Context, _ string) (objectapi.Object, error) {
+	switch {
+	case !s.reached():
+		return objectapi.Object{}, errDown
+	case s.z.record.Version == 0:
+		return objectapi.Object{}, objectapi.ErrNotFound
+	}
+	return s.z.record, nil
+}
+
+func (s *storeOf) ListKind(_ context.Context, _ string) (objectapi.Listing, error) {
+	if !s.reached() {
+		return objectapi.Listing{}, errDown
+	}
+	l := objectapi.Listing{Revision: s.z.revision}
+	for key, version := range s.z.state() {
+		l.Objects = append(l.Objects, objectapi.Object{Key: key, Version: version})
+	}
+	return l, nil
+}
+
+// state is what the store holds now.
+func (z *zone) state() map[string]uint64 {
+	state := map[string]uint64{}
+	for _, e := range z.entries {
+		applyTo(state, e)
+	}
+	return state
+}
+
+func (s *storeOf) Follow(_ context.Context, _ string, after uint64, _ time.Duration) (objectapi.Changes, error) {
+	if !s.reached() {
+		return objectapi.Changes{}, errDown
+	}
+	s.z.follows[s.d]++
+	c := objectapi.Changes{Revision: s.z.revision}
+	for _, e := range s.z.entries {
+		if e.Object.Version > after {
+			c.Events = append(c.Events, e)
+		}
+	}
+	return c, nil
+}
+
+func (s *storeOf) Create(_ context.Context, _ string, value []byte) (uint64, error) {
+	return s.write(0, value)
+}
+
+func (s *storeOf) Update(_ context.Context, _ string, version uint64, value []byte) (uint64, error) {
+	return s.write(version, value)
+}
+
+func (s *storeOf) write(version uint64, value []byte) (uint64, error) {
+	if !s.reached() {
+		return 0, errDown
+	}
+	s.z.writes++
+	if s.z.record.Version != version {
+		return 0, objectapi.ErrConflict
+	}
+	s.z.revision++
+	s.z.record = objectapi.Object{Key: recordKey, Version: s.z.revision, Value: value}
+	return s.z.revision, nil
+}
--- a/internal/cluster/peers.go
+++ b/internal/rpc/rpc.go
@@ -1,4 +1,6 @@
-package cluster
+// Package rpc carries JSON-RPC calls between daemons over TCP: a server over one
+// listener, and one connection to each peer.
+package rpc
 
 import (
 	"context"
@@ -16,29 +18,21 @@
 
 // ErrRefused: the peer's address refused the connection; no process listens
 // there. Any other error leaves open what became of the call.
-const ErrRefused = errors.ConstError("peer: connection refused")
-
-// Handler answers the calls of peers. Methods run on many goroutines.
-type Handler interface {
-	Sync(ctx context.Context, req SyncRequest) (SyncReply, error)
-	Offer(ctx context.Context, head HeadCopy) (OfferReply, error)
-	Append(ctx context.Context, req AppendRequest) (AppendReply, error)
-}
+const ErrRefused = errors.ConstError("rpc: connection refused")
 
 // errListenerEnded: the listener was closed while it was still needed.
-const errListenerEnded = errors.ConstError("cluster: the peers' listener closed")
+const errListenerEnded = errors.ConstError("rpc: the peers' listener closed")
 
-// Serve answers peers on the listener until ctx ends. It always returns an error
-// if it ends earlier: a daemon that no peer can reach must not go on.
-func Serve(ctx context.Context, listener net.Listener, h Handler) error {
-	methods := handler.Map{
-		MethodSync:   handler.New(h.Sync),
-		MethodOffer:  handler.New(h.Offer),
-		MethodAppend: handler.New(h.Append),
-	}
+// callsAtOnce bounds the calls of one connection that are worked on at a time.
+const callsAtOnce = 8
+
+// Serve answers peers by the methods on the listener until ctx ends. It always
+// returns an error if it ends earlier: a daemon that no peer can reach must not go
+// on as if all were well.
+func Serve(ctx context.Context, listener net.Listener, methods handler.Map) error {
 	accept := server.NetAccepter(listener, channel.Line)
 	err := server.Loop(ctx, accept, server.Static(methods), &server.LoopOptions{
-		ServerOptions: &jrpc2.ServerOptions{Concurrency: 8},
+		ServerOptions: &jrpc2.ServerOptions{Concurrency: callsAtOnce},
 	})
 	if ctx.Err() != nil {
 		return nil
