Ages by the steady clock only

Cause, by reading: the age of a view, the slots of the repeat budget and the note of doubled joins were counted in unix nanoseconds, which jump when somebody sets the time of day: a view from before a planner's term could pass as newer, a budget could start anew. Change: package steady holds times with the steady clock's reading. Ruled out: nothing else in the packages that decide uses the time of day.

--- a/internal/formation/lease.go
+++ b/internal/formation/lease.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/steady"
 )
 
 // Times of the lease.
@@ -51,8 +52,8 @@
 	// inherited is whether the record said Doubled when the lease was taken.
 	inherited bool
 	proved    time.Time // when the last confirmed renewal was asked for
-	// doubled is when a join was last sent again, or must be; unix nanoseconds.
-	doubled atomic.Int64
+	// doubled is when a join was last sent again, or must be.
+	doubled steady.Time
 }
 
 // holding is what Held needs, published by the lease's goroutine.
@@ -75,7 +76,7 @@
 
 // Note asks that the record says that joins are sent twice, from now on for as
 // long as such a copy may be carried out.
-func (l *Lease) Note(now time.Time) { l.doubled.Store(now.UnixNano()) }
+func (l *Lease) Note(now time.Time) { l.doubled.Store(now) }
 
 // Noted tells whether the store's record says so; only then may a join be sent
 // again, so that whoever takes the lease over knows of it.
@@ -178,7 +179,7 @@
 	asked := time.Now()
 	before := l.record
 	l.record.Count++
-	l.record.Doubled = asked.Sub(time.Unix(0, l.doubled.Load())) < lateOrders
+	l.record.Doubled = asked.Sub(l.doubled.Load()) < lateOrders
 	timed, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	version, err := l.Feed.Update(timed, l.Key, l.version, l.value())
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -10,12 +10,13 @@
 // within the same share of the sum of their requests. Safe for concurrent use.
 type Budget struct {
 	mu    sync.Mutex
+	begun time.Time // a window before the first use; slots are counted from here
 	slots [budgetSlots]budgetSlot
 }
 
 // budgetSlot counts one part of the window.
 type budgetSlot struct {
-	number   int64 // of the slot since the epoch
+	number   int64 // of the slot since the budget began
 	requests float64
 	repeats  float64
 }
@@ -41,7 +42,7 @@
 
 // slot returns the slot of a time, emptied if it was last used a window ago.
 func (b *Budget) slot(rule BudgetRule, now time.Time) *budgetSlot {
-	n := slotNumber(rule, now)
+	n := b.slotNumber(rule, now)
 	s := &b.slots[n%budgetSlots]
 	if s.number != n {
 		*s = budgetSlot{number: n}
@@ -49,12 +50,16 @@
 	return s
 }
 
-func slotNumber(rule BudgetRule, now time.Time) int64 {
+// slotNumber counts slots by the steady clock: the time of day may jump.
+func (b *Budget) slotNumber(rule BudgetRule, now time.Time) int64 {
 	window := rule.Window
 	if window <= 0 {
 		window = defaultWindow
 	}
-	return now.UnixNano() / int64(window/budgetSlots)
+	if b.begun.IsZero() {
+		b.begun = now.Add(-window)
+	}
+	return max(int64(now.Sub(b.begun)/(window/budgetSlots)), 0)
 }
 
 // Request counts one request.
@@ -83,7 +88,7 @@
 }
 
 func (b *Budget) left(rule BudgetRule, now time.Time) float64 {
-	oldest := slotNumber(rule, now) - budgetSlots
+	oldest := b.slotNumber(rule, now) - budgetSlots
 	left := float64(budgetStart)
 	for _, s := range b.slots {
 		if s.number > oldest {
--- /dev/null
+++ b/internal/steady/steady_test.go
@@ -0,0 +1,50 @@
+package steady
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestTimeKeepsTheSteadyClocksReading(t *testing.T) {
+	var at Time
+	must.True(t, at.Load().IsZero())
+	at.Store(time.Now())
+	must.StrContains(t, at.Load().String(), "m=") // how the library shows the reading
+}
+
+// deciders are the packages whose decisions rest on ages.
+var deciders = []string{"fleet", "formation", "front", "gateway", "relay", "upstream"}
+
+// timeOfDay are the methods and functions that leave the steady clock's reading out.
+var timeOfDay = map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true, "Round": true, "Truncate": true}
+
+// Clocks may be set at any moment: nothing that decides may count by the time of
+// day (found by reading: the age of a view, the repeat budget's slots and the
+// lease's note of doubled joins did).
+func TestNoDecisionRestsOnTheTimeOfDay(t *testing.T) {
+	for _, name := range deciders {
+		files, err := filepath.Glob("../" + name + "/*.go")
+		must.NoError(t, err)
+		must.SliceNotEmpty(t, files)
+		for _, path := range files {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			must.NoError(t, err)
+			ast.Inspect(file, func(n ast.Node) bool {
+				if sel, ok := n.(*ast.SelectorExpr); ok && timeOfDay[sel.Sel.Name] {
+					t.Errorf("%s uses %s", path, sel.Sel.Name)
+				}
+				return true
+			})
+		}
+	}
+}
