Relays: every wait is a part of the bound on leaving instances

By reading: a peer of a relay that is silently cut off could hear of a leaving instance only after 2.4 s, the bound on small sites is 2 s. Change: waits and pauses are parts of three quarters of that bound; a relay says at once when its proof is stale; a peer's call ends before its last proof is stale; a relay that is out of touch has three such times before it is replaced, a dead or stopping one none. Ruled out: a shorter wait for every daemon (calls).

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -17,9 +17,12 @@
 const methodNews = "relay.news"
 
 // codeNotRelaying is the error of a daemon that doesn't follow the store itself, or
-// can't reach it.
+// has not heard from it for too long.
 const codeNotRelaying = jrpc2.Code(1)
 
+// codeStopping is the error of a daemon that stops and won't be back.
+const codeStopping = jrpc2.Code(2)
+
 // NewsRequest asks for the changes after a revision, and for a read of the
 // configuration later than the one with the number ConfigSeq.
 type NewsRequest struct {
@@ -77,27 +80,36 @@
 const maxWait = 2 * time.Second
 
 // news answers a peer: at once if something is new, otherwise when something is or
-// the wait is over.
+// the wait is over. As soon as the newest proof is stale it says so, and the peer
+// turns to the store.
 func (n *Node) news(ctx context.Context, r NewsRequest) (NewsReply, error) {
 	n.askedAt.Store(n.now())
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := false; ; {
-		if !n.relaying() {
+		entries, config, news := n.history.state()
+		left := entries.Add(n.o.Stale()).Sub(n.now())
+		if n.closed.Load() {
+			return NewsReply{}, jrpc2.Errorf(codeStopping, "stopping")
+		}
+		if !n.relaying() || left <= 0 {
 			return NewsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 		}
-		entries, config, news := n.history.state()
 		events, end, gap := n.history.after(r.After)
 		if expired || gap || len(events) > 0 || config.seq != r.ConfigSeq {
 			return n.reply(entries, config, events, end, gap), nil
 		}
+		stale := time.NewTimer(left)
 		select {
 		case <-news:
+		case <-stale.C:
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
+			stale.Stop()
 			return NewsReply{}, ctx.Err()
 		}
+		stale.Stop()
 	}
 }
 
@@ -117,7 +129,7 @@
 type Peers struct{ rpc *rpc.Peers }
 
 // NewPeers returns a transport without connections.
-func NewPeers() *Peers { return &Peers{rpc: rpc.NewPeers(askWait + askMargin)} }
+func NewPeers() *Peers { return &Peers{rpc: rpc.NewPeers(maxWait)} }
 
 // News implements Transport.
 func (p *Peers) News(ctx context.Context, address string, r NewsRequest) (NewsReply, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/creachadair/jrpc2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -26,19 +27,21 @@
 	"pearlanding/internal/steady"
 )
 
-// Times of following through a relay.
+// Parts of the age at which a proof counts as stale (Options.Stale). A relay asks
+// the store, rests, and asks again: its newest proof is at most two of its waits and
+// a pause old, and its peer's another wait and pause more.
+const (
+	servingPart   = 1.0 / 3 // wait of a relay's own watch: each new one is a proof
+	servingPause  = 1.0 / 5 // a relay's rest after news
+	askPart       = 1.0 / 4 // how long a relay may hold a peer's call
+	peerPause     = 1.0 / 6 // a peer's rest after news
+	leastAskPart  = 1.0 / 8 // a call gets this much time, however old the last proof
+	answerMargin  = 1.0 / 5 // how much longer than it may be held a call may take
+	stalePatience = 3.0     // how long a relay may be out of touch until it is replaced
+)
+
+// Other times.
 const (
-	// askWait is how long a relay may hold a call, askMargin how much longer its
-	// answer may take. Together they bound what a silent relay costs; the shortest
-	// bound on news that deployments set is two seconds.
-	askWait   = 800 * time.Millisecond
-	askMargin = 300 * time.Millisecond
-	// staleAfter is the age at which a relay's proof shows that it is out of touch:
-	// it asks at least each servingWait and rests less than that after news.
-	staleAfter = 2 * time.Second
-	// servingWait is how long a relay's own watch waits. A watch may hear nothing,
-	// and each new one is a proof to its peers.
-	servingWait = time.Second
 	// servingFor is how long after a peer's call a relay still counts as asked.
 	servingFor = 3 * time.Second
 	// settle spreads the looks at the record by chance, so that the daemons that
@@ -53,8 +56,9 @@
 	recheckEvery = 20 * time.Second
 )
 
-// errStale: the relay answered, but has not heard from the store for long.
-const errStale = errors.ConstError("relay: out of touch with the store")
+// errOutOfTouch: the relay answered, but does not hear from the store, or has just
+// begun to be asked. It may be back soon.
+const errOutOfTouch = errors.ConstError("relay: out of touch with the store")
 
 // record names the daemon that relays, in the store.
 type record struct {
@@ -75,6 +79,8 @@
 	Holder  string // unique for each life of a process
 	Address string // where this daemon answers peers, IP:port
 	Peers   Transport
+	// Stale returns the age beyond which a proof of the entries is too old to serve on.
+	Stale func() time.Duration
 	// Direct tells that this daemon must follow the store itself now.
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
@@ -102,7 +108,9 @@
 	// State of the goroutine that calls Follow.
 	peer      string // the relay's address; empty: none that is known to work
 	suspect   string // a relay that failed
-	configSeq uint64 // last heard from peer
+	failedAt  time.Time
+	configSeq uint64    // last heard from peer
+	proved    time.Time // by the last answer of a relay
 	lookAt    time.Time
 }
 
@@ -113,6 +121,20 @@
 
 func (n *Node) now() time.Time { return n.o.Now() }
 
+// part returns a part of the age at which a proof is stale.
+func (n *Node) part(of float64) time.Duration { return time.Duration(of * float64(n.o.Stale())) }
+
+// Pace returns how long to rest after news; 0: no relay sets a pace.
+func (n *Node) Pace() time.Duration {
+	switch {
+	case n.Serving():
+		return n.part(servingPause)
+	case n.Relayed():
+		return n.part(peerPause)
+	}
+	return 0
+}
+
 // Serving tells whether peers ask this daemon.
 func (n *Node) Serving() bool {
 	return n.relaying() && n.now().Sub(n.askedAt.Load()) < servingFor
@@ -150,7 +172,7 @@
 	}
 	n.locate(ctx, after)
 	if n.peer != "" && !n.o.Direct() {
-		changes, err := n.ask(ctx, n.peer, after, askWait)
+		changes, err := n.ask(ctx, n.peer, after, n.part(askPart))
 		if err == nil || errors.Is(err, objectapi.ErrCompacted) || ctx.Err() != nil {
 			n.via.Store(true)
 			return changes, err
@@ -164,7 +186,7 @@
 // follow asks the store.
 func (n *Node) follow(ctx context.Context, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	if n.Serving() {
-		wait = min(wait, servingWait)
+		wait = min(wait, n.part(servingPart))
 	}
 	asked := n.now()
 	changes, err := n.Feed.Follow(ctx, n.o.Kind, after, wait)
@@ -175,18 +197,25 @@
 	return changes, err
 }
 
-// ask asks a relay.
+// ask asks a relay, which may hold the call for a while. However it fails, this
+// daemon turns to the store before its last proof is stale.
 func (n *Node) ask(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	asked := n.now()
-	r, err := n.o.Peers.News(ctx, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds()})
+	timeout := wait + n.part(answerMargin)
+	if !n.proved.IsZero() {
+		timeout = max(min(timeout, n.proved.Add(n.o.Stale()).Sub(asked)), n.part(leastAskPart))
+	}
+	timed, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds()})
+	if jrpc2.ErrorCode(err) == codeNotRelaying {
+		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
+	}
 	if err != nil {
 		return objectapi.Changes{}, err
 	}
 	age := time.Duration(r.EntriesAge) * time.Millisecond
-	if age > staleAfter {
-		return objectapi.Changes{}, errStale
-	}
-	n.configSeq = r.ConfigSeq
+	n.configSeq, n.proved = r.ConfigSeq, asked.Add(-age)
 	if r.ConfigVersion != 0 {
 		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
@@ -199,7 +228,7 @@
 // lost gives a relay up for a while.
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
-	n.suspect, n.peer = n.peer, ""
+	n.suspect, n.peer, n.proved, n.failedAt = n.peer, "", time.Time{}, n.now()
 	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
 }
 
@@ -209,9 +238,14 @@
 		return
 	}
 	if n.suspect != "" {
-		if _, err := n.ask(ctx, n.suspect, after, 0); err == nil || errors.Is(err, objectapi.ErrCompacted) {
+		_, err := n.ask(ctx, n.suspect, after, 0)
+		switch {
+		case err == nil || errors.Is(err, objectapi.ErrCompacted):
 			n.use(n.suspect)
 			return
+		case errors.Is(err, errOutOfTouch) && n.now().Sub(n.failedAt) < n.part(stalePatience):
+			n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
+			return
 		}
 	}
 	n.look(ctx)
@@ -280,5 +314,5 @@
 		n.o.Log.Info("relay given up", zap.String("relay", address))
 	}
 	n.o.Log.Info("relay used", zap.String("relay", address))
-	n.peer, n.suspect, n.configSeq = address, "", 0
+	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -86,7 +86,7 @@
 	z := newZone(3)
 	z.rounds(t, 6)
 	relay := z.relays()[0]
-	z.pass(staleAfter + time.Millisecond) // the relay asks the store nothing
+	z.pass(stale + time.Millisecond) // the relay asks the store nothing
 	z.change("late", false)
 	for _, d := range z.daemons {
 		if d != relay {
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	stale       = 2 * time.Second
 	entriesKind = "entries"
 	recordKey   = "relays/zone"
 )
@@ -73,7 +74,7 @@
 func (z *zone) node(d *daemon) *Node {
 	d.state = map[string]uint64{}
 	return NewNode(Options{Store: &storeOf{z: z, d: d}, Kind: entriesKind, Key: recordKey, Holder: fmt.Sprint(d.name, " ", z.revision, z.now),
-		Address: d.name, Peers: z, Direct: func() bool { return d.planner },
+		Address: d.name, Peers: z, Stale: func() time.Duration { return stale }, Direct: func() bool { return d.planner },
 		Confirm: func(version uint64, proved time.Time) { d.version, d.config = version, proved },
 		Uniform: func(least, _ time.Duration) time.Duration { return least },
 		Now:     func() time.Time { return z.now }, Log: zap.NewNop()})
