--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -23,7 +23,7 @@
 		}
 	}
 	out := assignment{}
-	lacking := targets(engine, len(byDomain), domainSize(v, p.Service)) // in domains: they are of about one size
+	lacking := p.targets(engine, len(byDomain)) // in domains: they are of about one size
 	zones := map[string]map[string]int{}        // zone, model: domains
 	take := func(domain string, m routes.Model) {
 		out[domain] = []routes.Model{m}
@@ -51,12 +51,19 @@
 	return out.mix(engine, byDomain, lacking)
 }
 
-// targets splits a total by the models' shares of the work, each with what it loses by
-// missing instances added.
-func targets(engine *routes.Engine, total, domainSize int) map[string]float64 {
+// standing is the part of its capacity that a model loses for each member of its
+// groups, as one dead member makes the whole group stand. Source: a pair of sixty
+// engines lost every three seconds, and about half a second to two until a group
+// with a spare at hand forms again. 0.05, and more for domains that large groups
+// fill badly, left the models of small groups short.
+const standing = 0.02
+
+// targets splits a total by the models' shares of the work. Models with larger
+// groups get a little more.
+func (p *Planner) targets(engine *routes.Engine, total int) map[string]float64 {
 	out, sum := map[string]float64{}, 0.0
 	for _, m := range engine.Models {
-		out[m.Name] = max(m.Share, leastShare) / max(yield(domainSize, m.Size, missingShare), leastYield)
+		out[m.Name] = max(m.Share, leastShare) * (1 + standing*float64(m.Size))
 		sum += out[m.Name]
 	}
 	for name, weight := range out {
@@ -65,24 +72,6 @@
 	return out
 }
 
-// domainSize is the mean number of a service's instances in a domain, rounded.
-func domainSize(v *fleet.View, service string) int {
-	domains, n := map[string]bool{}, 0
-	for _, in := range v.Services[service] {
-		if in.Domain != "" {
-			domains[in.Domain] = true
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return (n + len(domains)/2) / len(domains)
-}
-
-// leastYield bounds the weight of a model whose groups hardly fit into a domain.
-const leastYield = 0.25
-
 // leastShare stands in for a share that is not told.
 const leastShare = 0.01
 
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -283,7 +283,7 @@
 		}
 	}
 	out := map[string]need{}
-	for name, target := range targets(engine, total, domainSize(v, p.Service)) {
+	for name, target := range p.targets(engine, total) {
 		out[name] = need{target: target, lacking: target - have[name]}
 	}
 	return out
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +48,7 @@
 	// leaseKey holds the lease of the daemon that plans groups.
 	leaseKey = "pearlanding-leases/groups"
 	// relayKind holds the record of each zone's relay, by the zone's name.
-	relayKind = "pearlanding-relays"
+	relayKind = "pearlanding-relays/"
 )
 
 // Pauses after news of instances.
@@ -116,7 +115,6 @@
 	gateway  *gateway.Gateway
 	calls    *countedFeed
 	relay    *relay.Node // nil: this daemon has no address for peers
-	survey   *relay.Survey
 	lease    *formation.Lease
 	stopping atomic.Bool
 }
@@ -171,7 +169,6 @@
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
-	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
@@ -180,6 +177,7 @@
 	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
+	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", d.following)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
@@ -205,17 +203,10 @@
 
 // newRelay joins the relays of this daemon's zone.
 func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
-	peers := relay.NewPeers()
-	d.survey = &relay.Survey{Ask: peers.Standing, Active: d.planning, Now: time.Now, Relays: func(ctx context.Context) ([]string, error) {
-		l, err := d.Outside.Feed.ListKind(ctx, relayKind)
-		return relay.Addresses(l), err
-	}}
 	return relay.NewNode(relay.Options{
-		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
-		Peers: peers, Direct: d.planning, Confirm: d.config.confirm,
-		Stale:    func() time.Duration { return d.drainPart(stalePart, defaultStale) },
-		Standing: d.picker.Stalled, Suspect: func(instances []string) { d.picker.Told(instances, time.Now()) },
-		Load: d.picker.InFlight, Others: func(load map[string]int) { d.picker.Others(load, time.Now()) },
+		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + s.Zone, Holder: holder, Address: s.Peers,
+		Peers: relay.NewPeers(), Direct: d.planning, Confirm: d.config.confirm,
+		Stale:   func() time.Duration { return d.drainPart(stalePart, defaultStale) },
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
 		Now:     time.Now, Log: d.Log,
 	})
@@ -275,40 +266,22 @@
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
-	if d.survey != nil {
-		run(ctx, d.survey.Run)
-	}
 	run(ctx, manager.Run)
 	return group.Wait
 }
 
 func (d *Daemon) manager() *formation.Manager {
 	return &formation.Manager{
-		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.still,
+		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
 		Relayed: func() bool { return d.relay != nil && d.relay.Relayed() },
-		Serving: func() bool { return d.relay != nil && d.relay.Serving() },
 		Window:  func() time.Duration { return d.Settings().Bounds.CeilingWindow },
 		Log:     d.Log,
 		Metrics: d.Metrics,
 	}
 }
 
-// still lists the heads of groups that stand still, for this daemon or for others.
-func (d *Daemon) still(now time.Time) []string {
-	out := d.picker.Still(now)
-	if d.survey == nil {
-		return out
-	}
-	for _, id := range d.survey.Found(now) {
-		if !slices.Contains(out, id) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 func (d *Daemon) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepEvery)
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -28,8 +28,6 @@
 	progress     time.Time // of any request, last
 	suspectUntil time.Time
 	suspicion    time.Duration // the next suspicion lasts
-	toldUntil    time.Time     // others say that it stands still
-	grouped      bool          // it is the head of a group
 	used         time.Time
 }
 
@@ -59,11 +57,6 @@
 	// failure up to suspectMost until the target brings something again.
 	suspectFor  = 1500 * time.Millisecond
 	suspectMost = 8 * time.Second
-	// toldFor is how long another daemon's word that a target stands still counts.
-	toldFor = time.Second
-	// othersFor is how long what other daemons have in progress counts. It is some
-	// tenths of a second old; streams last for seconds.
-	othersFor = 2 * time.Second
 	// forgetAfter is how long an unused target is remembered.
 	forgetAfter = 30 * time.Second
 )
@@ -76,8 +69,6 @@
 	mu      sync.Mutex
 	records map[string]*record
 	floors  map[string]time.Duration // quickest first events of late, by model
-	others  map[string]int           // requests in progress of other daemons, by instance
-	heardAt time.Time                // of others
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a number in
@@ -86,41 +77,6 @@
 	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}}
 }
 
-// sampleLeast and samplePart bound the targets that a choice compares when it knows
-// other daemons' load: they all know the same, and would all take the same target
-// until they hear of its new load. Source: choosing the better of a few random ones
-// holds up under old news, where choosing the best of all does not.
-const (
-	sampleLeast = 2
-	samplePart  = 0.25
-)
-
-// sample returns the targets to compare.
-func (p *Picker) sample(targets []target, tried map[string]bool, now time.Time) []*target {
-	out := make([]*target, 0, len(targets))
-	for i := range targets {
-		if t := &targets[i]; !tried[t.instance] {
-			out = append(out, t)
-		}
-	}
-	if len(p.others) == 0 || now.Sub(p.heardAt) > othersFor {
-		return out
-	}
-	sound := slices.DeleteFunc(slices.Clone(out), func(t *target) bool {
-		r := p.records[t.instance]
-		return r != nil && (r.still(now) || now.Before(r.suspectUntil))
-	})
-	n := max(sampleLeast, int(samplePart*float64(len(sound))))
-	if len(sound) <= n {
-		return out
-	}
-	for i := range n {
-		j := i + p.uniform(len(sound)-i)
-		sound[i], sound[j] = sound[j], sound[i]
-	}
-	return sound[:n]
-}
-
 // pick takes the least loaded target that was not tried, nil if there is none.
 // Its request counts as in progress until done is called.
 func (p *Picker) pick(targets []target, tried map[string]bool, now time.Time) *target {
@@ -129,7 +85,11 @@
 	var best *target
 	var bestScore float64
 	ties := 0
-	for _, t := range p.sample(targets, tried, now) {
+	for i := range targets {
+		t := &targets[i]
+		if tried[t.instance] {
+			continue
+		}
 		score := p.score(t, now)
 		switch {
 		case best == nil || score < bestScore:
@@ -143,7 +103,7 @@
 	if best != nil {
 		r := p.record(best.instance)
 		r.inFlight++
-		r.used, r.grouped = now, best.group.Name != ""
+		r.used = now
 	}
 	return best
 }
@@ -153,9 +113,6 @@
 	if t.zone != p.zone {
 		score += otherZonePenalty
 	}
-	if now.Sub(p.heardAt) <= othersFor {
-		score += float64(max(p.others[t.instance], 0))
-	}
 	r := p.records[t.instance]
 	if r == nil {
 		return score
@@ -170,16 +127,9 @@
 	return score
 }
 
-// stalled tells whether streams of this daemon that ran at the target have stopped to
-// bring events.
-func (r *record) stalled(now time.Time) bool {
-	return r.running > 0 && now.Sub(r.progress) > stillAfter
-}
-
-// still tells the same by what this daemon and others saw. Its own progress there
-// counts for more than their word.
+// still tells whether streams that ran at the target have stopped to bring events.
 func (r *record) still(now time.Time) bool {
-	return r.stalled(now) || now.Before(r.toldUntil) && now.Sub(r.progress) > stillAfter
+	return r.running > 0 && now.Sub(r.progress) > stillAfter
 }
 
 // expected is how long the next first event will take at least, by the longest
@@ -339,26 +289,6 @@
 	r.suspectUntil = now.Add(r.suspicion)
 }
 
-// Others takes in what other daemons have in progress, by instance.
-func (p *Picker) Others(load map[string]int, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.others, p.heardAt = load, now
-}
-
-// InFlight returns this daemon's requests in progress at the heads of groups.
-func (p *Picker) InFlight() map[string]int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := map[string]int{}
-	for id, r := range p.records {
-		if r.grouped && r.inFlight > 0 {
-			out[id] = r.inFlight
-		}
-	}
-	return out
-}
-
 // Load is what this daemon has in progress at one target.
 type Load struct {
 	Instance string // id of the instance, or of a group's head
@@ -378,38 +308,17 @@
 	return out
 }
 
-// Told takes in that targets stand still for other daemons.
-func (p *Picker) Told(instances []string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, id := range instances {
-		r := p.record(id)
-		r.toldUntil, r.used = now.Add(toldFor), now
-	}
-}
-
-// Still lists the heads of groups whose running streams have stopped to bring events,
-// or to which requests failed lately, by this daemon's own requests, in order.
+// Still lists the instances whose running streams have stopped to bring events,
+// or to which requests failed lately.
 func (p *Picker) Still(now time.Time) []string {
-	return p.heads(func(r *record) bool { return r.stalled(now) || now.Before(r.suspectUntil) })
-}
-
-// Stalled lists only those whose running streams have stopped: what other daemons
-// should know of. Failures say less, and there can be many.
-func (p *Picker) Stalled(now time.Time) []string {
-	return p.heads(func(r *record) bool { return r.stalled(now) })
-}
-
-func (p *Picker) heads(which func(*record) bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
 	for id, r := range p.records {
-		if r.grouped && which(r) {
+		if r.still(now) || now.Before(r.suspectUntil) {
 			out = append(out, id)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/internal/gateway/picker_test.go
+++ b/internal/gateway/picker_test.go
@@ -5,15 +5,13 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"pearlanding/internal/fleet"
 )
 
 var (
 	t0    = time.Unix(1000, 0)
 	first = func(int) int { return 1 } // ties keep the first
-	here  = target{instance: "here", zone: "z", group: fleet.Key{Name: "g", Epoch: 1}}
-	there = target{instance: "there", zone: "other", group: fleet.Key{Name: "h", Epoch: 1}}
+	here  = target{instance: "here", zone: "z"}
+	there = target{instance: "there", zone: "other"}
 )
 
 func testPicker() *Picker { return NewPicker("z", first) }
@@ -60,54 +58,6 @@
 	must.Eq(t, unknown, p.health("here", t0.Add(time.Second)))
 }
 
-// Another daemon's word makes a target stand still, unless this daemon's own streams
-// there say otherwise; it is not told on.
-func TestOthersWordCountsLessThanOwnProgress(t *testing.T) {
-	p := testPicker()
-	p.Told([]string{"here"}, t0)
-	must.Eq(t, still, p.health("here", t0.Add(toldFor-1)))
-	must.Eq(t, unknown, p.health("here", t0.Add(toldFor)))
-	must.Eq(t, "there", pickOne(p, t0, here, there))
-	must.SliceEmpty(t, p.Stalled(t0))
-	p.pick([]target{here}, nil, t0)
-	p.waits(&here, t0)
-	p.progressed(&here, t0.Add(100*time.Millisecond))
-	p.runs(&here, "m", t0, t0.Add(100*time.Millisecond))
-	must.Eq(t, alive, p.health("here", t0.Add(200*time.Millisecond)))
-	must.Eq(t, []string{"here"}, p.Stalled(t0.Add(600*time.Millisecond)))
-}
-
-// What other daemons have in progress counts like the own, as long as it is news; of
-// many targets a few random ones are compared then.
-func TestOthersLoadCounts(t *testing.T) {
-	p := testPicker()
-	p.Others(map[string]int{"here": 3}, t0)
-	must.Eq(t, "there", pickOne(p, t0, here, there))
-	must.Eq(t, "here", pickOne(p, t0.Add(othersFor+1), here, there))
-	many := make([]target, 12)
-	load := map[string]int{}
-	for i := range many {
-		many[i] = target{instance: string(rune('a' + i)), zone: "z", group: fleet.Key{Name: "g", Epoch: uint64(i)}}
-		load[many[i].instance] = 12 - i
-	}
-	p.uniform = func(int) int { return 0 } // the first ones
-	p.Others(load, t0)
-	must.Eq(t, "c", pickOne(p, t0, many...), must.Sprint("the best of a quarter"))
-	p.Told([]string{"c"}, t0)
-	must.Eq(t, "b", pickOne(p, t0, many...), must.Sprint("those that stand still are not among them"))
-}
-
-func TestOnlyGroupsThatStallAreReported(t *testing.T) {
-	p := testPicker()
-	plain := target{instance: "plain", zone: "z"}
-	p.pick([]target{plain}, nil, t0)
-	p.suspect(&plain, t0)
-	p.pick([]target{here}, nil, t0)
-	p.suspect(&here, t0)
-	must.Eq(t, []string{"here"}, p.Still(t0))
-	must.SliceEmpty(t, p.Stalled(t0))
-}
-
 func TestSuspicionDoublesUntilTheTargetAnswers(t *testing.T) {
 	p := testPicker()
 	now := t0
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -82,13 +82,6 @@
 	h.wake()
 }
 
-// tell lets everyone who waits for news look again.
-func (h *history) tell() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.wake()
-}
-
 // wake lets everyone look again; h.mu is held.
 func (h *history) wake() {
 	close(h.news)
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -23,18 +23,12 @@
 // codeStopping is the error of a daemon that stops and won't be back.
 const codeStopping = jrpc2.Code(2)
 
-// NewsRequest asks for the changes after a revision, for a read of the configuration
-// later than the one with the number ConfigSeq, and for reports of instances that
-// stand still later than those with the number StandingSeq. It brings the asker's own.
+// NewsRequest asks for the changes after a revision, and for a read of the
+// configuration later than the one with the number ConfigSeq.
 type NewsRequest struct {
-	After       uint64   `json:"after"`
-	ConfigSeq   uint64   `json:"config_seq"`
-	StandingSeq uint64   `json:"standing_seq"`
-	From        string   `json:"from"` // the asker, unique for each life of a process
-	Standing    []string `json:"standing,omitempty"`
-	// Load is how many requests the asker has in progress, by instance.
-	Load   map[string]int `json:"load,omitempty"`
-	WaitMS int64          `json:"wait_ms"` // how long to wait for either
+	After     uint64 `json:"after"`
+	ConfigSeq uint64 `json:"config_seq"`
+	WaitMS    int64  `json:"wait_ms"` // how long to wait for either
 }
 
 // NewsReply is what a relay knows. Ages are in milliseconds before the reply was
@@ -48,12 +42,6 @@
 	ConfigVersion uint64 `json:"config_version"`
 	ConfigSeq     uint64 `json:"config_seq"`
 	ConfigAge     int64  `json:"config_age_ms"`
-	// Standing are instances that stand still for daemons of the zone.
-	Standing    []string `json:"standing,omitempty"`
-	StandingSeq uint64   `json:"standing_seq"`
-	// Load is how many requests the zone's daemons have in progress, the asker's
-	// included, by instance.
-	Load map[string]int `json:"load,omitempty"`
 }
 
 // change is one event on the wire.
@@ -86,9 +74,7 @@
 }
 
 // Methods returns the calls that peers may make.
-func (n *Node) Methods() handler.Map {
-	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding)}
-}
+func (n *Node) Methods() handler.Map { return handler.Map{methodNews: handler.New(n.news)} }
 
 // maxWait bounds how long a peer's call is held.
 const maxWait = 2 * time.Second
@@ -97,10 +83,7 @@
 // the wait is over. As soon as the newest proof is stale it says so, and the peer
 // turns to the store.
 func (n *Node) news(ctx context.Context, r NewsRequest) (NewsReply, error) {
-	began := n.now()
-	n.askedAt.Store(began)
-	n.report(r.From, report{r.Standing, r.Load, began})
-	n.share(began)
+	n.askedAt.Store(n.now())
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := false; ; {
@@ -113,8 +96,7 @@
 			return NewsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 		}
 		events, end, gap := n.history.after(r.After)
-		_, seq := n.reports.standing(n.now())
-		if expired || gap || len(events) > 0 || config.seq != r.ConfigSeq || seq != r.StandingSeq {
+		if expired || gap || len(events) > 0 || config.seq != r.ConfigSeq {
 			return n.reply(entries, config, events, end, gap), nil
 		}
 		stale := time.NewTimer(left)
@@ -137,11 +119,6 @@
 	if !gap {
 		out.Events = toChanges(events)
 	}
-	out.Standing, out.StandingSeq = n.reports.standing(now)
-	out.Load = n.reports.loads(now)
-	for id, own := range n.o.Load() {
-		out.Load[id] += own
-	}
 	if config.version != 0 {
 		out.ConfigAge = ageMS(now, config.proved)
 	}
@@ -161,12 +138,5 @@
 	return out, err
 }
 
-// Standing asks a relay which instances stand still in its zone.
-func (p *Peers) Standing(ctx context.Context, address string) (StandingReply, error) {
-	var out StandingReply
-	err := p.rpc.Call(ctx, address, methodStanding, struct{}{}, &out)
-	return out, err
-}
-
 // Close ends all connections.
 func (p *Peers) Close() { p.rpc.Close() }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,18 +60,6 @@
 // begun to be asked. It may be back soon.
 const errOutOfTouch = errors.ConstError("relay: out of touch with the store")
 
-// Addresses returns the relays that a listing of the records names.
-func Addresses(l objectapi.Listing) []string {
-	var out []string
-	for _, o := range l.Objects {
-		var r record
-		if json.Unmarshal(o.Value, &r) == nil && r.Address != "" {
-			out = append(out, r.Address) // one that isn't understood is replaced by its zone
-		}
-	}
-	return out
-}
-
 // record names the daemon that relays, in the store.
 type record struct {
 	Holder  string `json:"holder"`  // unique for each life of a process
@@ -97,14 +85,6 @@
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
 	Confirm func(version uint64, proved time.Time)
-	// Standing lists the instances that stand still for this daemon's own requests;
-	// Suspect takes those that do for others.
-	Standing func(now time.Time) []string
-	Suspect  func(instances []string)
-	// Load returns this daemon's requests in progress by instance; Others takes those
-	// of the zone's other daemons.
-	Load   func() map[string]int
-	Others func(load map[string]int)
 	// Uniform returns a duration in [least, most) by chance.
 	Uniform func(least, most time.Duration) time.Duration
 	Now     func() time.Time
@@ -119,28 +99,24 @@
 	objectapi.Feed
 	o       Options
 	history *history
-	reports *reports
 	holding atomic.Bool // the record names this daemon, as far as it knows
 	reached atomic.Bool // the last call to the store for entries succeeded
 	closed  atomic.Bool // this daemon stops
 	askedAt steady.Time // when a peer asked last
-	// sharedAt is when this daemon, as a relay, last took in its peers' load.
-	sharedAt steady.Time
-	via      atomic.Bool // the last call of Follow went through a relay
+	via     atomic.Bool // the last call of Follow went through a relay
 
 	// State of the goroutine that calls Follow.
 	peer      string // the relay's address; empty: none that is known to work
 	suspect   string // a relay that failed
 	failedAt  time.Time
 	configSeq uint64    // last heard from peer
-	reportSeq uint64    // likewise, of the reports
 	proved    time.Time // by the last answer of a relay
 	lookAt    time.Time
 }
 
 // NewNode returns a node that first follows the store itself.
 func NewNode(o Options) *Node {
-	return &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
+	return &Node{Feed: o.Store, o: o, history: newHistory(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
 }
 
 func (n *Node) now() time.Time { return n.o.Now() }
@@ -224,15 +200,14 @@
 // ask asks a relay, which may hold the call for a while. However it fails, this
 // daemon turns to the store before its last proof is stale.
 func (n *Node) ask(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
-	asked, load := n.now(), n.o.Load()
+	asked := n.now()
 	timeout := wait + n.part(answerMargin)
 	if !n.proved.IsZero() {
 		timeout = max(min(timeout, n.proved.Add(n.o.Stale()).Sub(asked)), n.part(leastAskPart))
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, StandingSeq: n.reportSeq,
-		From: n.o.Holder, Standing: n.o.Standing(asked), Load: load, WaitMS: wait.Milliseconds()})
+	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds()})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
 	}
@@ -240,11 +215,7 @@
 		return objectapi.Changes{}, err
 	}
 	age := time.Duration(r.EntriesAge) * time.Millisecond
-	n.configSeq, n.reportSeq, n.proved = r.ConfigSeq, r.StandingSeq, asked.Add(-age)
-	if len(r.Standing) > 0 {
-		n.o.Suspect(r.Standing)
-	}
-	n.o.Others(without(r.Load, load))
+	n.configSeq, n.proved = r.ConfigSeq, asked.Add(-age)
 	if r.ConfigVersion != 0 {
 		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
@@ -254,17 +225,6 @@
 	return objectapi.Changes{Events: fromChanges(r.Events), Revision: r.Revision, Age: age}, nil
 }
 
-// without takes a daemon's own load off a sum that may hold an older word of it.
-func without(total, own map[string]int) map[string]int {
-	out := make(map[string]int, len(total))
-	for id, n := range total {
-		if n > own[id] {
-			out[id] = n - own[id]
-		}
-	}
-	return out
-}
-
 // lost gives a relay up for a while.
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
@@ -354,5 +314,5 @@
 		n.o.Log.Info("relay given up", zap.String("relay", address))
 	}
 	n.o.Log.Info("relay used", zap.String("relay", address))
-	n.peer, n.suspect, n.configSeq, n.reportSeq, n.proved = address, "", 0, 0, time.Time{}
+	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
 }
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,12 +48,6 @@
 	proved  time.Time // of state
 	listed  bool
 	planner bool
-	// What it sees standing still, and what others do.
-	standing []string
-	suspects []string
-	// Its load, and that of others.
-	load   map[string]int
-	others map[string]int
 	// The configuration as other daemons confirmed it.
 	version uint64
 	config  time.Time
@@ -82,13 +75,9 @@
 	d.state = map[string]uint64{}
 	return NewNode(Options{Store: &storeOf{z: z, d: d}, Kind: entriesKind, Key: recordKey, Holder: fmt.Sprint(d.name, " ", z.revision, z.now),
 		Address: d.name, Peers: z, Stale: func() time.Duration { return stale }, Direct: func() bool { return d.planner },
-		Confirm:  func(version uint64, proved time.Time) { d.version, d.config = version, proved },
-		Standing: func(time.Time) []string { return d.standing },
-		Suspect:  func(instances []string) { d.suspects = instances },
-		Load:     func() map[string]int { return maps.Clone(d.load) },
-		Others:   func(load map[string]int) { d.others = load },
-		Uniform:  func(least, _ time.Duration) time.Duration { return least },
-		Now:      func() time.Time { return z.now }, Log: zap.NewNop()})
+		Confirm: func(version uint64, proved time.Time) { d.version, d.config = version, proved },
+		Uniform: func(least, _ time.Duration) time.Duration { return least },
+		Now:     func() time.Time { return z.now }, Log: zap.NewNop()})
 }
 
 // restart starts a daemon's process anew.
