--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -35,6 +35,9 @@
 	// ceiling on loads.
 	Idle   func() bool
 	Window func() time.Duration
+	// Serving tells that others follow through this daemon: it and its like, one a
+	// zone, see to it that the lease is held; nil: they don't.
+	Serving func() bool
 	// Relayed tells that this daemon follows the instances through another one, which
 	// then looks for work that nobody does; nil: it does not.
 	Relayed func() bool
@@ -105,7 +108,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		held := m.Lease.Held(now) != 0
-		if held || !m.Lease.Seen() || m.neglected.Load() || now.Sub(looked) > lookEvery {
+		if held || !m.Lease.Seen() || m.neglected.Load() || now.Sub(looked) > m.lookEvery() {
 			looked = now
 			m.Lease.Step(ctx)
 			if !held && m.Lease.Held(time.Now()) != 0 {
@@ -121,8 +124,11 @@
 
 // Times of looking at a lease that another daemon holds.
 const (
-	// lookEvery is how often it is looked at when all seems well.
-	lookEvery = 20 * time.Second
+	// lookEvery is how often it is looked at when all seems well; lookServing is that of
+	// the few that see to it. A planner that is cut off is missed only when groups fall,
+	// and each second counts then.
+	lookEvery   = 20 * time.Second
+	lookServing = time.Second
 	// neglectAfter is how long work may stand before the lease is looked at. Most
 	// of a planner's steps take less. A daemon that follows through another one
 	// leaves that to it for longer, or hundreds would look at once.
@@ -132,6 +138,13 @@
 	noticeEvery = 400 * time.Millisecond
 )
 
+func (m *Manager) lookEvery() time.Duration {
+	if m.Serving != nil && m.Serving() {
+		return lookServing
+	}
+	return lookEvery
+}
+
 // notice looks for work that whoever holds the lease should have done.
 func (m *Manager) notice(view *fleet.View, table *routes.Table, now time.Time) {
 	if !workStands(view, table, now) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -276,6 +276,7 @@
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
 		Relayed: func() bool { return d.relay != nil && d.relay.Relayed() },
+		Serving: func() bool { return d.relay != nil && d.relay.Serving() },
 		Window:  func() time.Duration { return d.Settings().Bounds.CeilingWindow },
 		Log:     d.Log,
 		Metrics: d.Metrics,
