Lease: a term ends before its epochs do

Cause, by reading: a term gave 4,095 epochs and then the last one again and again; at a group a second that is after an hour. Change: 65,536 for a term, and the planner gives the lease up at half of them. Test: TestTermEndsBeforeItsEpochs.

--- a/internal/formation/lease.go
+++ b/internal/formation/lease.go
@@ -54,6 +54,8 @@
 	version uint64 // last seen
 	record  leaseRecord
 	seen    time.Time // when version was first seen
+	// abandoned asks the next step to release the lease.
+	abandoned atomic.Bool
 	// inherited are those that the record listed when the lease was taken.
 	inherited map[string]bool
 	proved    time.Time // when the last confirmed renewal was asked for
@@ -122,8 +124,15 @@
 	return h != nil && h.seen
 }
 
+// Abandon asks that the lease is released at the next step; whoever takes it begins
+// another term.
+func (l *Lease) Abandon() { l.abandoned.Store(true) }
+
 // Step renews the lease, or looks at it and takes it if it is free.
 func (l *Lease) Step(ctx context.Context) {
+	if l.abandoned.Swap(false) && l.term != 0 {
+		l.Release(ctx)
+	}
 	defer func() {
 		noted := map[string]bool{}
 		if l.term != 0 {
--- a/internal/formation/lease_test.go
+++ b/internal/formation/lease_test.go
@@ -63,6 +63,23 @@
 	must.Eq(t, map[string]bool{"e1": true}, third.Inherited())
 }
 
+// A term ends before its epochs do: the next one, also of the same holder, is higher.
+func TestTermEndsBeforeItsEpochs(t *testing.T) {
+	l := newLease(&oneObject{}, "h")
+	l.Step(t.Context())
+	term := l.Held(time.Now())
+	p := NewPlanner(simService, term, nil, start)
+	var last uint64
+	for !p.Exhausted() {
+		last = p.nextEpoch()
+	}
+	l.Abandon()
+	l.Step(t.Context())
+	next := l.Held(time.Now())
+	must.Greater(t, term, next)
+	must.Greater(t, last, NewPlanner(simService, next, nil, start).nextEpoch())
+}
+
 func TestLeaseForgetsDoubledInstances(t *testing.T) {
 	l := newLease(&oneObject{}, "h")
 	l.Note("old", start)
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -229,6 +229,9 @@
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.order(ctx, s.Name, term, o, view.Revision)
 		}
+		if p.Exhausted() {
+			m.Lease.Abandon()
+		}
 		seen := p.summarize(view, s.Engine)
 		m.counts.planned(p, seen)
 		m.tell(seen, view.Revision)
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -119,7 +119,11 @@
 }
 
 // epochsPerTerm is how many epochs one term can give.
-const epochsPerTerm = 1 << 12
+const epochsPerTerm = 1 << 16
+
+// Exhausted tells that the term should end soon, as its epochs do: the next one begins
+// with new ones.
+func (p *Planner) Exhausted() bool { return p.count >= epochsPerTerm/2 }
 
 // nextEpoch returns an epoch above all given before: terms rise, and so do the
 // epochs within one.
