Front: what daemons say to one another in a file of its own; a taken address for peers costs no service

Cause, by reading: a port for peers that somebody else has ended the daemon. It is only a saving: the daemon now logs it and follows the store itself.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,7 +26,6 @@
 	"pearlanding/internal/pause"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
-	"pearlanding/internal/rpc"
 	"pearlanding/internal/upstream"
 )
 
@@ -51,22 +50,6 @@
 	relayKind = "pearlanding-relays/"
 )
 
-// Pauses after news of instances.
-const (
-	// planPace is that of the daemon that plans: each of its steps waits for what the
-	// one before changed.
-	planPace = 200 * time.Millisecond
-	// drainPart of the bound on leaving instances is the pause otherwise; as much
-	// again is for a slow answer.
-	drainPart = 0.4
-	// defaultPace stands in where there is no such bound.
-	defaultPace = 700 * time.Millisecond
-	// stalePart of the same bound is the age at which what a relay tells is too old;
-	// the rest is for asking the store instead.
-	stalePart    = 0.75
-	defaultStale = 2 * time.Second
-)
-
 // Figures of the daemon.
 const (
 	// connectTimeout bounds a new connection to an instance. Links take a few
@@ -115,6 +98,7 @@
 	gateway  *gateway.Gateway
 	calls    *countedFeed
 	relay    *relay.Node // nil: this daemon has no address for peers
+	peers    *relay.Peers
 	lease    *formation.Lease
 	stopping atomic.Bool
 }
@@ -127,6 +111,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	}
 	holder := s.Node + "/" + uuid.NewString()
+	peers := d.listenForPeers(&s)
 	d.build(s, holder)
 	callers, err := net.Listen("tcp", s.Callers)
 	if err != nil {
@@ -136,12 +121,6 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var peers net.Listener
-	if d.relay != nil {
-		if peers, err = net.Listen("tcp", s.Peers); err != nil {
-			return errors.Trace(err)
-		}
-	}
 	d.gateway = d.newGateway()
 	server := d.callersServer()
 	go d.serve(server, callers)
@@ -151,6 +130,7 @@
 	defer cancel()
 	if peers != nil {
 		go d.answerPeers(work, peers)
+		defer d.peers.Close()
 	}
 	wait := d.background(ctx, work)
 	d.Log.Info("started", zap.String("node", s.Node), zap.String("zone", s.Zone), zap.String("callers", s.Callers))
@@ -179,71 +159,10 @@
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
 	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
-	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", d.following)
+	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
 }
 
-// Values of the metric that tells how this daemon follows the instances.
-const (
-	followsAlone   = 0
-	followsRelayed = 1
-	followsForAll  = 2
-)
-
-// following tells how this daemon follows the instances.
-func (d *Daemon) following() float64 {
-	switch {
-	case d.relay != nil && d.relay.Serving():
-		return followsForAll
-	case d.relay != nil && d.relay.Relayed():
-		return followsRelayed
-	}
-	return followsAlone
-}
-
-// newRelay joins the relays of this daemon's zone.
-func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
-	return relay.NewNode(relay.Options{
-		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + s.Zone, Holder: holder, Address: s.Peers,
-		Peers: relay.NewPeers(), Direct: d.planning, Confirm: d.config.confirm,
-		Stale:   func() time.Duration { return d.drainPart(stalePart, defaultStale) },
-		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:     time.Now, Log: d.Log,
-	})
-}
-
-// answerPeers serves other daemons until ctx ends.
-func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
-	defer context.AfterFunc(ctx, func() { l.Close() })()
-	if err := rpc.Serve(ctx, l, d.relay.Methods()); err != nil {
-		d.Log.Error("peers not answered any more", zap.Error(err))
-	}
-}
-
-// planning tells whether this daemon forms the groups.
-func (d *Daemon) planning() bool { return d.lease.Held(time.Now()) != 0 }
-
-// pace is how long this daemon rests after news of instances.
-func (d *Daemon) pace() time.Duration {
-	if d.planning() {
-		return planPace
-	}
-	if d.relay != nil {
-		if pace := d.relay.Pace(); pace > 0 {
-			return pace
-		}
-	}
-	return d.drainPart(drainPart, defaultPace)
-}
-
-// drainPart returns a part of the bound on leaving instances, def if there is none.
-func (d *Daemon) drainPart(part float64, def time.Duration) time.Duration {
-	if bound := d.Settings().Bounds.Drain; bound > 0 {
-		return time.Duration(part * float64(bound))
-	}
-	return def
-}
-
 // modelSize tells how many instances a replica of a model takes.
 func (d *Daemon) modelSize(service, model string) int {
 	table := d.config.Table()
@@ -275,8 +194,8 @@
 		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
-		Relayed: func() bool { return d.relay != nil && d.relay.Relayed() },
-		Serving: func() bool { return d.relay != nil && d.relay.Serving() },
+		Relayed: func() bool { return d.following() == followsRelayed },
+		Serving: func() bool { return d.following() == followsForAll },
 		Window:  func() time.Duration { return d.Settings().Bounds.CeilingWindow },
 		Log:     d.Log,
 		Metrics: d.Metrics,
--- /dev/null
+++ b/internal/front/peers.go
@@ -0,0 +1,108 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pearlanding/internal/relay"
+	"pearlanding/internal/rpc"
+)
+
+// Pauses after news of instances.
+const (
+	// planPace is that of the daemon that plans: each of its steps waits for what the
+	// one before changed.
+	planPace = 200 * time.Millisecond
+	// drainPart of the bound on leaving instances is the pause otherwise; as much
+	// again is for a slow answer.
+	drainPart = 0.4
+	// defaultPace stands in where there is no such bound.
+	defaultPace = 700 * time.Millisecond
+	// stalePart of the same bound is the age at which what a relay tells is too old;
+	// the rest is for asking the store instead.
+	stalePart    = 0.75
+	defaultStale = 2 * time.Second
+)
+
+// follows is how a daemon follows the instances; its values are those of a metric.
+type follows int
+
+const (
+	followsAlone   follows = 0 // from the store, for itself
+	followsRelayed follows = 1 // through its zone's relay
+	followsForAll  follows = 2 // from the store, for others too
+)
+
+// following tells how this daemon follows the instances.
+func (d *Daemon) following() follows {
+	switch {
+	case d.relay != nil && d.relay.Serving():
+		return followsForAll
+	case d.relay != nil && d.relay.Relayed():
+		return followsRelayed
+	}
+	return followsAlone
+}
+
+// listenForPeers opens the address for other daemons. One that can't be had costs
+// calls to the store, no service: the daemon then has none.
+func (d *Daemon) listenForPeers(s *Settings) net.Listener {
+	if s.Peers == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", s.Peers)
+	if err != nil {
+		d.Log.Error("no address for peers", zap.String("decision", "follow_the_store"), zap.Error(err))
+		s.Peers = ""
+		return nil
+	}
+	return l
+}
+
+// newRelay joins the relays of this daemon's zone.
+func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
+	d.peers = relay.NewPeers()
+	return relay.NewNode(relay.Options{
+		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + s.Zone, Holder: holder, Address: s.Peers,
+		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
+		Stale:   func() time.Duration { return d.drainPart(stalePart, defaultStale) },
+		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
+		Now:     time.Now, Log: d.Log,
+	})
+}
+
+// answerPeers serves other daemons until ctx ends.
+func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	if err := rpc.Serve(ctx, l, d.relay.Methods()); err != nil {
+		d.Log.Error("peers not answered any more", zap.Error(err))
+	}
+}
+
+// planning tells whether this daemon forms the groups.
+func (d *Daemon) planning() bool { return d.lease.Held(time.Now()) != 0 }
+
+// pace is how long this daemon rests after news of instances.
+func (d *Daemon) pace() time.Duration {
+	if d.planning() {
+		return planPace
+	}
+	if d.relay != nil {
+		if pace := d.relay.Pace(); pace > 0 {
+			return pace
+		}
+	}
+	return d.drainPart(drainPart, defaultPace)
+}
+
+// drainPart returns a part of the bound on leaving instances, def if there is none.
+func (d *Daemon) drainPart(part float64, def time.Duration) time.Duration {
+	if bound := d.Settings().Bounds.Drain; bound > 0 {
+		return time.Duration(part * float64(bound))
+	}
+	return def
+}
