--- /dev/null
+++ b/internal/formation/fabric_test.go
@@ -0,0 +1,270 @@
+package formation
+
+import (
+	"fmt"
+	"time"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+)
+
+// simEngine is one instance as it really is; its entry may say otherwise.
+type simEngine struct {
+	in      fleet.Instance
+	alive   bool
+	cut     bool // its entry is missing though it is alive
+	seen    uint64
+	members map[fleet.Key][]string
+	loaded  time.Time // when a joining ends
+	staging string
+	staged  time.Time
+}
+
+// sim is a fabric of engines that carry out orders, some of them late.
+type sim struct {
+	t       failer
+	now     time.Time
+	engines map[string]*simEngine
+	ids     []string
+	late    []lateOrder
+	engine  *routes.Engine
+	ready   map[fleet.Key]map[string]bool // members that were ready
+	opened  int
+}
+
+type failer interface{ Fatalf(string, ...any) }
+
+type lateOrder struct {
+	at    time.Time
+	order Order
+}
+
+const simService = "engines"
+
+// quickJoin is how long an engine takes whose last group was of the model.
+const quickJoin = 200 * time.Millisecond
+
+func simModels() *routes.Engine {
+	return &routes.Engine{LoadsAtOnce: 7, LoadsPerSecond: 5, Models: []routes.Model{
+		{Name: "large", Size: 4, Share: 0.5, Load: 3 * time.Second, Warm: time.Second},
+		{Name: "small", Size: 2, Share: 0.5, Load: 2 * time.Second, Warm: time.Second},
+	}}
+}
+
+func newSim(t failer, domains, size int) *sim {
+	s := &sim{t: t, now: time.Unix(1000, 0), engines: map[string]*simEngine{}, engine: simModels(), ready: map[fleet.Key]map[string]bool{}}
+	for d := range domains {
+		for range size {
+			s.add(fmt.Sprintf("d%d", d))
+		}
+	}
+	return s
+}
+
+func (s *sim) add(domain string) {
+	id := fmt.Sprintf("e%02d", len(s.ids))
+	s.ids = append(s.ids, id)
+	s.engines[id] = &simEngine{alive: true, members: map[fleet.Key][]string{},
+		in: fleet.Instance{ID: id, Service: simService, Address: id, Zone: "z" + domain, Domain: domain}}
+}
+
+// tells raises an entry's version with each change.
+func (e *simEngine) tells(m fleet.Membership) {
+	e.in.Group = m
+	e.in.Version++
+}
+
+// turns changes the state of an engine's group.
+func (e *simEngine) turns(state fleet.GroupState) {
+	m := e.in.Group
+	m.State = state
+	e.tells(m)
+}
+
+// view is what the entries of all engines in the store tell.
+func (s *sim) view() *fleet.View {
+	all, removed := map[string]*fleet.Instance{}, map[string]fleet.Gone{}
+	for id, e := range s.engines {
+		in := e.in
+		if e.alive && !e.cut {
+			all[id] = &in
+		} else {
+			removed[id] = fleet.Gone{Instance: &in, At: s.now}
+		}
+	}
+	return fleet.Build(1, s.now, all, removed, func(_, model string) int {
+		m, _ := s.engine.Model(model)
+		return m.Size
+	})
+}
+
+// apply carries one order out, as the platform's engines do, and checks the two
+// rules of groups. It tells whether the order was taken.
+func (s *sim) apply(o Order) bool {
+	e := s.engines[o.Instance]
+	if e == nil || !e.alive {
+		return false
+	}
+	switch o.Op {
+	case OpJoin:
+		return s.join(e, o)
+	case OpStage:
+		m, _ := s.engine.Model(o.Model)
+		e.staging, e.staged = o.Model, s.now.Add(m.Load)
+		return true
+	}
+	if e.in.Group.Key() != o.Group {
+		return false
+	}
+	switch o.Op {
+	case OpOpen:
+		if e.in.Group.State != fleet.Ready || e.in.Group.Rank != 0 {
+			return false
+		}
+		e.turns(fleet.Open)
+		s.checkOpen(e)
+	case OpClose:
+		e.turns(fleet.Ready)
+	case OpLeave:
+		e.tells(fleet.Membership{})
+	}
+	return true
+}
+
+func (s *sim) join(e *simEngine, o Order) bool {
+	list, known := e.members[o.Group]
+	if o.Group.Epoch < e.seen || known && fmt.Sprint(list) != fmt.Sprint(o.Members) {
+		return false
+	}
+	if e.in.Group.Key() == o.Group {
+		return true
+	}
+	s.checkLeaves(e)
+	rank := -1
+	for i, id := range o.Members {
+		if id == e.in.ID {
+			rank = i
+		}
+	}
+	m, _ := s.engine.Model(o.Model)
+	wait := m.Load
+	switch {
+	case len(e.in.Models) > 0 && e.in.Models[0] == o.Model:
+		wait = quickJoin
+	case e.in.HasStaged(o.Model):
+		wait = m.Warm
+	}
+	e.seen, e.members[o.Group], e.loaded = o.Group.Epoch, o.Members, s.now.Add(wait)
+	e.tells(fleet.Membership{Name: o.Group.Name, Epoch: o.Group.Epoch, Rank: rank, State: fleet.Joining})
+	e.in.Models = []string{o.Model}
+	return true
+}
+
+// checkLeaves: no engine joins another group while its old group's head is open.
+func (s *sim) checkLeaves(e *simEngine) {
+	old := e.in.Group.Key()
+	if old.Name == "" {
+		return
+	}
+	for _, h := range s.engines {
+		if h.alive && h.in.Group.Key() == old && h.in.Group.Rank == 0 && h.in.Group.State == fleet.Open {
+			s.t.Fatalf("%s joins another group while %v is open at %s", e.in.ID, old, h.in.ID)
+		}
+	}
+}
+
+// checkOpen: a group opens only after each of its members was ready in it.
+func (s *sim) checkOpen(head *simEngine) {
+	s.opened++
+	key := head.in.Group.Key()
+	list := head.members[key]
+	m, _ := s.engine.Model(head.in.Models[0])
+	if len(list) != m.Size {
+		s.t.Fatalf("%v opens with %d members of %d", key, len(list), m.Size)
+	}
+	for _, id := range list {
+		if !s.ready[key][id] {
+			s.t.Fatalf("%v opens though %s was never ready in it", key, id)
+		}
+	}
+}
+
+// step lets time pass: loads end, late orders are carried out.
+func (s *sim) step(d time.Duration) {
+	s.now = s.now.Add(d)
+	for _, e := range s.engines {
+		if e.in.Group.State == fleet.Joining && !s.now.Before(e.loaded) {
+			e.turns(fleet.Ready)
+			e.in.Staged = []string{e.in.Models[0]}
+			if s.ready[e.in.Group.Key()] == nil {
+				s.ready[e.in.Group.Key()] = map[string]bool{}
+			}
+			s.ready[e.in.Group.Key()][e.in.ID] = true
+		}
+		if e.staging != "" && !s.now.Before(e.staged) {
+			e.in.Staged, e.staging = []string{e.staging}, ""
+		}
+	}
+	var rest []lateOrder
+	for _, l := range s.late {
+		if s.now.Before(l.at) {
+			rest = append(rest, l)
+		} else {
+			s.apply(l.order)
+		}
+	}
+	s.late = rest
+}
+
+// plan runs a planner once on a view and carries its orders out; chance decides
+// which are lost or late.
+func (s *sim) plan(p *Planner, v *fleet.View, fate func() (lost, late bool, delay time.Duration)) {
+	for _, o := range p.Plan(v, s.engine, s.now) {
+		lost, late, delay := fate()
+		switch {
+		case late:
+			s.late = append(s.late, lateOrder{s.now.Add(delay), o})
+			p.Ended(o, Unanswered)
+		case lost || !s.engines[o.Instance].alive:
+			p.Ended(o, Unanswered)
+		case s.apply(o):
+			p.Ended(o, Taken)
+		default:
+			p.Ended(o, Refused)
+		}
+	}
+}
+
+func prompt() (bool, bool, time.Duration) { return false, false, 0 }
+
+func (s *sim) serving() map[string]int {
+	n := map[string]int{}
+	for _, g := range s.view().Groups {
+		if g.Serving() {
+			n[g.Model]++
+		}
+	}
+	return n
+}
+
+// run plans for a while on current views without trouble.
+func (s *sim) run(p *Planner, d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.step(250 * time.Millisecond) {
+		s.plan(p, s.view(), prompt)
+	}
+}
+
+// pairSim is a domain of two engines that hold the small model.
+func pairSim(t failer) *sim {
+	s := newSim(t, 1, 2)
+	s.engine.Models = s.engine.Models[1:]
+	for _, e := range s.engines {
+		e.in.Staged, e.in.Models = []string{"small"}, []string{"small"}
+	}
+	return s
+}
+
+// after makes every order late by a delay.
+func after(delay time.Duration) func() (bool, bool, time.Duration) {
+	return func() (bool, bool, time.Duration) { return false, true, delay }
+}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -19,30 +19,6 @@
 	"pearlanding/internal/routes"
 )
 
-// Op is what an order asks of an instance.
-type Op string
-
-// Orders.
-const (
-	OpJoin  Op = "join"
-	OpOpen  Op = "open"
-	OpClose Op = "close" // finishing what is in progress
-	OpLeave Op = "leave"
-	OpStage Op = "stage" // load a model to the host, alongside everything else
-)
-
-// Order is one order to one instance.
-type Order struct {
-	Op       Op
-	Instance string
-	Address  string
-	Group    fleet.Key
-	Model    string
-	Members  []string // of a join; the first is the head
-	Version  uint64   // of the instance's entry that a leave rests on
-	Reason   string   // for the log
-}
-
 // Times of the planner.
 const (
 	// resendAfter is how long an order may go without a visible effect before it is
@@ -255,26 +231,6 @@
 	return !slices.ContainsFunc(g.Members, func(m *fleet.Instance) bool { return m.Draining || m.Group.State == fleet.Broken })
 }
 
-// dissolve frees the members of a group that can't serve. The head goes first, as
-// long as its entry is known: once it has left, no late order can open the group
-// again. Members leave too before they may join elsewhere, since a head whose
-// entry is missing may still be open, out of the store's reach.
-func (p *Planner) dissolve(g *fleet.Group, busy map[string]bool, now time.Time) []Order {
-	hold(g, busy)
-	if g.Head != nil && !p.hasLeft(g.Head) && g.Head.Group.State != fleet.Broken {
-		return p.endHead(g, now)
-	}
-	var out []Order
-	for _, m := range g.Members {
-		if p.hasLeft(m) {
-			delete(busy, m.ID)
-			continue
-		}
-		out = append(out, p.send(now, Order{Op: OpLeave, Instance: m.ID, Address: m.Address, Group: g.Key, Version: m.Version, Reason: "its group ended"})...)
-	}
-	return out
-}
-
 // mayReturn tells whether a second copy of a join to the instance may still be
 // under way: it could bring the instance back to a group that it has left. The
 // lease's record tells whether the planner before sent joins twice.
@@ -282,72 +238,6 @@
 	return p.inherited[id] && now.Sub(p.started) < lateOrders || now.Sub(p.doubled[id]) < lateOrders
 }
 
-// endHead closes a group whose member leaves by plan, so that streams may finish,
-// and makes the head of any other leave at once.
-func (p *Planner) endHead(g *fleet.Group, now time.Time) []Order {
-	state, whole := g.Head.Group.State, g.Size == len(g.Members)
-	head := Order{Op: OpLeave, Instance: g.Head.ID, Address: g.Head.Address, Group: g.Key, Version: g.Head.Version, Reason: "group is not complete"}
-	if whole && !p.closedLong(g, now) {
-		switch state {
-		case fleet.Open:
-			if _, ok := p.closing[g.Key]; !ok {
-				p.closing[g.Key] = now
-			}
-			head.Op, head.Reason = OpClose, "a member leaves"
-		case fleet.Closing:
-			return nil
-		}
-	}
-	return p.send(now, head)
-}
-
-// leave is a group that an instance left, and the version of its entry before: a newer
-// entry that shows the group tells that the instance is in it again.
-type leave struct {
-	group   fleet.Key
-	version uint64
-}
-
-// hasLeft tells whether an instance left the group that its entry still shows.
-func (p *Planner) hasLeft(in *fleet.Instance) bool {
-	return in.Group.Name != "" && p.left[in.ID] == leave{in.Group.Key(), in.Version}
-}
-
-// Outcome is what came of an order.
-type Outcome int
-
-// Outcomes of orders.
-const (
-	// Taken: the instance began it, or it was done already.
-	Taken Outcome = iota
-	// Refused: the instance, or another in its place, won't do it.
-	Refused
-	// Unanswered: it may still be carried out, seconds later.
-	Unanswered
-)
-
-// String names the outcome for the log.
-func (o Outcome) String() string {
-	return [...]string{"taken", "refused", "unanswered"}[o]
-}
-
-// Ended takes in what came of an order, before any entry shows it.
-func (p *Planner) Ended(o Order, outcome Outcome) {
-	if o.Op == OpLeave && outcome != Unanswered {
-		p.left[o.Instance] = leave{o.Group, o.Version} // a refused leave: it is not in the group
-	}
-}
-
-// closePatience is how long a group that loses a member to a planned leave may
-// finish its streams. Source: a leaving member stays 10 s at most for its head.
-const closePatience = 8 * time.Second
-
-// closedLong tells whether the group was asked to close long ago.
-func (p *Planner) closedLong(g *fleet.Group, now time.Time) bool {
-	at, ok := p.closing[g.Key]
-	return ok && now.Sub(at) > closePatience
-}
-
 // viable tells whether a group that is forming may still become complete.
 func (p *Planner) viable(v *fleet.View, f *forming, now time.Time) bool {
 	for _, id := range f.members {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -60,12 +59,6 @@
 // begun to be asked. It may be back soon.
 const errOutOfTouch = errors.ConstError("relay: out of touch with the store")
 
-// record names the daemon that relays, in the store.
-type record struct {
-	Holder  string `json:"holder"`  // unique for each life of a process
-	Address string `json:"address"` // where it answers peers, IP:port
-}
-
 // Transport asks a relay at an address.
 type Transport interface {
 	News(ctx context.Context, address string, r NewsRequest) (NewsReply, error)
@@ -224,95 +217,3 @@
 	}
 	return objectapi.Changes{Events: fromChanges(r.Events), Revision: r.Revision, Age: age}, nil
 }
-
-// lost gives a relay up for a while.
-func (n *Node) lost(err error) {
-	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
-	n.suspect, n.peer, n.proved, n.failedAt = n.peer, "", time.Time{}, n.now()
-	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
-}
-
-// locate finds the zone's relay, or becomes it, when it is time to.
-func (n *Node) locate(ctx context.Context, after uint64) {
-	if n.peer != "" || n.now().Before(n.lookAt) || n.closed.Load() {
-		return
-	}
-	if n.suspect != "" {
-		_, err := n.ask(ctx, n.suspect, after, 0)
-		switch {
-		case err == nil || errors.Is(err, objectapi.ErrCompacted):
-			n.use(n.suspect)
-			return
-		case errors.Is(err, errOutOfTouch) && n.now().Sub(n.failedAt) < n.part(stalePatience):
-			n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
-			return
-		}
-	}
-	n.look(ctx)
-}
-
-// look reads the record. A record that names nobody, this daemon's own address or a
-// relay that failed twice is taken over.
-func (n *Node) look(ctx context.Context) {
-	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
-	o, err := n.Feed.Get(ctx, n.o.Key)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		_, err = n.Feed.Create(ctx, n.o.Key, n.value())
-		n.wrote(err)
-		return
-	}
-	if err != nil {
-		return
-	}
-	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		n.o.Log.Error("relay's record not understood; replaced", zap.Error(err))
-	}
-	switch {
-	case r.Holder == n.o.Holder:
-		n.hold()
-	case r.Address == "" || r.Address == n.o.Address || r.Address == n.suspect:
-		_, err = n.Feed.Update(ctx, n.o.Key, o.Version, n.value())
-		n.wrote(err)
-	default:
-		n.use(r.Address)
-	}
-}
-
-func (n *Node) value() []byte {
-	value, err := json.Marshal(record{n.o.Holder, n.o.Address})
-	if err != nil {
-		n.o.Log.Error("relay's record not encoded", zap.Error(err))
-	}
-	return value
-}
-
-// wrote takes in what became of a write of the record. One whose outcome is unknown
-// is read back by the next look.
-func (n *Node) wrote(err error) {
-	switch {
-	case err == nil:
-		n.hold()
-	case errors.Is(err, objectapi.ErrConflict):
-		n.suspect = "" // whoever won may be the one that failed before
-		n.lookAt = n.now().Add(n.o.Uniform(conflictLeast, conflictMost))
-	}
-}
-
-// hold makes this daemon the relay.
-func (n *Node) hold() {
-	if !n.holding.Swap(true) {
-		n.o.Log.Info("relay taken", zap.String("decision", "follow_the_store_for_the_zone"), zap.String("address", n.o.Address))
-	}
-	n.suspect = ""
-	n.lookAt = n.now().Add(recheckEvery)
-}
-
-// use makes another daemon this one's relay.
-func (n *Node) use(address string) {
-	if n.holding.Swap(false) {
-		n.o.Log.Info("relay given up", zap.String("relay", address))
-	}
-	n.o.Log.Info("relay used", zap.String("relay", address))
-	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
-}
