Relays: the daemon that plans hears from all daemons which groups stand still

Change: a peer's call to its relay tells at which groups its streams stopped; the planner asks the relays each 0.3 s and probes what they name.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -47,7 +47,7 @@
 	// leaseKey holds the lease of the daemon that plans groups.
 	leaseKey = "pearlanding-leases/groups"
 	// relayKind holds the record of each zone's relay, by the zone's name.
-	relayKind = "pearlanding-relays/"
+	relayKind = "pearlanding-relays"
 )
 
 // Figures of the daemon.
@@ -99,6 +99,7 @@
 	calls    *countedFeed
 	relay    *relay.Node // nil: this daemon has no address for peers
 	peers    *relay.Peers
+	survey   *relay.Survey
 	lease    *formation.Lease
 	stopping atomic.Bool
 }
@@ -149,6 +150,7 @@
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
+	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
@@ -157,7 +159,6 @@
 	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
-	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
@@ -185,13 +186,16 @@
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
+	if d.survey != nil {
+		run(ctx, d.survey.Run)
+	}
 	run(ctx, manager.Run)
 	return group.Wait
 }
 
 func (d *Daemon) manager() *formation.Manager {
 	return &formation.Manager{
-		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.picker.Still,
+		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.still,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
 		Relayed: func() bool { return d.following() == followsRelayed },
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -66,15 +67,34 @@
 // newRelay joins the relays of this daemon's zone.
 func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
 	d.peers = relay.NewPeers()
+	d.survey = &relay.Survey{Ask: d.peers.Standing, Active: d.planning, Now: time.Now, Relays: func(ctx context.Context) ([]string, error) {
+		l, err := d.Outside.Feed.ListKind(ctx, relayKind)
+		return relay.Addresses(l), err
+	}}
 	return relay.NewNode(relay.Options{
-		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + s.Zone, Holder: holder, Address: s.Peers,
+		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
-		Stale:   func() time.Duration { return d.drainPart(stalePart, defaultStale) },
-		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:     time.Now, Log: d.Log,
+		Stale:    func() time.Duration { return d.drainPart(stalePart, defaultStale) },
+		Standing: d.picker.Stopped,
+		Uniform:  func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
+		Now:      time.Now, Log: d.Log,
 	})
 }
 
+// still lists the heads of groups that stand still, for this daemon or for others.
+func (d *Daemon) still(now time.Time) []string {
+	out := d.picker.Still(now)
+	if d.survey == nil {
+		return out
+	}
+	for _, id := range d.survey.Found(now) {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // answerPeers serves other daemons until ctx ends.
 func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -28,6 +28,7 @@
 	progress     time.Time // of any request, last
 	suspectUntil time.Time
 	suspicion    time.Duration // the next suspicion lasts
+	stoppedAt    time.Time     // when a running stream stopped and was moved, last
 	used         time.Time
 }
 
@@ -57,6 +58,9 @@
 	// failure up to suspectMost until the target brings something again.
 	suspectFor  = 1500 * time.Millisecond
 	suspectMost = 8 * time.Second
+	// stoppedFor is how long a stream that stopped counts as a sign that its target
+	// stands still: it was moved, and is not there any more.
+	stoppedFor = time.Second
 	// forgetAfter is how long an unused target is remembered.
 	forgetAfter = 30 * time.Second
 )
@@ -322,6 +326,28 @@
 	return out
 }
 
+// stopped notes that a running stream stopped and was moved away.
+func (p *Picker) stopped(t *target, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(t.instance).stoppedAt = now
+}
+
+// Stopped lists the instances at which running streams of this daemon stopped lately and
+// nothing came since, in order.
+func (p *Picker) Stopped(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, r := range p.records {
+		if r.still(now) || now.Sub(r.stoppedAt) < stoppedFor && r.progress.Before(r.stoppedAt) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Sweep forgets targets that were not used lately.
 func (p *Picker) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/internal/gateway/picker_test.go
+++ b/internal/gateway/picker_test.go
@@ -58,6 +58,19 @@
 	must.Eq(t, unknown, p.health("here", t0.Add(time.Second)))
 }
 
+// A stream that stopped is moved at once; the daemon that plans should still hear of it,
+// unless something came from there since.
+func TestStoppedStreamsAreTold(t *testing.T) {
+	p := testPicker()
+	must.SliceEmpty(t, p.Stopped(t0))
+	p.stopped(&here, t0)
+	must.Eq(t, []string{"here"}, p.Stopped(t0.Add(stoppedFor-1)))
+	must.SliceEmpty(t, p.Stopped(t0.Add(stoppedFor)))
+	p.stopped(&here, t0)
+	p.progressed(&here, t0.Add(time.Millisecond))
+	must.SliceEmpty(t, p.Stopped(t0.Add(2*time.Millisecond)))
+}
+
 func TestSuspicionDoublesUntilTheTargetAnswers(t *testing.T) {
 	p := testPicker()
 	now := t0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -258,6 +258,9 @@
 // broke judges a send whose stream did not come to its end.
 func (x *exchange) broke(attempt context.Context, t *target, err error) {
 	x.ended(cause(attempt, err))
+	if errors.Is(context.Cause(attempt), errSilent) {
+		x.gateway.Picker.stopped(t, time.Now())
+	}
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errSilent) {
 		x.gateway.Picker.suspect(t, time.Now())
 	}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -29,6 +29,10 @@
 	After     uint64 `json:"after"`
 	ConfigSeq uint64 `json:"config_seq"`
 	WaitMS    int64  `json:"wait_ms"` // how long to wait for either
+	// From is the asker, unique for each life of a process; Standing are the instances
+	// whose running streams stopped for it lately.
+	From     string   `json:"from"`
+	Standing []string `json:"standing,omitempty"`
 }
 
 // NewsReply is what a relay knows. Ages are in milliseconds before the reply was
@@ -74,7 +78,9 @@
 }
 
 // Methods returns the calls that peers may make.
-func (n *Node) Methods() handler.Map { return handler.Map{methodNews: handler.New(n.news)} }
+func (n *Node) Methods() handler.Map {
+	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding)}
+}
 
 // maxWait bounds how long a peer's call is held.
 const maxWait = 2 * time.Second
@@ -83,7 +89,9 @@
 // the wait is over. As soon as the newest proof is stale it says so, and the peer
 // turns to the store.
 func (n *Node) news(ctx context.Context, r NewsRequest) (NewsReply, error) {
-	n.askedAt.Store(n.now())
+	began := n.now()
+	n.askedAt.Store(began)
+	n.reports.note(r.From, r.Standing, began)
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := false; ; {
@@ -138,5 +146,12 @@
 	return out, err
 }
 
+// Standing asks a relay which instances stand still in its zone.
+func (p *Peers) Standing(ctx context.Context, address string) (StandingReply, error) {
+	var out StandingReply
+	err := p.rpc.Call(ctx, address, methodStanding, nil, &out)
+	return out, err
+}
+
 // Close ends all connections.
 func (p *Peers) Close() { p.rpc.Close() }
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -17,6 +17,18 @@
 	Address string `json:"address"` // where it answers peers, IP:port
 }
 
+// Addresses returns the relays that a listing of the records names.
+func Addresses(l objectapi.Listing) []string {
+	var out []string
+	for _, o := range l.Objects {
+		var r record
+		if json.Unmarshal(o.Value, &r) == nil && r.Address != "" {
+			out = append(out, r.Address) // one that isn't understood is replaced by its zone
+		}
+	}
+	return out
+}
+
 // lost gives a relay up for a while.
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,8 @@
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
 	Confirm func(version uint64, proved time.Time)
+	// Standing lists the instances whose running streams stopped for this daemon lately.
+	Standing func(now time.Time) []string
 	// Uniform returns a duration in [least, most) by chance.
 	Uniform func(least, most time.Duration) time.Duration
 	Now     func() time.Time
@@ -92,6 +94,7 @@
 	objectapi.Feed
 	o       Options
 	history *history
+	reports *reports
 	holding atomic.Bool // the record names this daemon, as far as it knows
 	reached atomic.Bool // the last call to the store for entries succeeded
 	closed  atomic.Bool // this daemon stops
@@ -109,7 +112,7 @@
 
 // NewNode returns a node that first follows the store itself.
 func NewNode(o Options) *Node {
-	return &Node{Feed: o.Store, o: o, history: newHistory(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
+	return &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
 }
 
 func (n *Node) now() time.Time { return n.o.Now() }
@@ -200,7 +203,8 @@
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds()})
+	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds(),
+		From: n.o.Holder, Standing: n.o.Standing(asked)})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
 	}
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -48,6 +48,8 @@
 	proved  time.Time // of state
 	listed  bool
 	planner bool
+	// What stands still for it.
+	standing []string
 	// The configuration as other daemons confirmed it.
 	version uint64
 	config  time.Time
@@ -75,9 +77,10 @@
 	d.state = map[string]uint64{}
 	return NewNode(Options{Store: &storeOf{z: z, d: d}, Kind: entriesKind, Key: recordKey, Holder: fmt.Sprint(d.name, " ", z.revision, z.now),
 		Address: d.name, Peers: z, Stale: func() time.Duration { return stale }, Direct: func() bool { return d.planner },
-		Confirm: func(version uint64, proved time.Time) { d.version, d.config = version, proved },
-		Uniform: func(least, _ time.Duration) time.Duration { return least },
-		Now:     func() time.Time { return z.now }, Log: zap.NewNop()})
+		Confirm:  func(version uint64, proved time.Time) { d.version, d.config = version, proved },
+		Standing: func(time.Time) []string { return d.standing },
+		Uniform:  func(least, _ time.Duration) time.Duration { return least },
+		Now:      func() time.Time { return z.now }, Log: zap.NewNop()})
 }
 
 // restart starts a daemon's process anew.
