Groups go on while members are cut off from the store

Cause: 47 of 171 engines lost the store for 8.6 s; their entries lapsed after three silent heartbeats, and nearly every group has a member among them: serving groups fell from 25 to 5 at all daemons at once, though requests reached the heads and their streams went on. Ruled out: heads whose own entries lapsed (requests may not reach them); opening a group again with such a member (still never done); a member that does not answer a probe is dead and ends its group; one that had said it was leaving, was joining or broken never counts. Mutant: counting only members with entries turns TestGroupsGoOnWhileMembersAreCutOff red.

--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -13,6 +13,9 @@
 	// removedMemory is how long a removed instance is remembered, for whoever
 	// must know how long ago its group lost it.
 	removedMemory = 60 * time.Second
+	// lapsedFor is how long an instance whose entry lapsed may count as a member of its
+	// group. Source: instances were seen cut off from the store for up to 10 s.
+	lapsedFor = 15 * time.Second
 )
 
 // Belief turns what the store tells into views. It is not safe for concurrent
@@ -102,13 +105,18 @@
 // Expire forgets what is believed no longer at now and tells whether the view
 // changed by it.
 func (b *Belief) Expire(now time.Time) bool {
+	changed := false
 	for id, gone := range b.removed {
+		if gone.Lapsed && now.Sub(gone.At) > lapsedFor {
+			gone.Lapsed, changed = false, true
+			b.removed[id] = gone
+		}
 		if now.Sub(gone.At) > removedMemory {
 			delete(b.removed, id)
 		}
 	}
 	if len(b.lapsed) == 0 || now.Before(b.backAt.Add(returnGrace)) || !b.lostSince.IsZero() {
-		return false
+		return changed
 	}
 	for id := range b.lapsed {
 		b.forget(id, now)
@@ -117,7 +125,9 @@
 }
 
 func (b *Belief) forget(id string, now time.Time) {
-	b.removed[id] = Gone{Instance: b.instances[id], At: now}
+	in := b.instances[id]
+	ready := in.Group.State == Ready || in.Group.State == Open
+	b.removed[id] = Gone{Instance: in, At: now, Lapsed: ready && in.Group.Rank > 0 && !in.Draining}
 	delete(b.instances, id)
 	delete(b.lapsed, id)
 }
--- a/internal/fleet/belief_test.go
+++ b/internal/fleet/belief_test.go
@@ -114,3 +114,53 @@
 	b.Put(member("a", 0, Open))
 	must.False(t, b.View(start).Groups[Key{"g", 3}].Serving())
 }
+
+// Load: a part of the instances is cut off from the store for some seconds, and nearly
+// every group has a member among them. The groups go on, as long as their heads are seen.
+func TestGroupGoesOnWhenAMembersEntryLapses(t *testing.T) {
+	key := Key{"g", 3}
+	for name, c := range map[string]struct {
+		gone   *Instance
+		serves bool
+	}{
+		"ready":    {member("b", 1, Ready), true},
+		"joining":  {member("b", 1, Joining), false},
+		"broken":   {member("b", 1, Broken), false},
+		"draining": {&Instance{ID: "b", Service: "s", Models: []string{"large"}, Draining: true, Group: Membership{Name: "g", Epoch: 3, Rank: 1, State: Ready}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBelief(heartbeat, sizes)
+			b.Put(member("a", 0, Open))
+			b.Put(c.gone)
+			b.Remove("b", start)
+			must.Eq(t, c.serves, b.View(start).Groups[key].Serving())
+			must.False(t, b.View(start).Groups[key].Complete(), must.Sprint("it must not be opened again"))
+			b.Expire(start.Add(lapsedFor + time.Second))
+			must.False(t, b.View(start).Groups[key].Serving(), must.Sprint("nobody vouches for it that long"))
+		})
+	}
+}
+
+// Requests must not reach an instance whose entry is gone: a group without its head ends.
+func TestGroupEndsWhenItsHeadsEntryLapses(t *testing.T) {
+	b := NewBelief(heartbeat, sizes)
+	b.Put(member("a", 0, Open))
+	b.Put(member("b", 1, Ready))
+	b.Remove("a", start)
+	must.False(t, b.View(start).Groups[Key{"g", 3}].Serving())
+}
+
+// An instance whose entry is back is a member as any other.
+func TestMemberWhoseEntryIsBack(t *testing.T) {
+	b := NewBelief(heartbeat, sizes)
+	b.Put(member("a", 0, Open))
+	b.Put(member("b", 1, Ready))
+	b.Remove("b", start)
+	b.Put(member("b", 1, Ready))
+	must.True(t, b.View(start).Groups[Key{"g", 3}].Complete())
+	b.Remove("b", start)
+	back := member("b", 1, Ready)
+	back.Group.Epoch = 4
+	b.Put(back)
+	must.False(t, b.View(start).Groups[Key{"g", 3}].Serving(), must.Sprint("it is in another group"))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,14 +66,18 @@
 	Zone    string
 	Head    *Instance // nil while no entry of rank 0 is known
 	Members []*Instance
-	Size    int // of the model; 0 while the model is unknown
+	// Lapsed are members whose entries went without a word and that may still serve.
+	Lapsed []*Instance
+	Size   int // of the model; 0 while the model is unknown
 }
 
 // Complete tells whether every member of the group is known, ready and staying.
 func (g *Group) Complete() bool {
-	if g.Size == 0 || len(g.Members) != g.Size {
-		return false
-	}
+	return g.Size > 0 && len(g.Members) == g.Size && g.allStay()
+}
+
+// allStay tells whether each member with an entry is ready and staying.
+func (g *Group) allStay() bool {
 	for _, m := range g.Members {
 		if m.Draining || m.Group.State == Joining || m.Group.State == Broken {
 			return false
@@ -82,9 +86,13 @@
 	return true
 }
 
-// Serving tells whether requests may be sent to the group's head.
+// Serving tells whether requests may be sent to the group's head. A member that was
+// ready and whose entry lapsed does not end the group: an instance cut off from the
+// store goes on serving, and its head's streams show whether it does. Worth per request
+// owed 0.52 to 0.72 (two days of 68 daemons with 47 of 171 engines cut off for 8.6 s).
 func (g *Group) Serving() bool {
-	return g.Head != nil && g.Head.Group.State == Open && g.Complete()
+	return g.Head != nil && g.Head.Group.State == Open && g.Size > 0 &&
+		len(g.Members)+len(g.Lapsed) == g.Size && g.allStay()
 }
 
 // View is all a daemon believes of the instances at one time. It is immutable.
@@ -102,6 +110,9 @@
 type Gone struct {
 	Instance *Instance
 	At       time.Time
+	// Lapsed: it may still serve. It said nothing of leaving, was ready in its group, and
+	// nothing has shown since that it is dead.
+	Lapsed bool
 }
 
 // SizeOf tells how many instances a replica of a model takes; 0: unknown.
@@ -130,11 +141,18 @@
 			g.Head, g.Zone = in, in.Zone
 		}
 	}
+	for _, gone := range removed {
+		if g := v.Groups[gone.Instance.Group.Key()]; gone.Lapsed && g != nil {
+			g.Lapsed = append(g.Lapsed, gone.Instance)
+		}
+	}
 	for _, list := range v.Services {
 		slices.SortFunc(list, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	for _, g := range v.Groups {
-		slices.SortFunc(g.Members, func(a, b *Instance) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) })
+		byRank := func(a, b *Instance) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) }
+		slices.SortFunc(g.Members, byRank)
+		slices.SortFunc(g.Lapsed, byRank)
 	}
 	return v
 }
--- /dev/null
+++ b/internal/formation/lapse_test.go
@@ -0,0 +1,98 @@
+package formation
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/fleet"
+)
+
+// Load: more than a quarter of the instances is cut off from the store for nine seconds.
+// Groups whose heads are seen go on, and none of their members is called elsewhere.
+func TestGroupsGoOnWhileMembersAreCutOff(t *testing.T) {
+	s := newSim(t, 6, 10)
+	p := NewPlanner(simService, 1, nil, s.now)
+	s.run(p, 30*time.Second)
+	before := s.view().Groups
+	cut := 0
+	for _, e := range s.engines {
+		if e.in.Group.Rank > 0 && cut < 16 {
+			e.cut = true
+			cut++
+		}
+	}
+	s.run(p, 9*time.Second)
+	for key, g := range before {
+		if g.Serving() {
+			must.True(t, s.view().Groups[key].Serving(), must.Sprint(key))
+		}
+	}
+	for _, e := range s.engines {
+		e.cut = false
+	}
+	s.run(p, 5*time.Second)
+	for key, g := range before {
+		must.Eq(t, g.Complete(), s.view().Groups[key].Complete(), must.Sprint(key))
+	}
+}
+
+// deadProber answers for all instances but some.
+type deadProber map[string]bool
+
+func (d deadProber) Probe(_ context.Context, in *fleet.Instance) error {
+	if d[in.ID] {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// A member whose entry lapsed and that does not answer is dead: its group is not kept.
+func TestLapsedMemberThatDoesNotAnswerEndsItsGroup(t *testing.T) {
+	s := pairSim(t)
+	p := NewPlanner(simService, 1, nil, s.now)
+	s.run(p, 5*time.Second)
+	var lapsed string
+	for id, e := range s.engines {
+		if e.in.Group.Rank == 1 {
+			e.cut, lapsed = true, id
+		}
+	}
+	size := func(_, model string) int { m, _ := s.engine.Model(model); return m.Size }
+	serving := func(found *search) bool {
+		for _, g := range found.without(s.view(), size).Groups {
+			return g.Serving()
+		}
+		return false
+	}
+	answers, silent := newSearch(deadProber{}, zap.NewNop()), newSearch(deadProber{lapsed: true}, zap.NewNop())
+	answers.probe(t.Context(), &s.engines[lapsed].in)
+	silent.probe(t.Context(), &s.engines[lapsed].in)
+	must.True(t, serving(answers))
+	must.False(t, serving(silent))
+}
+
+// askedProber tells whom it was to ask.
+type askedProber chan string
+
+func (a askedProber) Probe(_ context.Context, in *fleet.Instance) error {
+	a <- in.ID
+	return nil
+}
+
+func TestLapsedMembersAreProbed(t *testing.T) {
+	s := pairSim(t)
+	s.run(NewPlanner(simService, 1, nil, s.now), 5*time.Second)
+	asked := make(askedProber)
+	for id, e := range s.engines {
+		if e.in.Group.Rank == 1 {
+			e.cut = true
+			newSearch(asked, zap.NewNop()).look(t.Context(), s.view(), nil, s.now)
+			must.Eq(t, id, <-asked)
+		}
+	}
+}
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -44,7 +44,8 @@
 	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, dead: map[string]time.Time{}}
 }
 
-// look probes the members of the groups led by the given heads.
+// look probes the members of the groups led by the given heads, and the members whose
+// entries lapsed.
 func (s *search) look(ctx context.Context, v *fleet.View, heads []string, now time.Time) {
 	for _, id := range heads {
 		in := v.Instances[id]
@@ -55,6 +56,14 @@
 			go s.probe(ctx, m)
 		}
 	}
+	for key, g := range v.Groups {
+		if len(g.Lapsed) == 0 || !s.due(key, now) {
+			continue
+		}
+		for _, m := range g.Lapsed {
+			go s.probe(ctx, m)
+		}
+	}
 	s.expire(now)
 }
 
@@ -126,6 +135,9 @@
 	living := make(map[string]*fleet.Instance, len(v.Instances))
 	removed := make(map[string]fleet.Gone, len(v.Removed)+len(s.dead))
 	for id, gone := range v.Removed {
+		if _, ok := s.dead[id]; ok {
+			gone.Lapsed = false
+		}
 		removed[id] = gone
 	}
 	for id, in := range v.Instances {
