Dispatch: decisions about requests apart from input and output

Change: package dispatch holds them, with explicit time; the gateway carries them out and logs an admission's inputs with its limit. No decision changed.

--- a/internal/gateway/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,4 +1,4 @@
-package gateway
+package dispatch
 
 import (
 	"sync"
@@ -98,13 +98,14 @@
 	return left
 }
 
-// budgets holds one budget a service.
-type budgets struct {
+// Budgets holds one budget a service.
+type Budgets struct {
 	mu sync.Mutex
 	m  map[string]*Budget
 }
 
-func (b *budgets) of(service string) *Budget {
+// Of returns a service's budget.
+func (b *Budgets) Of(service string) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.m == nil {
@@ -116,8 +117,8 @@
 	return b.m[service]
 }
 
-// left returns what is left of each service's budget.
-func (b *budgets) left(rule BudgetRule, now time.Time) map[string]float64 {
+// Left returns what is left of each service's budget.
+func (b *Budgets) Left(rule BudgetRule, now time.Time) map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]float64, len(b.m))
--- a/internal/gateway/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -1,4 +1,4 @@
-package gateway
+package dispatch
 
 import (
 	"testing"
--- a/internal/gateway/picker.go
+++ b/internal/dispatch/picker.go
@@ -1,4 +1,4 @@
-package gateway
+package dispatch
 
 import (
 	"cmp"
@@ -10,21 +10,20 @@
 	"pearlanding/internal/routes"
 )
 
-// target is where one request may be sent.
-type target struct {
-	instance string // id of the instance, or of a group's head
-	address  string
-	zone     string
-	group    fleet.Key // zero for plain services
-	slots    int
-	quiet    time.Duration // how long its running streams may bring nothing
+// Target is where one request may be sent.
+type Target struct {
+	Instance string // id of the instance, or of a group's head
+	Address  string
+	Zone     string
+	Group    fleet.Key     // zero for plain services
+	Quiet    time.Duration // how long its running streams may bring nothing
 }
 
-// quietFor is how long running streams of a model's replica may bring nothing: a
+// QuietFor is how long running streams of a model's replica may bring nothing: a
 // replica that reads long prompts is quiet for a whole pass, and moving its streams
 // away then makes others read them again. Worth per request owed +0.032 +/- 0.004 against
 // a fixed 250 ms (36 paired days of 7 daemons and 48 engines that fail one by one).
-func quietFor(e *routes.Engine, m routes.Model) time.Duration {
+func QuietFor(e *routes.Engine, m routes.Model) time.Duration {
 	return max(e.LongestPass(m)+quietMargin, quietLeast)
 }
 
@@ -93,17 +92,17 @@
 	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}}
 }
 
-// pick takes the least loaded target that was not tried, nil if there is none.
+// Pick takes the least loaded target that was not tried, nil if there is none.
 // Its request counts as in progress until done is called.
-func (p *Picker) pick(targets []target, tried map[string]bool, now time.Time) *target {
+func (p *Picker) Pick(targets []Target, tried map[string]bool, now time.Time) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *target
+	var best *Target
 	var bestScore float64
 	ties := 0
 	for i := range targets {
 		t := &targets[i]
-		if tried[t.instance] {
+		if tried[t.Instance] {
 			continue
 		}
 		score := p.score(t, now)
@@ -117,19 +116,19 @@
 		}
 	}
 	if best != nil {
-		r := p.record(best.instance)
+		r := p.record(best.Instance)
 		r.inFlight++
-		r.used, r.quiet = now, max(best.quiet, quietLeast)
+		r.used, r.quiet = now, max(best.Quiet, quietLeast)
 	}
 	return best
 }
 
-func (p *Picker) score(t *target, now time.Time) float64 {
+func (p *Picker) score(t *Target, now time.Time) float64 {
 	score := 0.0
-	if t.zone != p.zone {
+	if t.Zone != p.zone {
 		score += otherZonePenalty
 	}
-	r := p.records[t.instance]
+	r := p.records[t.Instance]
 	if r == nil {
 		return score
 	}
@@ -164,11 +163,11 @@
 // soonest returns the least time that a first event will take at any of the
 // targets that do not stand still, as far as is known; ok is false if there are
 // none.
-func (p *Picker) soonest(targets []target, now time.Time) (least time.Duration, ok bool) {
+func (p *Picker) soonest(targets []Target, now time.Time) (least time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range targets {
-		r := p.records[targets[i].instance]
+		r := p.records[targets[i].Instance]
 		if r == nil {
 			return 0, true
 		}
@@ -182,29 +181,29 @@
 	return least, ok
 }
 
-// health is what this daemon's own requests show of a target.
-type health int
+// Health is what this daemon's own requests show of a target.
+type Health int
 
 const (
-	unknown health = iota // no stream runs there that would show it
-	alive                 // streams bring events
-	still                 // streams have stopped to, or requests failed lately
+	Unknown Health = iota // no stream runs there that would show it
+	Alive                 // streams bring events
+	Still                 // streams have stopped to, or requests failed lately
 )
 
-// health tells what is known of a target.
-func (p *Picker) health(instance string, now time.Time) health {
+// Health tells what is known of a target.
+func (p *Picker) Health(instance string, now time.Time) Health {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.records[instance]
 	switch {
 	case r == nil:
-		return unknown
+		return Unknown
 	case r.still(now) || now.Before(r.suspectUntil):
-		return still
+		return Still
 	case r.running > 0:
-		return alive
+		return Alive
 	}
-	return unknown
+	return Unknown
 }
 
 // record returns a target's record; p.mu is held.
@@ -217,20 +216,20 @@
 	return r
 }
 
-// waits notes that a stream was sent and waits for its first event.
-func (p *Picker) waits(t *target, now time.Time) {
+// Waits notes that a stream was sent and waits for its first event.
+func (p *Picker) Waits(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.instance)
+	r := p.record(t.Instance)
 	r.waiting = append(r.waiting, now)
 }
 
-// runs notes the first event of a stream that was sent at a time.
-func (p *Picker) runs(t *target, model string, sent, now time.Time) {
+// Runs notes the first event of a stream that was sent at a time.
+func (p *Picker) Runs(t *Target, model string, sent, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.learn(model, now.Sub(sent))
-	r := p.record(t.instance)
+	r := p.record(t.Instance)
 	r.running++
 	r.first, r.firstAt = now.Sub(sent), now
 	r.unwait(sent)
@@ -264,19 +263,19 @@
 	}
 }
 
-// done ends a request at a target.
-func (p *Picker) done(t *target) {
+// Done ends a request at a target.
+func (p *Picker) Done(t *Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.instance).inFlight--
+	p.record(t.Instance).inFlight--
 }
 
-// ended ends a stream that was sent at a time; ran tells whether it brought an
+// Ended ends a stream that was sent at a time; ran tells whether it brought an
 // event.
-func (p *Picker) ended(t *target, sent time.Time, ran bool) {
+func (p *Picker) Ended(t *Target, sent time.Time, ran bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.instance)
+	r := p.record(t.Instance)
 	r.inFlight--
 	if ran {
 		r.running--
@@ -285,19 +284,19 @@
 	}
 }
 
-// progressed notes that a target did something for a request.
-func (p *Picker) progressed(t *target, now time.Time) {
+// Progressed notes that a target did something for a request.
+func (p *Picker) Progressed(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.instance)
+	r := p.record(t.Instance)
 	r.progress, r.used, r.suspicion = now, now, 0
 }
 
-// suspect notes that a target failed; it is avoided for a while.
-func (p *Picker) suspect(t *target, now time.Time) {
+// Suspect notes that a target failed; it is avoided for a while.
+func (p *Picker) Suspect(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.instance)
+	r := p.record(t.Instance)
 	if now.Before(r.suspectUntil) {
 		return // failed together with others
 	}
@@ -338,11 +337,11 @@
 	return out
 }
 
-// stopped notes that a running stream stopped and was moved away.
-func (p *Picker) stopped(t *target, now time.Time) {
+// NoteStopped notes that a running stream stopped and was moved away.
+func (p *Picker) NoteStopped(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.instance).stoppedAt = now
+	p.record(t.Instance).stoppedAt = now
 }
 
 // Stopped lists the instances at which running streams of this daemon stopped lately and
--- a/internal/gateway/picker_test.go
+++ b/internal/dispatch/picker_test.go
@@ -1,4 +1,4 @@
-package gateway
+package dispatch
 
 import (
 	"testing"
@@ -10,52 +10,52 @@
 var (
 	t0    = time.Unix(1000, 0)
 	first = func(int) int { return 1 } // ties keep the first
-	here  = target{instance: "here", zone: "z"}
-	there = target{instance: "there", zone: "other"}
+	here  = Target{Instance: "here", Zone: "z"}
+	there = Target{Instance: "there", Zone: "other"}
 )
 
 func testPicker() *Picker { return NewPicker("z", first) }
 
-func pickOne(p *Picker, now time.Time, targets ...target) string {
-	t := p.pick(targets, nil, now)
+func pickOne(p *Picker, now time.Time, targets ...Target) string {
+	t := p.Pick(targets, nil, now)
 	if t == nil {
 		return ""
 	}
-	p.done(t)
-	return t.instance
+	p.Done(t)
+	return t.Instance
 }
 
 func TestPickerPrefersTheOwnZoneUntilItIsBusier(t *testing.T) {
 	p := testPicker()
 	must.Eq(t, "here", pickOne(p, t0, there, here))
-	p.pick([]target{here}, nil, t0) // stays in progress
+	p.Pick([]Target{here}, nil, t0) // stays in progress
 	must.Eq(t, "there", pickOne(p, t0, here, there))
 }
 
 func TestPickerLeavesOutWhatWasTried(t *testing.T) {
 	p := testPicker()
-	must.Nil(t, p.pick([]target{here}, map[string]bool{"here": true}, t0))
+	must.Nil(t, p.Pick([]Target{here}, map[string]bool{"here": true}, t0))
 }
 
 func TestStreamThatOnlyWaitsDoesNotMakeATargetStandStill(t *testing.T) {
 	p := testPicker()
-	p.pick([]target{here}, nil, t0)
-	p.waits(&here, t0)
-	must.Eq(t, unknown, p.health("here", t0.Add(time.Second)))
+	p.Pick([]Target{here}, nil, t0)
+	p.Waits(&here, t0)
+	must.Eq(t, Unknown, p.Health("here", t0.Add(time.Second)))
 }
 
 func TestTargetStandsStillWhenItsRunningStreamsDo(t *testing.T) {
 	p := testPicker()
-	p.pick([]target{here}, nil, t0)
-	p.waits(&here, t0)
-	p.progressed(&here, t0.Add(100*time.Millisecond))
-	p.runs(&here, "m", t0, t0.Add(100*time.Millisecond))
-	must.Eq(t, alive, p.health("here", t0.Add(200*time.Millisecond)))
-	must.Eq(t, still, p.health("here", t0.Add(time.Second)))
+	p.Pick([]Target{here}, nil, t0)
+	p.Waits(&here, t0)
+	p.Progressed(&here, t0.Add(100*time.Millisecond))
+	p.Runs(&here, "m", t0, t0.Add(100*time.Millisecond))
+	must.Eq(t, Alive, p.Health("here", t0.Add(200*time.Millisecond)))
+	must.Eq(t, Still, p.Health("here", t0.Add(time.Second)))
 	must.Eq(t, []string{"here"}, p.Still(t0.Add(time.Second)))
 	must.Eq(t, "there", pickOne(p, t0.Add(time.Second), here, there))
-	p.ended(&here, t0, true)
-	must.Eq(t, unknown, p.health("here", t0.Add(time.Second)))
+	p.Ended(&here, t0, true)
+	must.Eq(t, Unknown, p.Health("here", t0.Add(time.Second)))
 }
 
 // A stream that stopped is moved at once; the daemon that plans should still hear of it,
@@ -63,11 +63,11 @@
 func TestStoppedStreamsAreTold(t *testing.T) {
 	p := testPicker()
 	must.SliceEmpty(t, p.Stopped(t0))
-	p.stopped(&here, t0)
+	p.NoteStopped(&here, t0)
 	must.Eq(t, []string{"here"}, p.Stopped(t0.Add(stoppedFor-1)))
 	must.SliceEmpty(t, p.Stopped(t0.Add(stoppedFor)))
-	p.stopped(&here, t0)
-	p.progressed(&here, t0.Add(time.Millisecond))
+	p.NoteStopped(&here, t0)
+	p.Progressed(&here, t0.Add(time.Millisecond))
 	must.SliceEmpty(t, p.Stopped(t0.Add(2*time.Millisecond)))
 }
 
@@ -75,35 +75,35 @@
 	p := testPicker()
 	now := t0
 	for _, want := range []time.Duration{suspectFor, 2 * suspectFor, 4 * suspectFor, suspectMost} {
-		p.suspect(&here, now)
-		p.suspect(&here, now) // another request that failed with it
-		must.Eq(t, still, p.health("here", now.Add(want-1)))
-		must.Eq(t, unknown, p.health("here", now.Add(want)))
+		p.Suspect(&here, now)
+		p.Suspect(&here, now) // another request that failed with it
+		must.Eq(t, Still, p.Health("here", now.Add(want-1)))
+		must.Eq(t, Unknown, p.Health("here", now.Add(want)))
 		now = now.Add(want)
 	}
-	p.progressed(&here, now)
-	p.suspect(&here, now)
-	must.Eq(t, unknown, p.health("here", now.Add(suspectFor)))
+	p.Progressed(&here, now)
+	p.Suspect(&here, now)
+	must.Eq(t, Unknown, p.Health("here", now.Add(suspectFor)))
 }
 
 func TestSoonestCountsWaitsAndTheLastFirstEvent(t *testing.T) {
 	p := testPicker()
-	targets := []target{here, there}
+	targets := []Target{here, there}
 	least, ok := p.soonest(targets, t0)
 	must.True(t, ok)
 	must.Eq(t, 0, least)
 	for i := range targets {
-		p.pick(targets[i:i+1], nil, t0)
-		p.waits(&targets[i], t0)
+		p.Pick(targets[i:i+1], nil, t0)
+		p.Waits(&targets[i], t0)
 	}
 	least, _ = p.soonest(targets, t0.Add(300*time.Millisecond))
 	must.Eq(t, 300*time.Millisecond, least)
-	p.progressed(&there, t0.Add(200*time.Millisecond))
-	p.runs(&there, "m", t0, t0.Add(200*time.Millisecond))
+	p.Progressed(&there, t0.Add(200*time.Millisecond))
+	p.Runs(&there, "m", t0, t0.Add(200*time.Millisecond))
 	least, _ = p.soonest(targets, t0.Add(300*time.Millisecond))
 	must.Eq(t, 200*time.Millisecond, least)
-	p.suspect(&here, t0)
-	p.suspect(&there, t0)
+	p.Suspect(&here, t0)
+	p.Suspect(&there, t0)
 	_, ok = p.soonest(targets, t0.Add(300*time.Millisecond))
 	must.False(t, ok)
 }
@@ -111,17 +111,17 @@
 func TestFloorFollowsTheQuickestSlowly(t *testing.T) {
 	p := testPicker()
 	must.Eq(t, 0, p.Floor("m"))
-	p.runs(&here, "m", t0, t0.Add(200*time.Millisecond))
-	p.runs(&here, "m", t0, t0.Add(150*time.Millisecond))
+	p.Runs(&here, "m", t0, t0.Add(200*time.Millisecond))
+	p.Runs(&here, "m", t0, t0.Add(150*time.Millisecond))
 	must.Eq(t, 150*time.Millisecond, p.Floor("m"))
-	p.runs(&here, "m", t0, t0.Add(time.Second))
+	p.Runs(&here, "m", t0, t0.Add(time.Second))
 	must.Between(t, 150*time.Millisecond, p.Floor("m"), 152*time.Millisecond)
 }
 
 func TestUnusedTargetsAreForgotten(t *testing.T) {
 	p := testPicker()
 	pickOne(p, t0, here)
-	p.pick([]target{there}, nil, t0)
+	p.Pick([]Target{there}, nil, t0)
 	p.Sweep(t0.Add(2 * forgetAfter))
 	must.MapNotContainsKey(t, p.records, "here")
 	must.MapContainsKey(t, p.records, "there")
--- a/internal/gateway/quiet_test.go
+++ b/internal/dispatch/quiet_test.go
@@ -1,4 +1,4 @@
-package gateway
+package dispatch
 
 import (
 	"testing"
@@ -21,13 +21,13 @@
 func TestReplicaThatReadsLongPromptsDoesNotStandStill(t *testing.T) {
 	engine, start := readingEngine(), time.Unix(1000, 0)
 	p := NewPicker("a", func(int) int { return 0 })
-	busy := target{instance: "busy", zone: "a", quiet: quietFor(engine, routes.Model{Pace: 1})}
+	busy := Target{Instance: "busy", Zone: "a", Quiet: QuietFor(engine, routes.Model{Pace: 1})}
 	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(284 * time.Millisecond) {
-		p.pick([]target{busy}, nil, now)
-		p.waits(&busy, now)
-		p.runs(&busy, "large", now, now)
-		p.progressed(&busy, now)
-		must.Eq(t, alive, p.health("busy", now.Add(283*time.Millisecond)))
+		p.Pick([]Target{busy}, nil, now)
+		p.Waits(&busy, now)
+		p.Runs(&busy, "large", now, now)
+		p.Progressed(&busy, now)
+		must.Eq(t, Alive, p.Health("busy", now.Add(283*time.Millisecond)))
 	}
 }
 
@@ -36,16 +36,16 @@
 func TestDeadReplicaStandsStillAfterItsLongestPass(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := NewPicker("a", func(int) int { return 0 })
-	dead := target{instance: "dead", zone: "a", quiet: quietFor(readingEngine(), routes.Model{Pace: 1})}
-	p.pick([]target{dead}, nil, now)
-	p.waits(&dead, now)
-	p.runs(&dead, "large", now, now)
-	p.progressed(&dead, now)
-	must.Eq(t, still, p.health("dead", now.Add(400*time.Millisecond)))
+	dead := Target{Instance: "dead", Zone: "a", Quiet: QuietFor(readingEngine(), routes.Model{Pace: 1})}
+	p.Pick([]Target{dead}, nil, now)
+	p.Waits(&dead, now)
+	p.Runs(&dead, "large", now, now)
+	p.Progressed(&dead, now)
+	must.Eq(t, Still, p.Health("dead", now.Add(400*time.Millisecond)))
 }
 
 // Where costs are not told, or passes are short, the least patience holds.
 func TestQuietForAtLeast(t *testing.T) {
-	must.Eq(t, quietLeast, quietFor(&routes.Engine{}, routes.Model{Pace: 1}))
-	must.Eq(t, quietLeast, quietFor(readingEngine(), routes.Model{Pace: 0.4}))
+	must.Eq(t, quietLeast, QuietFor(&routes.Engine{}, routes.Model{Pace: 1}))
+	must.Eq(t, quietLeast, QuietFor(readingEngine(), routes.Model{Pace: 0.4}))
 }
--- /dev/null
+++ b/internal/dispatch/replay_test.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// replica is a queue that gives each stream its first event in turn, one each 50 ms,
+// and 150 ms later at the caller: the quickest first event.
+type replica struct {
+	free   time.Time
+	events []firstEvent // in order of time
+}
+
+type firstEvent struct{ sent, at time.Time }
+
+const (
+	serviceTime = 50 * time.Millisecond
+	quickest    = 150 * time.Millisecond
+	objective   = 300 * time.Millisecond
+)
+
+func (r *replica) send(now time.Time) time.Duration {
+	if r.free.Before(now) {
+		r.free = now
+	}
+	r.free = r.free.Add(serviceTime)
+	at := r.free.Add(quickest - serviceTime)
+	r.events = append(r.events, firstEvent{now, at})
+	return at.Sub(now)
+}
+
+// replayOverload sends twice what a replica can take for three seconds, then half of
+// it for five. It returns how many of the streams sent in the last four seconds got
+// their first event late, of how many, and how many were refused in all.
+func replayOverload(admit func(p *Picker, now time.Time) bool) (late, sent, refused int) {
+	p, r, start := testPicker(), &replica{}, t0
+	for now := start; now.Sub(start) < 8*time.Second; {
+		for len(r.events) > 0 && !r.events[0].at.After(now) {
+			e := r.events[0]
+			r.events = r.events[1:]
+			p.Runs(&here, "m", e.sent, e.at)
+			p.Progressed(&here, e.at)
+			p.Ended(&here, e.sent, true)
+		}
+		if admit(p, now) {
+			p.Pick([]Target{here}, nil, now)
+			p.Waits(&here, now)
+			took := r.send(now)
+			if now.Sub(start) > 4*time.Second {
+				sent++
+				if took > objective {
+					late++
+				}
+			}
+		} else {
+			refused++
+		}
+		if now.Sub(start) < 3*time.Second {
+			now = now.Add(serviceTime / 2)
+		} else {
+			now = now.Add(2 * serviceTime)
+		}
+	}
+	return late, sent, refused
+}
+
+// Load: twice the capacity for three seconds, then half of it. What is admitted a
+// second later is in time: the backlog does not outlive its cause.
+func TestBacklogDoesNotOutliveItsCause(t *testing.T) {
+	late, sent, refused := replayOverload(func(p *Picker, now time.Time) bool {
+		return p.Admit([]Target{here}, "m", objective, now).Admitted
+	})
+	must.Eq(t, 0, late)
+	must.Greater(t, 30, sent)
+	must.Less(t, 100, refused, must.Sprint("of 60 that were too many"))
+	late, _, _ = replayOverload(func(*Picker, time.Time) bool { return true })
+	must.Greater(t, 10, late, must.Sprint("without the decision it does"))
+}
+
+// Load: one replica of four dies; streams that wait there for their first event while
+// nothing shows that it lives go on elsewhere, those at a replica with a queue stay.
+func TestOnlyStreamsWithoutASignOfLifeAreMoved(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence Silence
+		move    bool
+	}{
+		"queue at a living replica":   {Silence{Waited: 10 * objective, Objective: objective, Replica: Alive}, false},
+		"replica stands still":        {Silence{Waited: quietLeast, Objective: objective, Replica: Still}, true},
+		"nothing known, early":        {Silence{Waited: objective, Objective: objective, Replica: Unknown}, false},
+		"nothing known, too long":     {Silence{Waited: 2 * objective, Objective: objective, Replica: Unknown}, true},
+		"no objective, early":         {Silence{Waited: defaultFirstEvent / 2, Replica: Unknown}, false},
+		"no objective, too long":      {Silence{Waited: defaultFirstEvent, Replica: Unknown}, true},
+		"begun, its answer lost":      {Silence{Begun: true, Objective: objective, Replica: Alive}, true},
+		"begun, replica stands still": {Silence{Begun: true, Objective: objective, Replica: Still}, true},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, c.move, c.silence.Move()) })
+	}
+}
+
+// Callers of a refused request are never sent away for longer than a queue takes.
+func TestComeBack(t *testing.T) {
+	times := []time.Duration{ComeBack(Elsewhere), ComeBack(Busy), ComeBack(Overload)}
+	must.Positive(t, slices.Min(times))
+	must.Eq(t, comeBackOverload, slices.Max(times))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/formation"
 	"pearlanding/internal/gateway"
@@ -94,7 +95,7 @@
 	config   *configFollower
 	fleet    *fleet.Follower
 	pool     *upstream.Pool
-	picker   *gateway.Picker
+	picker   *dispatch.Picker
 	gateway  *gateway.Gateway
 	calls    *countedFeed
 	relay    *relay.Node // nil: this daemon has no address for peers
@@ -150,7 +151,7 @@
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
-	d.picker = gateway.NewPicker(s.Zone, rand.IntN)
+	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
@@ -229,7 +230,7 @@
 
 func (d *Daemon) bounds() gateway.Bounds {
 	b := d.Settings().Bounds
-	out := gateway.Bounds{Config: 2 * b.Config, Retry: gateway.BudgetRule{Ratio: b.RetryRatio, Window: b.RetryWindow}}
+	out := gateway.Bounds{Config: 2 * b.Config, Retry: dispatch.BudgetRule{Ratio: b.RetryRatio, Window: b.RetryWindow}}
 	if b.StrictRevoke && b.Revoke > 0 {
 		out.Revoke = b.Revoke - proofMargin
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,18 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
-)
 
-// When callers are told to come back.
-const (
-	// retryUnknown is for refusals whose cause this daemon can't end itself; another
-	// daemon, to which a retry goes, may serve at once.
-	retryUnknown = 100 * time.Millisecond
-	// retryBusy is for refusals by upstreams that are full.
-	retryBusy = 100 * time.Millisecond
-	// retryOverload is for refusals because all replicas have queues: about the time
-	// in which a queue of a batch empties.
-	retryOverload = 400 * time.Millisecond
+	"pearlanding/internal/dispatch"
 )
 
 // refuse answers with a status of our own. Unless retry is 0 the caller is told
@@ -44,7 +34,7 @@
 func (x *exchange) giveUp(reason string) {
 	switch {
 	case !x.mayRun:
-		x.refuse(http.StatusServiceUnavailable, reason, retryBusy)
+		x.refuse(http.StatusServiceUnavailable, reason, dispatch.ComeBack(dispatch.Busy))
 	case time.Now().Before(x.deadline):
 		x.refuse(http.StatusBadGateway, reason, 0)
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/upstream"
@@ -27,7 +28,7 @@
 type Bounds struct {
 	Revoke time.Duration // oldest proof on which a request with a key may run
 	Config time.Duration // oldest proof on which a caller is told "no such route"
-	Retry  BudgetRule
+	Retry  dispatch.BudgetRule
 }
 
 // Gateway is the http.Handler for callers. Set all exported fields before use.
@@ -38,10 +39,10 @@
 	Bounds   func() Bounds
 	Stopping func() bool // answers carry Connection: close
 	Pool     *upstream.Pool
-	Picker   *Picker
+	Picker   *dispatch.Picker
 	Metrics  *Metrics
 	Log      *zap.Logger
-	budgets  budgets
+	budgets  dispatch.Budgets
 	sampled  atomic.Uint64
 	any      atomic.Bool
 }
@@ -82,7 +83,7 @@
 	view      *fleet.View
 	tried     map[string]bool
 	sends     []sendLog
-	sent      int  // instances the request may have reached
+	attempts  dispatch.Attempts
 	mayRun    bool // some instance may have run it
 	status    int
 	reason    string // why it ended as it did; empty: served at the first try
@@ -93,9 +94,7 @@
 	events    int
 	eventAt   time.Time     // when the last event was passed on
 	maxGap    time.Duration // longest pause between events
-	replicas  int           // that could take the request on arrival
-	expected  time.Duration // least time to a first event at any of them, as known
-	floor     time.Duration // the quickest first event of late
+	admission dispatch.Admission
 }
 
 // serve answers the request.
@@ -120,14 +119,14 @@
 func (x *exchange) admit() bool {
 	table, bounds := x.config.Table, x.gateway.Bounds()
 	if table == nil {
-		return x.refuse(http.StatusServiceUnavailable, "no_configuration", retryUnknown)
+		return x.refuse(http.StatusServiceUnavailable, "no_configuration", dispatch.ComeBack(dispatch.Elsewhere))
 	}
 	age := x.now.Sub(x.config.Proved)
 	host, _, _ := strings.Cut(x.req.Host, ":")
 	x.route = table.Match(host, x.req.Path)
 	if x.route == nil {
 		if bounds.Config > 0 && age > bounds.Config {
-			return x.refuse(http.StatusServiceUnavailable, "no_route_in_old_configuration", retryUnknown)
+			return x.refuse(http.StatusServiceUnavailable, "no_route_in_old_configuration", dispatch.ComeBack(dispatch.Elsewhere))
 		}
 		return x.refuse(http.StatusNotFound, "no_route", 0)
 	}
@@ -136,7 +135,7 @@
 	}
 	x.service = table.Service(x.route.Service(x.req.ID))
 	if x.service == nil {
-		return x.refuse(http.StatusServiceUnavailable, "no_service", retryUnknown)
+		return x.refuse(http.StatusServiceUnavailable, "no_service", dispatch.ComeBack(dispatch.Elsewhere))
 	}
 	x.deadline = x.now.Add(defaultWait)
 	if x.req.Wait > 0 {
@@ -162,12 +161,12 @@
 // configuration is current a removed key could still run, so nothing does.
 func (x *exchange) authorize(age time.Duration, bounds Bounds) bool {
 	if bounds.Revoke > 0 && age >= bounds.Revoke {
-		return x.refuse(http.StatusServiceUnavailable, "configuration_not_proved_current", retryUnknown)
+		return x.refuse(http.StatusServiceUnavailable, "configuration_not_proved_current", dispatch.ComeBack(dispatch.Elsewhere))
 	}
 	ws := x.config.Table.Workspace(x.req.Key)
 	if ws == nil {
 		if bounds.Config > 0 && age > bounds.Config {
-			return x.refuse(http.StatusServiceUnavailable, "unknown_key_in_old_configuration", retryUnknown)
+			return x.refuse(http.StatusServiceUnavailable, "unknown_key_in_old_configuration", dispatch.ComeBack(dispatch.Elsewhere))
 		}
 		return x.refuse(http.StatusUnauthorized, "unknown_key", 0)
 	}
@@ -198,76 +197,74 @@
 }
 
 // targets lists where the request may go now.
-func (x *exchange) targets() []target {
+func (x *exchange) targets() []dispatch.Target {
 	x.view = x.gateway.View()
 	return listTargets(x.view, x.service, x.req.Model)
 }
 
 // listTargets lists the instances of a plain service, or the groups that serve a
 // model.
-func listTargets(v *fleet.View, service *routes.Service, model string) []target {
+func listTargets(v *fleet.View, service *routes.Service, model string) []dispatch.Target {
 	if v == nil {
 		return nil
 	}
 	if service.Engine == nil {
 		return plainTargets(v, service.Name)
 	}
-	var out []target
+	var out []dispatch.Target
 	m, _ := service.Engine.Model(model)
-	quiet := quietFor(service.Engine, m)
+	quiet := dispatch.QuietFor(service.Engine, m)
 	for _, g := range v.Groups {
 		if g.Service == service.Name && g.Model == model && g.Serving() {
-			out = append(out, target{instance: g.Head.ID, address: g.Head.Address, zone: g.Zone, group: g.Key, slots: g.Head.Slots, quiet: quiet})
+			out = append(out, dispatch.Target{Instance: g.Head.ID, Address: g.Head.Address, Zone: g.Zone, Group: g.Key, Quiet: quiet})
 		}
 	}
 	return out
 }
 
-func plainTargets(v *fleet.View, service string) []target {
-	var out []target
+func plainTargets(v *fleet.View, service string) []dispatch.Target {
+	var out []dispatch.Target
 	for _, in := range v.Services[service] {
 		if !in.Draining {
-			out = append(out, target{instance: in.ID, address: in.Address, zone: in.Zone, slots: in.Slots})
+			out = append(out, dispatch.Target{Instance: in.ID, Address: in.Address, Zone: in.Zone})
 		}
 	}
 	return out
 }
 
 // next chooses where to send the request, nil if it may go nowhere else.
-func (x *exchange) next() *target {
-	if x.sent >= x.route.Attempts || len(x.sends) >= maxSends {
+func (x *exchange) next() *dispatch.Target {
+	if x.attempts.Spent(x.route.Attempts) {
 		x.note("attempts_spent")
 		return nil
 	}
 	now, rule := time.Now(), x.gateway.Bounds().Retry
-	if x.sent > 0 && x.budget().Left(rule, now) < 1 {
+	if x.attempts.Repeated() && x.budget().Left(rule, now) < 1 {
 		x.note("retry_budget_spent")
 		return nil
 	}
-	t := x.gateway.Picker.pick(x.targets(), x.tried, now)
-	if t != nil && x.sent > 0 {
+	t := x.gateway.Picker.Pick(x.targets(), x.tried, now)
+	if t != nil && x.attempts.Repeated() {
 		x.budget().Repeat(rule, now)
 	}
 	return t
 }
 
-func (x *exchange) budget() *Budget { return x.gateway.budgets.of(x.service.Name) }
-
-// maxSends bounds the tries of one request, those included that never left.
-const maxSends = 4
+func (x *exchange) budget() *dispatch.Budget { return x.gateway.budgets.Of(x.service.Name) }
 
 // send sends the request to a target once.
-func (x *exchange) send(ctx context.Context, t *target, lastEvent string) (*http.Response, error) {
+func (x *exchange) send(ctx context.Context, t *dispatch.Target, lastEvent string) (*http.Response, error) {
 	if x.tried == nil {
 		x.tried = map[string]bool{}
 	}
-	x.tried[t.instance] = true
+	x.tried[t.Instance] = true
 	now := time.Now()
+	x.attempts.Try()
 	x.sends = append(x.sends, sendLog{target: t, at: now.Sub(x.now)})
 	call := &upstream.Call{
-		Address: t.address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Body: x.req.Body,
+		Address: t.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Body: x.req.Body,
 		Fresh: !x.route.Repeatable(),
-		Header: x.gateway.Codec.Header(x.req, Send{Instance: t.instance, Remaining: x.deadline.Sub(now),
+		Header: x.gateway.Codec.Header(x.req, Send{Instance: t.Instance, Remaining: x.deadline.Sub(now),
 			Workspace: x.workspace, LastEvent: lastEvent}),
 		Own: func(status int, h http.Header) bool { return x.gateway.Codec.AnswersTo(x.req.ID, status, h) },
 	}
@@ -275,7 +272,7 @@
 	if err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy)) {
 		return nil, err
 	}
-	x.sent++
+	x.attempts.Reached()
 	return resp, err
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,18 +7,13 @@
 
 	"github.com/juju/errors"
 
+	"pearlanding/internal/dispatch"
 	"pearlanding/internal/upstream"
 )
 
 // maxAnswerBytes bounds a whole answer.
 const maxAnswerBytes = 16 << 20
 
-// moveShare is the part of a route's objective after which a repeatable request
-// without an answer is sent elsewhere. A send cut within a quarter of the
-// objective would not count as an offer; half leaves the other half for the
-// second try.
-const moveShare = 0.5
-
 // errMoved ends a send that took too long while another target may be quicker.
 const errMoved = errors.ConstError("gateway: moved to another target")
 
@@ -41,13 +36,12 @@
 }
 
 // try makes one send; true: the request is answered.
-func (x *exchange) try(ctx context.Context, t *target) bool {
-	defer x.gateway.Picker.done(t)
+func (x *exchange) try(ctx context.Context, t *dispatch.Target) bool {
+	defer x.gateway.Picker.Done(t)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if x.route.Repeatable() && x.route.Objective > 0 && x.sent+1 < x.route.Attempts {
-		limit := time.Duration(float64(x.route.Objective) * moveShare)
-		mover := time.AfterFunc(limit, func() { cancel(errMoved) })
+	if x.route.Repeatable() && x.route.Objective > 0 && !x.attempts.Last(x.route.Attempts) {
+		mover := time.AfterFunc(dispatch.PlainPatience(x.route.Objective), func() { cancel(errMoved) })
 		defer mover.Stop()
 	}
 	resp, err := x.send(attempt, t, x.req.LastEvent)
@@ -63,11 +57,11 @@
 }
 
 // failed judges a send without a whole answer; true: the request is answered.
-func (x *exchange) failed(attempt context.Context, t *target, err error) bool {
+func (x *exchange) failed(attempt context.Context, t *dispatch.Target, err error) bool {
 	x.ended(cause(attempt, err))
 	now := time.Now()
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errMoved) {
-		x.gateway.Picker.suspect(t, now)
+		x.gateway.Picker.Suspect(t, now)
 	}
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy) {
 		return false
@@ -93,14 +87,14 @@
 
 // answered judges a whole answer; true: it was passed on, or the request is
 // answered otherwise.
-func (x *exchange) answered(t *target, resp *http.Response, body []byte) bool {
+func (x *exchange) answered(t *dispatch.Target, resp *http.Response, body []byte) bool {
 	codec := x.gateway.Codec
 	if codec.NotRun(resp.StatusCode, resp.Header) {
 		x.ended("refused " + resp.Status)
-		x.gateway.Picker.suspect(t, time.Now())
+		x.gateway.Picker.Suspect(t, time.Now())
 		return false
 	}
-	x.gateway.Picker.progressed(t, time.Now())
+	x.gateway.Picker.Progressed(t, time.Now())
 	if resp.StatusCode/100 == 2 && !codec.Signed(resp.Header) {
 		x.ended("answer without signature")
 		x.mayRun = true
@@ -109,8 +103,8 @@
 	if resp.StatusCode/100 == 5 {
 		x.ended("failed " + resp.Status)
 		x.mayRun = true
-		x.gateway.Picker.suspect(t, time.Now())
-		if x.route.Repeatable() && x.sent < x.route.Attempts {
+		x.gateway.Picker.Suspect(t, time.Now())
+		if x.route.Repeatable() && !x.attempts.Spent(x.route.Attempts) {
 			if x.again() {
 				return false
 			}
@@ -131,7 +125,7 @@
 		return false
 	}
 	for _, t := range x.targets() {
-		if !x.tried[t.instance] {
+		if !x.tried[t.Instance] {
 			return true
 		}
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -6,11 +6,13 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"pearlanding/internal/dispatch"
 )
 
 // sendLog is what one send came to.
 type sendLog struct {
-	target *target
+	target *dispatch.Target
 	at     time.Duration // after the request's arrival
 	took   time.Duration
 	end    string
@@ -18,10 +20,10 @@
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (s sendLog) MarshalLogObject(enc zapcore.ObjectEncoder) error {
-	enc.AddString("instance", s.target.instance)
-	if s.target.group.Name != "" {
-		enc.AddString("group", s.target.group.Name)
-		enc.AddUint64("epoch", s.target.group.Epoch)
+	enc.AddString("instance", s.target.Instance)
+	if s.target.Group.Name != "" {
+		enc.AddString("group", s.target.Group.Name)
+		enc.AddUint64("epoch", s.target.Group.Epoch)
 	}
 	enc.AddInt64("at_ms", s.at.Milliseconds())
 	enc.AddInt64("took_ms", s.took.Milliseconds())
@@ -73,8 +75,8 @@
 	}
 	if x.req.Model != "" {
 		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()),
-			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int("replicas", x.replicas),
-			zap.Int64("expected_ms", x.expected.Milliseconds()), zap.Int64("floor_ms", x.floor.Milliseconds()))
+			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int("replicas", x.admission.Replicas),
+			zap.Int64("expected_ms", x.admission.Expected.Milliseconds()), zap.Int64("floor_ms", x.admission.Floor.Milliseconds()), zap.Int64("limit_ms", x.admission.Limit.Milliseconds()))
 	}
 	if x.view != nil {
 		out = append(out, zap.Uint64("view_revision", x.view.Revision))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,22 +13,15 @@
 
 	"github.com/juju/errors"
 
+	"pearlanding/internal/dispatch"
 	"pearlanding/internal/upstream"
 )
 
-// Silence after which a stream goes on at another replica, if it may.
-const (
-	// firstEventTimes is how many times the objective a first event may take at a
-	// replica of which nothing else is known. Where other streams bring events the
-	// request only waits its turn, and moving would add load to an overload.
-	firstEventTimes = 1.5
-	// defaultFirstEvent stands in for a route without an objective.
-	defaultFirstEvent = 2 * time.Second
-	// checkEvery is how often a silent stream's replica is looked at.
-	checkEvery = 50 * time.Millisecond
-	// defaultGap stands in for a route without an objective for pauses.
-	defaultGap = time.Second
-)
+// checkEvery is how often a silent stream's replica is looked at.
+const checkEvery = 50 * time.Millisecond
+
+// defaultGap stands in for a route without an objective for pauses.
+const defaultGap = time.Second
 
 // errSilent ends a send whose stream stands still while another replica may go on.
 const errSilent = errors.ConstError("gateway: stream stands still")
@@ -39,8 +32,9 @@
 	if id, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
 		x.lastEvent, x.hasLast = id, true
 	}
-	if x.overloaded() {
-		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", retryOverload)
+	x.admission = x.gateway.Picker.Admit(x.targets(), x.req.Model, x.route.Objective, x.now)
+	if !x.admission.Admitted {
+		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", dispatch.ComeBack(dispatch.Overload))
 		return
 	}
 	for {
@@ -63,27 +57,11 @@
 	}
 }
 
-// queueShare is the part of what the objective leaves beyond the quickest first
-// event that a queue may take when a new stream is admitted. Beyond it the stream
-// would come late, and so would those behind it; refused at once it may be in time
-// elsewhere, or later.
-const queueShare = 0.3
-
-// overloaded tells whether the first event would come late wherever the request
-// went.
-func (x *exchange) overloaded() bool {
-	picker, objective, targets := x.gateway.Picker, x.route.Objective, x.targets()
-	x.replicas, x.floor = len(targets), min(picker.Floor(x.req.Model), objective)
-	var known bool
-	x.expected, known = picker.soonest(targets, x.now)
-	return objective > 0 && known && x.expected > x.floor+time.Duration(queueShare*float64(objective-x.floor))
-}
-
 // run makes one send; true: the request is answered, or cut for good.
-func (x *exchange) run(ctx context.Context, t *target) bool {
+func (x *exchange) run(ctx context.Context, t *dispatch.Target) bool {
 	before, sent := x.events, time.Now()
-	x.gateway.Picker.waits(t, sent)
-	defer func() { x.gateway.Picker.ended(t, sent, x.events > before) }()
+	x.gateway.Picker.Waits(t, sent)
+	defer func() { x.gateway.Picker.Ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := x.watch(t, cancel)
@@ -106,7 +84,7 @@
 		}
 		if x.begun {
 			x.ended("refused " + resp.Status)
-			x.gateway.Picker.suspect(t, time.Now())
+			x.gateway.Picker.Suspect(t, time.Now())
 			return false
 		}
 		return x.answered(t, resp, body)
@@ -125,22 +103,18 @@
 
 // watch ends the send when its stream stands still and may go on elsewhere. It
 // is reset with each event.
-func (x *exchange) watch(t *target, cancel context.CancelCauseFunc) *watcher {
+func (x *exchange) watch(t *dispatch.Target, cancel context.CancelCauseFunc) *watcher {
 	w := &watcher{}
-	if !x.route.Repeatable() || x.sent+1 >= x.route.Attempts {
+	if !x.route.Repeatable() || x.attempts.Last(x.route.Attempts) {
 		w.timer = time.AfterFunc(time.Hour, func() {})
 		return w
 	}
-	patience := defaultFirstEvent
-	if x.route.Objective > 0 {
-		patience = time.Duration(float64(x.route.Objective) * firstEventTimes)
-	}
 	sent, elsewhere, picker := time.Now(), x.elsewhere(t), x.gateway.Picker
-	w.arm(max(t.quiet, quietLeast), func() bool {
+	objective := x.route.Objective
+	w.arm(t.FirstLook(), func() bool {
 		now := time.Now()
-		stands := picker.health(t.instance, now) == still
-		waiting := picker.health(t.instance, now) == alive && !w.begun.Load()
-		if !stands && (waiting || !w.begun.Load() && now.Sub(sent) < patience) || !elsewhere() {
+		silence := dispatch.Silence{Begun: w.begun.Load(), Waited: now.Sub(sent), Objective: objective, Replica: picker.Health(t.Instance, now)}
+		if !silence.Move() || !elsewhere() {
 			return true
 		}
 		cancel(errSilent)
@@ -151,15 +125,15 @@
 
 // elsewhere returns a test, safe for any goroutine, whether another replica could
 // take the stream over now.
-func (x *exchange) elsewhere(t *target) func() bool {
+func (x *exchange) elsewhere(t *dispatch.Target) func() bool {
 	tried := maps.Clone(x.tried)
 	service, model, g := x.service, x.req.Model, x.gateway
 	return func() bool {
-		if g.budgets.of(service.Name).Left(g.Bounds().Retry, time.Now()) < 1 {
+		if g.budgets.Of(service.Name).Left(g.Bounds().Retry, time.Now()) < 1 {
 			return false
 		}
-		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o target) bool {
-			return o.instance != t.instance && !tried[o.instance] && g.Picker.health(o.instance, time.Now()) != still
+		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o dispatch.Target) bool {
+			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(o.Instance, time.Now()) != dispatch.Still
 		})
 	}
 }
@@ -206,7 +180,7 @@
 }
 
 // relay passes the events of one answer on. nil: the stream is whole.
-func (x *exchange) relay(t *target, sent time.Time, resp *http.Response, watch *watcher) error {
+func (x *exchange) relay(t *dispatch.Target, sent time.Time, resp *http.Response, watch *watcher) error {
 	reader := newEventReader(resp.Body)
 	flusher, ok := x.w.(http.Flusher)
 	if !ok {
@@ -231,9 +205,9 @@
 		}
 		watch.Reset(x.gap())
 		now := time.Now()
-		x.gateway.Picker.progressed(t, now)
+		x.gateway.Picker.Progressed(t, now)
 		if !watch.begun.Swap(true) {
-			x.gateway.Picker.runs(t, x.req.Model, sent, now)
+			x.gateway.Picker.Runs(t, x.req.Model, sent, now)
 		}
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
@@ -256,13 +230,13 @@
 }
 
 // broke judges a send whose stream did not come to its end.
-func (x *exchange) broke(attempt context.Context, t *target, err error) {
+func (x *exchange) broke(attempt context.Context, t *dispatch.Target, err error) {
 	x.ended(cause(attempt, err))
 	if errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.stopped(t, time.Now())
+		x.gateway.Picker.NoteStopped(t, time.Now())
 	}
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.suspect(t, time.Now())
+		x.gateway.Picker.Suspect(t, time.Now())
 	}
 	if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrBusy) {
 		x.mayRun = true
