Budget: repeats of the oldest part of a window count

Cause: TestBudgetKeepsEveryWindow failed once in its new package, where it had no fixed seed ('13 repeats for 44 requests', first case). The window was counted in ten parts, the current one included: nine to ten seconds. Repeats of up to a second at its beginning were forgotten and could be made again within the same ten seconds. Change: their part counts for repeats and not for requests. The test was wrong in one way and too weak in another: it judged windows that end long after the last repeat, when the requests that backed it are gone (no budget can hold that), and it allowed two repeats more than the rule.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -11,7 +11,7 @@
 type Budget struct {
 	mu    sync.Mutex
 	begun time.Time // a window before the first use; slots are counted from here
-	slots [budgetSlots]budgetSlot
+	slots [budgetSlots + 1]budgetSlot
 }
 
 // budgetSlot counts one part of the window.
@@ -43,7 +43,7 @@
 // slot returns the slot of a time, emptied if it was last used a window ago.
 func (b *Budget) slot(rule BudgetRule, now time.Time) *budgetSlot {
 	n := b.slotNumber(rule, now)
-	s := &b.slots[n%budgetSlots]
+	s := &b.slots[n%int64(len(b.slots))]
 	if s.number != n {
 		*s = budgetSlot{number: n}
 	}
@@ -88,11 +88,16 @@
 }
 
 func (b *Budget) left(rule BudgetRule, now time.Time) float64 {
+	// The window ends now and begins within the oldest slot: that slot's repeats may lie
+	// inside and count, its requests may lie outside and don't.
 	oldest := b.slotNumber(rule, now) - budgetSlots
 	left := float64(budgetStart)
 	for _, s := range b.slots {
 		if s.number > oldest {
-			left += budgetPart*rule.Ratio*s.requests - s.repeats
+			left += budgetPart * rule.Ratio * s.requests
+		}
+		if s.number >= oldest {
+			left -= s.repeats
 		}
 	}
 	return left
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	_ "pearlanding/internal/fixedseed"
 )
 
 var testRule = BudgetRule{Ratio: 0.2, Window: 10 * time.Second}
@@ -38,20 +40,18 @@
 				log = append(log, moment{now, false})
 			}
 		}
-		for _, end := range log {
-			repeats, requests := 0, 0
+		count := func(end time.Time, request bool) (n int) {
 			for _, m := range log {
-				if m.at.After(end.at) || m.at.Before(end.at.Add(-testRule.Window)) {
-					continue
-				}
-				if m.request {
-					requests++
-				} else {
-					repeats++
+				if m.request == request && !m.at.After(end) && !m.at.Before(end.Add(-testRule.Window)) {
+					n++
 				}
 			}
-			// One slot of requests may lie outside the exact window.
-			if float64(repeats) > budgetStart+testRule.Ratio*float64(requests)+budgetStart {
+			return n
+		}
+		// When a repeat is made, the exact window that ends then holds its share.
+		for _, m := range log {
+			repeats, requests := count(m.at, false), count(m.at, true)
+			if !m.request && float64(repeats) > budgetStart+testRule.Ratio*float64(requests) {
 				r.Fatalf("%d repeats for %d requests", repeats, requests)
 			}
 		}
