A begun stream may be sent again when an instance has not run it

Two groups ended one after the other while engines were replaced: a stream cut after its first events went to a second group, which said 503, not run, 0.7 s later; both attempts of its route were then spent and the caller's answer was broken off, four times beside a change of the configuration. Change: the second one's word that it has not run takes its attempt back; one instance has run the stream. Four sends in all and the shared budget still bound it. Ruled out: the same for requests without events (they can be told 503, not run; more sends would add to an overload). Test: TestSendThatDidNotRunIsNoAttempt.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -16,6 +16,11 @@
 // Reached counts that an instance may have run the request.
 func (a *Attempts) Reached() { a.reached++ }
 
+// NotRun takes back the last instance reached, which has said that it did not run the
+// request. It serves streams that have begun: their callers hold a part of the answer,
+// and would lose it where two replicas end one after the other.
+func (a *Attempts) NotRun() { a.reached-- }
+
 // Repeated tells whether another send would be a repeat.
 func (a *Attempts) Repeated() bool { return a.reached > 0 }
 
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -6,6 +6,28 @@
 	"github.com/shoenig/test/must"
 )
 
+// Load: engines are replaced one after the other, and a stream's second replica ends
+// before it has run it. A route of two attempts leaves it a third send, as only one
+// instance has run it; two that have are the end, and so are four sends.
+func TestSendThatDidNotRunIsNoAttempt(t *testing.T) {
+	const limit = 2
+	var a Attempts
+	reach := func() { a.Try(); a.Reached() }
+	reach()
+	must.True(t, a.Last(limit))
+	reach()
+	must.True(t, a.Spent(limit))
+	a.NotRun()
+	must.False(t, a.Spent(limit))
+	must.True(t, a.Repeated())
+	reach()
+	must.True(t, a.Spent(limit))
+	a.NotRun()
+	reach()
+	a.NotRun()
+	must.True(t, a.Spent(limit), must.Sprint("four sends"))
+}
+
 func TestSendsThatNeverLeftAreBounded(t *testing.T) {
 	var a Attempts
 	for range maxSends {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -84,6 +84,9 @@
 		}
 		if x.begun {
 			x.ended("refused " + resp.Status)
+			if x.gateway.Codec.NotRun(resp.StatusCode, resp.Header) {
+				x.attempts.NotRun()
+			}
 			x.gateway.Picker.Suspect(t, time.Now())
 			return false
 		}
