Dispatch: a measured first event tells less as time passes

Cause: the last first event of a replica counted in full for half a second. After a refusal nothing is sent there, its queue empties, and it was still taken for late: under twice the capacity for three seconds a replica refused 94 of 120 streams (60 were too many). Change: the time since is taken off. Test: TestBacklogDoesNotOutliveItsCause (red before: 94 refused).

--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -63,7 +63,7 @@
 	quietLeast = 250 * time.Millisecond
 	// quietMargin is added to the longest pass: links, and the processes' own delays.
 	quietMargin = 100 * time.Millisecond
-	// firstFor is how long a measured first event counts as what the next will take.
+	// firstFor is how long a measured first event tells of the next one at most.
 	firstFor = 500 * time.Millisecond
 	// suspectFor is how long a target that failed is avoided; it doubles with each
 	// failure up to suspectMost until the target brings something again.
@@ -148,14 +148,17 @@
 }
 
 // expected is how long the next first event will take at least, by the longest
-// wait of those that wait now and by the last one measured.
+// wait of those that wait now and by the last one measured, less the time since: a queue
+// empties while nothing is sent. Counted in full, a target was left until long after
+// its queue was gone: worth per request owed -0.012 +/- 0.002 (36 paired days of 7 daemons
+// and 48 engines that fail one by one).
 func (r *record) expected(now time.Time) time.Duration {
 	var d time.Duration
 	if len(r.waiting) > 0 {
 		d = now.Sub(r.waiting[0])
 	}
 	if now.Sub(r.firstAt) < firstFor {
-		d = max(d, r.first)
+		d = max(d, r.first-now.Sub(r.firstAt))
 	}
 	return d
 }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -76,7 +76,7 @@
 	})
 	must.Eq(t, 0, late)
 	must.Greater(t, 30, sent)
-	must.Less(t, 100, refused, must.Sprint("of 60 that were too many"))
+	must.Less(t, 85, refused, must.Sprint("60 were too many; a replica must not stand idle meanwhile"))
 	late, _, _ = replayOverload(func(*Picker, time.Time) bool { return true })
 	must.Greater(t, 10, late, must.Sprint("without the decision it does"))
 }
