--- a/internal/formation/dissolve.go
+++ b/internal/formation/dissolve.go
@@ -12,7 +12,6 @@
 // entry is missing may still be open, out of the store's reach.
 func (p *Planner) dissolve(g *fleet.Group, busy map[string]bool, now time.Time) []Order {
 	hold(g, busy)
-	p.notice(g, now)
 	if g.Head != nil && !p.hasLeft(g.Head) && g.Head.Group.State != fleet.Broken {
 		return p.endHead(g, now)
 	}
@@ -27,25 +26,6 @@
 	return out
 }
 
-// freeingFor is how long the members of a group that ends count as about to be free.
-// Leaves take some ten milliseconds each; a group whose streams may finish takes longer.
-const freeingFor = 1500 * time.Millisecond
-
-// notice notes that the members of a group will soon be free.
-func (p *Planner) notice(g *fleet.Group, now time.Time) {
-	since, known := p.ends[g.Key]
-	if !known {
-		since = now
-		p.ends[g.Key] = now
-	}
-	if now.Sub(since) > freeingFor {
-		return
-	}
-	for _, m := range g.Members {
-		p.freeing[m.ID] = true
-	}
-}
-
 // endHead closes a group whose member leaves by plan, so that streams may finish,
 // and makes the head of any other leave at once.
 func (p *Planner) endHead(g *fleet.Group, now time.Time) []Order {
@@ -57,7 +37,7 @@
 			if _, ok := p.closing[g.Key]; !ok {
 				p.closing[g.Key] = now
 			}
-			head.Op, head.Reason = OpClose, "a member leaves, or the group gives way"
+			head.Op, head.Reason = OpClose, "a member leaves"
 		case fleet.Closing:
 			return nil
 		}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -14,115 +14,140 @@
 	model   routes.Model
 	members []*fleet.Instance
 	loads   int     // members that would load from the weight store
-	price   float64 // of members that change their models, in instances
-	worth   float64 // gain by the group, less its price, for each of its members
+	lack    float64 // part of the model's target that is missing
 	same    int     // groups of the model in the domain
 	free    int     // free instances of the domain
-	waits   bool    // some members are not free yet
 }
 
-// form plans new groups from free instances until none fits, then considers which
-// groups should give way to others, and loads models to hosts.
+// form plans new groups from free instances until none fits, then loads models
+// to the hosts of those that stay free.
 func (p *Planner) form(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time) []Order {
+	var out []Order
 	loading := p.loading(v, now)
-	cold := p.Idle && p.cold(v)
-	p.sawCold = p.sawCold || cold
-	taken := map[string]bool{} // by groups that wait for a member to become free
-	out := p.finishSwitches(v, busy, now)
+	models, cold := p.assign(v, engine), p.Idle && p.cold(v)
 	for {
-		best := p.best(v, engine, p.available(v, busy, taken, now), cold)
+		best := p.best(v, engine, models, p.free(v, busy, now), cold)
 		if best == nil {
 			break
 		}
-		if best.waits {
-			p.awaited[best.model.Name]++
-			for _, in := range best.members {
-				taken[in.ID] = true
-			}
-			continue
-		}
 		if !p.mayLoad(engine, cold, loading, best.loads, now) {
 			return out
 		}
 		loading += best.loads
 		p.began(best.loads, now)
-		out = append(out, p.begin(best, busy, now)...)
+		f := p.begin(best, now)
+		for _, in := range best.members {
+			busy[in.ID] = true
+			out = append(out, p.send(now, p.join(f, in, "new group"))...)
+		}
 	}
-	p.considerSwitch(v, engine, busy, now)
 	free := p.free(v, busy, now)
-	out = append(out, p.warm(free, busy, now)...)
-	return append(out, p.stage(v, engine, free, cold, loading, now)...)
+	out = append(out, p.warm(models, free, busy, now)...)
+	return append(out, p.stage(v, engine, models, free, cold, loading, now)...)
 }
 
-// begin records a new group and returns the joins of its members.
-func (p *Planner) begin(o *option, busy map[string]bool, now time.Time) []Order {
+// begin records a new group.
+func (p *Planner) begin(o *option, now time.Time) *forming {
 	epoch := p.nextEpoch()
 	f := &forming{key: fleet.Key{Name: name(o.model.Name, epoch), Epoch: epoch}, model: o.model, since: now, loads: o.loads}
 	for _, in := range o.members {
 		f.members = append(f.members, in.ID)
 	}
 	p.forming[f.key] = f
-	var out []Order
-	for _, in := range o.members {
-		busy[in.ID] = true
-		if p.lastModel(in) != o.model.Name {
-			delete(p.lastModels, in.ID) // known again once it is ready
-		}
-		out = append(out, p.send(now, p.join(f, in, "new group"))...)
-	}
-	return out
+	return f
 }
 
-// free lists the instances that may join a group, by domain. Those that a switch
-// needs are not among them.
+// free lists the instances that may join a group, by domain.
 func (p *Planner) free(v *fleet.View, busy map[string]bool, now time.Time) map[string][]*fleet.Instance {
 	out := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
-		if p.mayJoin(in, busy, now) && !p.reserved(in.ID) {
+		if !busy[in.ID] && !in.Draining && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayReturn(in.ID, now) {
 			out[in.Domain] = append(out[in.Domain], in)
 		}
 	}
 	return out
 }
 
-// available lists the instances that are free or will be in a moment, by domain, but
-// those that are taken. Without those to come, the first few that a broken group frees
-// would form a small group, and the large one could not be formed again.
-func (p *Planner) available(v *fleet.View, busy, taken map[string]bool, now time.Time) map[string][]*fleet.Instance {
-	out := p.free(v, busy, now)
-	for _, in := range v.Services[p.Service] {
-		if p.freeing[in.ID] && busy[in.ID] && !in.Draining && in.Domain != "" && !p.mayReturn(in.ID, now) && !p.reserved(in.ID) {
-			out[in.Domain] = append(out[in.Domain], in)
+// loading counts the loads from the weight store under way.
+func (p *Planner) loading(v *fleet.View, now time.Time) int {
+	n := 0
+	for _, f := range p.forming {
+		for _, id := range f.members {
+			if in := v.Instances[id]; f.loads > 0 && in != nil && !in.HasStaged(f.model.Name) {
+				n++
+			}
+		}
+	}
+	for id, s := range p.staging {
+		in := v.Instances[id]
+		if in == nil || in.HasStaged(s.model) || now.Sub(s.since) > s.patience {
+			delete(p.staging, id)
+			continue
 		}
+		n++
 	}
-	for domain, list := range out {
-		out[domain] = slices.DeleteFunc(list, func(in *fleet.Instance) bool { return taken[in.ID] })
+	return n
+}
+
+// Loads that may be under way at a time, in multiples of LoadsAtOnce. Beyond one,
+// loads slow one another, and the weight store stays busy while views lag.
+const (
+	coldLoads = 3 // before requests come: only the last one's end counts
+	warmLoads = 2 // later: the first ones' ends count too
+	// loadPart of the allowed loads in a window is used, so that two planners, one
+	// after the other, stay within it.
+	loadPart = 0.45
+)
+
+// mayLoad tells whether n more loads may begin.
+func (p *Planner) mayLoad(engine *routes.Engine, cold bool, loading, n int, now time.Time) bool {
+	if n == 0 {
+		return true
 	}
-	return out
+	atOnce := max(engine.LoadsAtOnce, 1)
+	if cold {
+		return loading < coldLoads*atOnce
+	}
+	return loading < warmLoads*atOnce && p.begun(now)+n <= p.ceiling(engine)
 }
 
-// mayJoin tells whether an instance may join a group now.
-func (p *Planner) mayJoin(in *fleet.Instance, busy map[string]bool, now time.Time) bool {
-	return !busy[in.ID] && !in.Draining && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayReturn(in.ID, now)
+// ceiling is how many loads this planner may begin within a window.
+func (p *Planner) ceiling(engine *routes.Engine) int {
+	if engine.LoadsPerSecond <= 0 || p.Window <= 0 {
+		return unlimited
+	}
+	return max(int(loadPart*engine.LoadsPerSecond*p.Window.Seconds()), 1)
+}
+
+// unlimited stands in for a ceiling that the deployment doesn't set.
+const unlimited = 1 << 30
+
+// begun counts the loads that this planner began within the last window.
+func (p *Planner) begun(now time.Time) int {
+	p.loads = slices.DeleteFunc(p.loads, func(at time.Time) bool { return now.Sub(at) > p.Window })
+	return len(p.loads)
+}
+
+// began notes loads that begin now.
+func (p *Planner) began(n int, now time.Time) {
+	p.loadsBegun += n
+	for range n {
+		p.loads = append(p.loads, now)
+	}
 }
 
 // best returns the best group to form next, nil if there is none. Groups that
-// need no load go first; then the model whose next group is worth most for each
-// member.
-func (p *Planner) best(v *fleet.View, engine *routes.Engine, free map[string][]*fleet.Instance, cold bool) *option {
-	demands := p.demands(v, engine)
+// need no load go first; then the model that lacks most of its target.
+func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, cold bool) *option {
+	needs := p.needs(v, engine)
 	var best *option
 	for _, domain := range sortedDomains(free) {
-		for _, m := range engine.Models {
-			o := p.choose(m, engine.Models, free[domain])
+		for _, m := range models[domain] {
+			o := choose(m, free[domain], p.warmed)
 			if o == nil || o.loads > 0 && !cold {
 				continue // those that lack the model load it to their hosts first
 			}
-			o.worth = (demands[m.Name].gain(1) - o.price) / float64(m.Size)
-			if o.worth <= 0 {
-				continue
-			}
-			o.same, o.free = p.groupsIn(v, domain, m.Name), len(free[domain])
+			o.lack, o.same, o.free = needs[m.Name].part(), p.groupsIn(v, domain, m.Name), len(free[domain])
 			if best == nil || better(o, best) {
 				best = o
 			}
@@ -131,10 +156,27 @@
 	return best
 }
 
+// cold tells whether most instances hold no model yet: then groups load as they
+// join, which saves the warm start. Later loads are scarce, and each is made
+// where it helps most.
+func (p *Planner) cold(v *fleet.View) bool {
+	warm := 0
+	for _, in := range v.Services[p.Service] {
+		if len(in.Staged) > 0 || len(in.Models) > 0 {
+			warm++
+		}
+	}
+	return float64(warm) < coldShare*float64(len(v.Services[p.Service]))
+}
+
+// coldShare is the part of the instances that hold a model below which a service
+// counts as cold.
+const coldShare = 0.75
+
 func better(a, b *option) bool {
 	return cmp.Or(
 		cmp.Compare(boolToInt(b.loads == 0), boolToInt(a.loads == 0)),
-		cmp.Compare(b.worth, a.worth),
+		cmp.Compare(b.lack, a.lack),
 		cmp.Compare(b.model.Size, a.model.Size),
 		cmp.Compare(a.same, b.same),
 		cmp.Compare(b.free, a.free),
@@ -172,3 +214,83 @@
 	slices.Sort(out)
 	return out
 }
+
+// choose picks the members of a group of the model among free instances of one
+// domain: those loaded with it first, then those whose host has it, of these those
+// that were in a group of it.
+func choose(m routes.Model, free []*fleet.Instance, warmed map[string]string) *option {
+	if len(free) < m.Size {
+		return nil
+	}
+	list := slices.Clone(free)
+	slices.SortStableFunc(list, func(a, b *fleet.Instance) int {
+		return cmp.Or(cmp.Compare(joinCost(a, m.Name), joinCost(b, m.Name)),
+			cmp.Compare(boolToInt(warmed[a.ID] != m.Name), boolToInt(warmed[b.ID] != m.Name)))
+	})
+	o := &option{model: m, members: list[:m.Size]}
+	for _, in := range o.members {
+		if joinCost(in, m.Name) > costStaged {
+			o.loads++
+		}
+	}
+	return o
+}
+
+// Ranks of how long an instance takes to join a group of a model.
+const (
+	costLoaded = iota // its last group was of the model
+	costStaged        // the model is on its host
+	costEmpty         // nothing is staged: a load loses nothing
+	costOther         // a load drops another staged model
+)
+
+func joinCost(in *fleet.Instance, model string) int {
+	switch {
+	case slices.Contains(in.Models, model):
+		return costLoaded
+	case in.HasStaged(model):
+		return costStaged
+	case len(in.Staged) == 0:
+		return costEmpty
+	}
+	return costOther
+}
+
+// need is what a model should have and lacks, in instances.
+type need struct {
+	target  float64
+	lacking float64
+}
+
+// part is the part of the target that is missing.
+func (n need) part() float64 {
+	if n.target <= 0 {
+		return 0
+	}
+	return n.lacking / n.target
+}
+
+// needs returns what each model lacks of its share of the instances. Those that
+// hold it and are free count too: they soon join or stand by.
+func (p *Planner) needs(v *fleet.View, engine *routes.Engine) map[string]need {
+	total := 0
+	for _, in := range v.Services[p.Service] {
+		if !in.Draining {
+			total++
+		}
+	}
+	have := map[string]float64{}
+	for _, in := range v.Services[p.Service] {
+		for _, m := range engine.Models {
+			if !in.Draining && p.holds(in, m.Name) {
+				have[m.Name]++
+				break
+			}
+		}
+	}
+	out := map[string]need{}
+	for name, target := range p.targets(engine, total) {
+		out[name] = need{target: target, lacking: target - have[name]}
+	}
+	return out
+}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -234,12 +234,12 @@
 		}
 		seen := p.summarize(view, s.Engine)
 		m.counts.planned(p, seen)
-		m.tell(seen, view.Revision, p.idle(view))
+		m.tell(seen, view.Revision)
 	}
 }
 
 // tell logs what the planner sees when it changed.
-func (m *Manager) tell(s summary, revision uint64, idle string) {
+func (m *Manager) tell(s summary, revision uint64) {
 	if m.told[s.service] == s {
 		return
 	}
@@ -247,7 +247,7 @@
 		m.told = map[string]summary{}
 	}
 	m.told[s.service] = s
-	m.Log.Info("groups", zap.Object("seen", s), zap.String("idle", idle), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
+	m.Log.Info("groups", zap.Object("seen", s), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
 }
 
 // take takes in what came of an order.
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -67,13 +67,8 @@
 	doubled    map[string]time.Time    // when a join was last sent again, by instance
 	staging    map[string]staging      // by instance
 	warming    map[fleet.Key]time.Time // groups of one that warm a spare, until when at most
-	warmTried  map[string]bool         // spares that were told to warm
-	lastModels map[string]string       // model of the last group of each instance, as far as seen
-	ends       map[fleet.Key]time.Time // groups that are being dissolved, since when
-	freeing    map[string]bool         // members of those, free in a moment
-	awaited    map[string]int          // groups by model that wait for such members
-	switches   []*groupSwitch          // under way
-	sawCold    bool                    // this planner began while no model was loaded
+	warmed     map[string]string       // model of the last group of each instance, as far as seen or asked for
+	given      map[string]string       // model of each domain
 	closing    map[fleet.Key]time.Time // when a group was first asked to close
 }
 
@@ -96,7 +91,7 @@
 func NewPlanner(service string, term uint64, inherited map[string]bool, now time.Time) *Planner {
 	return &Planner{Service: service, term: term, inherited: inherited, started: now,
 		forming: map[fleet.Key]*forming{}, sent: map[sentKey]time.Time{}, joins: map[string]sentJoin{}, left: map[string]leave{},
-		doubled: map[string]time.Time{}, staging: map[string]staging{}, warming: map[fleet.Key]time.Time{}, warmTried: map[string]bool{}, lastModels: map[string]string{}, closing: map[fleet.Key]time.Time{}, ends: map[fleet.Key]time.Time{}}
+		doubled: map[string]time.Time{}, staging: map[string]staging{}, warming: map[fleet.Key]time.Time{}, warmed: map[string]string{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}}
 }
 
 // epochsPerTerm is how many epochs one term can give.
@@ -117,7 +112,6 @@
 func (p *Planner) Plan(v *fleet.View, engine *routes.Engine, now time.Time) []Order {
 	var out []Order
 	p.forget(v, now)
-	p.freeing, p.awaited = map[string]bool{}, map[string]int{}
 	busy := map[string]bool{}
 	for _, key := range sortedKeys(v) {
 		out = append(out, p.tend(v, v.Groups[key], busy, now)...)
@@ -159,11 +153,9 @@
 			delete(p.left, id)
 		}
 	}
-	for _, times := range []map[fleet.Key]time.Time{p.closing, p.ends} {
-		for key := range times {
-			if v.Groups[key] == nil {
-				delete(times, key)
-			}
+	for key := range p.closing {
+		if v.Groups[key] == nil {
+			delete(p.closing, key)
 		}
 	}
 	for id, at := range p.doubled {
@@ -181,8 +173,6 @@
 	}
 	f := p.forming[g.Key]
 	switch {
-	case p.ending(g.Key):
-		return p.dissolve(g, busy, now)
 	case g.Serving():
 		delete(p.forming, g.Key)
 		hold(g, busy)
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -1,10 +1,6 @@
 package formation
 
 import (
-	"fmt"
-	"slices"
-	"strings"
-
 	"go.uber.org/zap/zapcore"
 
 	"pearlanding/internal/fleet"
@@ -82,17 +78,3 @@
 	}
 	return s
 }
-
-// idle lists by domain what the instances hold that are in no group: the model they
-// ran last, the ones on their hosts, and a load under way.
-func (p *Planner) idle(v *fleet.View) string {
-	var out []string
-	for _, in := range v.Services[p.Service] {
-		if in.Group.Name != "" || in.Draining {
-			continue
-		}
-		out = append(out, fmt.Sprintf("%s: ran %q, host %q, loading %q", in.Domain, p.lastModel(in), in.Staged, p.staging[in.ID].model))
-	}
-	slices.Sort(out)
-	return strings.Join(out, "; ")
-}
--- a/internal/formation/warm.go
+++ b/internal/formation/warm.go
@@ -4,43 +4,73 @@
 	"time"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
 )
 
 // warmPatience is how long a spare may warm beyond what it should take.
 const warmPatience = 2 * time.Second
 
-// warmTime bounds a warm start where the planner doesn't look at the model's own.
-const warmTime = 2 * time.Second
-
-// warmName begins the names of groups that warm a spare.
-const warmName = "warm"
-
-// warm lets each spare whose host holds a model, and of which no other is known, load it
-// to its accelerators: as a group of its own, of one, that never opens and that it
-// leaves as soon as it is ready. When a group loses a member, the spare then joins as
-// quickly as those that stay, and its host is free for another model.
-func (p *Planner) warm(free map[string][]*fleet.Instance, busy map[string]bool, now time.Time) []Order {
+// warm lets each spare whose host holds its domain's model load it to its
+// accelerators: as a group of its own, of one, that never opens and that it leaves as
+// soon as it is ready. When a group loses a member, the spare then joins as quickly as
+// those that stay, and not only after the model's warm start.
+func (p *Planner) warm(models assignment, free map[string][]*fleet.Instance, busy map[string]bool, now time.Time) []Order {
 	if now.Sub(p.started) < settle {
 		return nil
 	}
 	var out []Order
 	for _, domain := range sortedDomains(free) {
 		for _, in := range free[domain] {
-			if len(in.Staged) == 0 || p.lastModel(in) != "" || p.staging[in.ID].model != "" || p.warmTried[in.ID] {
+			m, staged := stagedOf(in, models[domain])
+			if !staged || m.Size < 2 || p.staging[in.ID].model != "" || p.warmed[in.ID] == m.Name {
 				continue
 			}
-			p.warmTried[in.ID] = true
+			p.warmed[in.ID] = m.Name // once: an entry tells of a model only while in a group
 			epoch := p.nextEpoch()
 			key := fleet.Key{Name: name(warmName, epoch), Epoch: epoch}
-			p.warming[key] = now.Add(warmTime + warmPatience)
+			p.warming[key] = now.Add(m.Warm + warmPatience)
 			busy[in.ID] = true
-			out = append(out, p.send(now, Order{Op: OpJoin, Instance: in.ID, Address: in.Address, Group: key, Model: in.Staged[0],
+			out = append(out, p.send(now, Order{Op: OpJoin, Instance: in.ID, Address: in.Address, Group: key, Model: m.Name,
 				Members: []string{in.ID}, Reason: "a spare warms its model"})...)
 		}
 	}
 	return out
 }
 
+// remember notes the models of the groups that instances were ready in, and forgets
+// those that are gone.
+func (p *Planner) remember(v *fleet.View) {
+	for id := range p.warmed {
+		if v.Instances[id] == nil {
+			delete(p.warmed, id)
+		}
+	}
+	for _, in := range v.Services[p.Service] {
+		if state := in.Group.State; in.Group.Name != "" && len(in.Models) > 0 && (state == fleet.Ready || state == fleet.Open) {
+			p.warmed[in.ID] = in.Models[0]
+		}
+	}
+}
+
+// warmName begins the names of groups that warm a spare.
+const warmName = "warm"
+
+// stagedOf returns the one of the models that an instance's host holds, if its
+// accelerators don't hold any of them.
+func stagedOf(in *fleet.Instance, models []routes.Model) (routes.Model, bool) {
+	var staged routes.Model
+	found := false
+	for _, m := range models {
+		switch joinCost(in, m.Name) {
+		case costLoaded:
+			return routes.Model{}, false
+		case costStaged:
+			staged, found = m, true
+		}
+	}
+	return staged, found
+}
+
 // stillWarming tells whether a group is one of this planner's that warms a spare and
 // needs more time. Once it is ready, or takes too long, it is dissolved as any group
 // that is not complete.
