Link: connections that notice a silent link, for engines, peers and the store

Cause: open connections may go silent for good without a reset. Those to the store had keep-alive probes; those to engines and between daemons had the default of 15 s, so that a stream that waited on one at a replica where others go on was never moved. Not done: callers' connections and a proxy that swallows bytes.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -14,6 +14,8 @@
 	"github.com/creachadair/jrpc2/handler"
 	"github.com/creachadair/jrpc2/server"
 	"github.com/juju/errors"
+
+	"pearlanding/internal/link"
 )
 
 // ErrRefused: the peer's address refused the connection; no process listens
@@ -81,7 +83,7 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := link.Dialer(0).DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.WithType(err, ErrRefused)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"pearlanding/internal/link"
 )
 
 // Pool sends requests over kept HTTP/1.1 connections of its own. Unlike the
@@ -120,8 +122,7 @@
 	if !p.reserve(call.Address) {
 		return nil, errors.WithType(errors.Errorf("connections to %s", call.Address), ErrBusy)
 	}
-	dialer := net.Dialer{Timeout: p.Connect}
-	conn, err := dialer.DialContext(ctx, "tcp", call.Address)
+	conn, err := link.Dialer(p.Connect).DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		p.release(call.Address)
 		return nil, errors.WithType(err, ErrNotSent)
