--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"pearlanding/internal/fleet"
-	"pearlanding/internal/routes"
 )
 
 // Target is where one request may be sent.
@@ -19,29 +18,6 @@
 	Quiet    time.Duration // how long its running streams may bring nothing
 }
 
-// QuietFor is how long running streams of a model's replica may bring nothing: a
-// replica that reads long prompts is quiet for a whole pass, and moving its streams
-// away then makes others read them again. Worth per request owed +0.032 +/- 0.004 against
-// a fixed 250 ms (36 paired days of 7 daemons and 48 engines that fail one by one).
-func QuietFor(e *routes.Engine, m routes.Model) time.Duration {
-	return max(e.LongestPass(m)+quietMargin, quietLeast)
-}
-
-// record is what this daemon itself saw of a target.
-type record struct {
-	quiet        time.Duration // how long running streams may bring nothing
-	inFlight     int
-	running      int           // of these, streams that brought an event
-	waiting      []time.Time   // when those that brought none were sent, oldest first
-	first        time.Duration // the last first event took this long
-	firstAt      time.Time
-	progress     time.Time // of any request, last
-	suspectUntil time.Time
-	suspicion    time.Duration // the next suspicion lasts
-	stoppedAt    time.Time     // when a running stream stopped and was moved, last
-	used         time.Time
-}
-
 // Weights of the choice, in requests in progress.
 const (
 	// otherZonePenalty makes equal targets of the own zone go first: bytes between
@@ -95,7 +71,7 @@
 }
 
 // Pick takes the least loaded target that was not tried, nil if there is none.
-// Its request counts as in progress until done is called.
+// Its request counts as in progress until Done or Ended is called.
 func (p *Picker) Pick(targets []Target, tried map[string]bool, now time.Time) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,32 +120,6 @@
 	return score
 }
 
-// still tells whether streams that ran at the target have stopped to bring events.
-func (r *record) still(now time.Time) bool {
-	return r.running > 0 && now.Sub(r.progress) > r.quiet
-}
-
-// expected is how long the next first event will take at least, by the longest
-// wait of those that wait now and by the last one measured, less the time since: a queue
-// empties while nothing is sent. Counted in full, a target was left until long after
-// its queue was gone: worth per request owed -0.012 +/- 0.002 (36 paired days of 7 daemons
-// and 48 engines that fail one by one).
-func (r *record) expected(now time.Time) time.Duration {
-	d := r.oldestWait(now)
-	if now.Sub(r.firstAt) < firstFor {
-		d = max(d, r.first-now.Sub(r.firstAt))
-	}
-	return d
-}
-
-// oldestWait is how long the oldest stream that waits has waited.
-func (r *record) oldestWait(now time.Time) time.Duration {
-	if len(r.waiting) == 0 {
-		return 0
-	}
-	return now.Sub(r.waiting[0])
-}
-
 // soonest returns the least time that a first event will take at any of the
 // targets that do not stand still, as far as is known; ok is false if there are
 // none.
@@ -267,12 +217,6 @@
 	return p.floors[model]
 }
 
-func (r *record) unwait(sent time.Time) {
-	if i := slices.Index(r.waiting, sent); i >= 0 {
-		r.waiting = slices.Delete(r.waiting, i, i+1)
-	}
-}
-
 // Done ends a request at a target.
 func (p *Picker) Done(t *Target) {
 	p.mu.Lock()
