Instances: the end of an outage is the first answer to any call

Cause: entries that lapse in an outage of the store may come back within two seconds of its return, so a daemon believes a removed instance that long. For the return it took the answer of its own watch, and that watch may have waited since the real return for the very removal that it brings: an instance that left seconds later was believed for two seconds more. Its class: one caller's late view of a moment taken for the moment itself. Change: fleet.Contact takes in how every call to the store ends; an absence lasts from the sending of the first call without an answer to the first answer to any. The same class, found beside it: a watch sent while the store was away hung until its timeout (4.5 s, 2.5 s of them after other calls were answered) and hid all changes; it is now broken off and sent anew when any call shows the return, and the rest after a failed watch ends then too. A call that this daemon broke off itself counted as a loss of the store for its relay; no more. Ruled out: no grace at all (every outage would cost all instances whose entries lapsed, up to two seconds); counting from when the watch was sent (it may be sent long before the return, and the grace would be over when the lapses are heard).

--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -22,40 +22,30 @@
 // use: one goroutine owns it. Time is passed in.
 type Belief struct {
 	size      SizeOf
-	lapse     time.Duration // silence after which an entry is removed
+	contact   *Contact
 	instances map[string]*Instance
 	lapsed    map[string]bool // removed right after an outage, still believed
 	removed   map[string]Gone
 	revision  uint64
-	lostSince time.Time // zero while the store is reached
-	backAt    time.Time // when the last outage long enough for lapses ended
 }
 
 // NewBelief returns an empty belief. heartbeat is the time between the writes of
-// an instance's own entry; an entry is removed after lapsedHeartbeats of silence.
+// an instance's own entry: entries may lapse in an absence of the store that lasts as
+// long, as it may have begun some heartbeats before a call showed it.
 func NewBelief(heartbeat time.Duration, size SizeOf) *Belief {
-	return &Belief{size: size, lapse: lapsedHeartbeats * heartbeat,
+	return &Belief{size: size, contact: NewContact(heartbeat),
 		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}}
 }
 
-// lapsedHeartbeats is after how many silent heartbeats the store drops an entry.
-const lapsedHeartbeats = 3
+// Contact is where calls to the store are noted. After an absence in which entries may
+// have lapsed, missing ones are believed for returnGrace.
+func (b *Belief) Contact() *Contact { return b.contact }
 
-// Lost notes that the store was not reached at now.
-func (b *Belief) Lost(now time.Time) {
-	if b.lostSince.IsZero() {
-		b.lostSince = now
-	}
-}
+// Lost notes that a call to the store sent at asked got no answer.
+func (b *Belief) Lost(asked time.Time) { b.contact.Failed(asked) }
 
-// Reached notes that the store answered at now. After an absence in which
-// entries may have lapsed, missing ones are believed for returnGrace.
-func (b *Belief) Reached(now time.Time) {
-	if !b.lostSince.IsZero() && now.Sub(b.lostSince) >= b.lapse/lapsedHeartbeats {
-		b.backAt = now
-	}
-	b.lostSince = time.Time{}
-}
+// Reached notes that the store answered at a time.
+func (b *Belief) Reached(at time.Time) { b.contact.Answered(at) }
 
 // Replace takes a whole listing.
 func (b *Belief) Replace(instances []*Instance, revision uint64, now time.Time) {
@@ -82,6 +72,12 @@
 	delete(b.removed, in.ID)
 }
 
+// graceEnds is when an entry that is missing is no lapse any more. It counts from the
+// first answer to any call: the watch that brings a removal may have waited since the
+// store's return, and requests then reached instances that had left for 2.1 s beyond the
+// grace (bound: 2 s).
+func (b *Belief) graceEnds() time.Time { return b.contact.Back().Add(returnGrace) }
+
 // Remove takes the removal of an entry. Right after an outage the instance is
 // believed until the grace ends, unless it had said that it was leaving.
 func (b *Belief) Remove(id string, now time.Time) {
@@ -89,7 +85,7 @@
 	if in == nil {
 		return
 	}
-	if now.Before(b.backAt.Add(returnGrace)) && !in.Draining {
+	if now.Before(b.graceEnds()) && !in.Draining {
 		b.lapsed[id] = true
 		return
 	}
@@ -115,7 +111,7 @@
 			delete(b.removed, id)
 		}
 	}
-	if len(b.lapsed) == 0 || now.Before(b.backAt.Add(returnGrace)) || !b.lostSince.IsZero() {
+	if len(b.lapsed) == 0 || now.Before(b.graceEnds()) || b.contact.Lost() {
 		return changed
 	}
 	for id := range b.lapsed {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -94,6 +94,15 @@
 	err     error
 }
 
+// answered is when the store answered, at the latest: what came through another daemon
+// proves no more than that it was asked.
+func (r *result) answered(now time.Time) time.Time {
+	if r.changes.Age > 0 {
+		return r.proved
+	}
+	return now
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	results := make(chan result)
@@ -128,12 +137,12 @@
 func (f *Follower) take(r result, now time.Time) {
 	if r.err != nil {
 		if !errors.Is(r.err, objectapi.ErrCompacted) {
-			f.belief.Lost(now)
+			f.belief.Lost(r.proved)
 		}
 		f.Log.Warn("instances not followed", zap.String("decision", "keep_last_view"), zap.Uint64("revision", f.belief.Revision()), zap.Error(r.err))
 		return
 	}
-	f.belief.Reached(now)
+	f.belief.Reached(r.answered(now))
 	if r.listing != nil {
 		f.replace(r.listing, now)
 	}
@@ -205,9 +214,9 @@
 	list, retry := true, retryPause
 	var revision uint64
 	for ctx.Err() == nil {
-		r, asked := f.once(ctx, list, revision)
-		if asked {
-			list = true
+		r, broken := f.once(ctx, list, revision)
+		if broken != notBroken {
+			list = broken == forListing
 			continue
 		}
 		select {
@@ -225,7 +234,7 @@
 			list = true
 			continue
 		case r.err != nil:
-			pause.For(ctx, retry)
+			f.pauseUntilReturn(ctx, retry)
 			retry = min(2*retry, retryMost)
 			continue
 		}
@@ -250,29 +259,68 @@
 	}
 }
 
-// once makes one call; listAsked tells that a watch was broken off for a listing.
-func (f *Follower) once(ctx context.Context, list bool, revision uint64) (r result, listAsked bool) {
-	r = result{proved: time.Now()}
+// pauseUntilReturn waits for d, or until another call shows that the store is back.
+func (f *Follower) pauseUntilReturn(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.belief.Contact().Returned():
+	case <-ctx.Done():
+	}
+}
+
+// broken is why a watch was broken off.
+type broken int
+
+const (
+	notBroken  broken = iota
+	forListing        // a whole listing was asked for
+	forReturn         // it was sent while the store was away, which has returned since
+)
+
+// once makes one call, unless it is broken off.
+func (f *Follower) once(ctx context.Context, list bool, revision uint64) (result, broken) {
+	r := result{proved: time.Now()}
 	if list {
 		var l objectapi.Listing
 		l, r.err = f.Feed.ListKind(ctx, f.Kind)
 		r.listing = &l
-		return r, false
+		return r, notBroken
 	}
+	asked := r.proved
 	watch, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	var broken atomic.Bool
+	why := make(chan broken)
 	go func() {
+		reason := f.interrupted(watch, asked)
+		cancel()
+		why <- reason
+	}()
+	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	r.proved = asked.Add(-r.changes.Age)
+	cancel()
+	reason := <-why
+	if reason == forReturn && r.err == nil {
+		reason = notBroken
+	}
+	return r, reason
+}
+
+// interrupted waits for a reason to break off a watch that was sent at asked, or for its
+// end. A watch that was sent while the store was away may hang until its timeout and hide
+// all changes since: up to 4.5 s, where instances that leave must be known within 2 s.
+func (f *Follower) interrupted(watch context.Context, asked time.Time) broken {
+	contact := f.belief.Contact()
+	for {
 		select {
+		case <-watch.Done():
+			return notBroken
 		case <-f.list:
-			broken.Store(true)
-			cancel()
-		case <-done:
+			return forListing
+		case <-contact.Returned():
+			if asked.Before(contact.Back()) {
+				return forReturn
+			}
 		}
-	}()
-	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
-	r.proved = r.proved.Add(-r.changes.Age)
-	close(done)
-	return r, broken.Load()
+	}
 }
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -13,24 +13,28 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
 )
 
-// countedFeed counts the calls to the store by call, kind of object and outcome.
+// countedFeed counts the calls to the store by call, kind of object and outcome, and
+// tells contact how each ended.
 type countedFeed struct {
 	objectapi.Feed
-	set   *metrics.Set
-	mu    sync.Mutex
-	total map[string]uint64 // by call and kind
+	set     *metrics.Set
+	contact *fleet.Contact
+	mu      sync.Mutex
+	total   map[string]uint64 // by call and kind
 }
 
-func newCountedFeed(feed objectapi.Feed, set *metrics.Set) *countedFeed {
-	return &countedFeed{Feed: feed, set: set, total: map[string]uint64{}}
+func newCountedFeed(feed objectapi.Feed, contact *fleet.Contact, set *metrics.Set) *countedFeed {
+	return &countedFeed{Feed: feed, contact: contact, set: set, total: map[string]uint64{}}
 }
 
-// count notes one call about an object or a kind of objects.
-func (c *countedFeed) count(call, key string, err error) {
+// count notes one call about an object or a kind of objects, sent at asked.
+func (c *countedFeed) count(call, key string, asked time.Time, err error) {
+	c.contact.Note(asked, time.Now(), err)
 	kind, _, _ := strings.Cut(key, "/")
 	c.mu.Lock()
 	c.total[call+" "+kind]++
@@ -54,36 +58,41 @@
 
 // Get implements objectapi.Feed.
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	asked := time.Now()
 	o, err := c.Feed.Get(ctx, key)
-	c.count("get", key, err)
+	c.count("get", key, asked, err)
 	return o, err
 }
 
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
+	asked := time.Now()
 	l, err := c.Feed.ListKind(ctx, kind)
-	c.count("list", kind, err)
+	c.count("list", kind, asked, err)
 	return l, err
 }
 
 // Follow implements objectapi.Feed.
 func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	asked := time.Now()
 	changes, err := c.Feed.Follow(ctx, kind, after, wait)
-	c.count("follow", kind, err)
+	c.count("follow", kind, asked, err)
 	return changes, err
 }
 
 // Create implements objectapi.Feed.
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	asked := time.Now()
 	version, err := c.Feed.Create(ctx, key, value)
-	c.count("create", key, err)
+	c.count("create", key, asked, err)
 	return version, err
 }
 
 // Update implements objectapi.Feed.
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	asked := time.Now()
 	v, err := c.Feed.Update(ctx, key, version, value)
-	c.count("update", key, err)
+	c.count("update", key, asked, err)
 	return v, err
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -144,13 +144,13 @@
 }
 
 func (d *Daemon) build(s Settings, holder string) {
-	d.calls = newCountedFeed(d.Outside.Feed, d.Metrics)
+	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
+	d.calls = newCountedFeed(d.Outside.Feed, belief.Contact(), d.Metrics)
 	d.Outside.Feed = d.calls
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
 		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
-	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -186,7 +186,9 @@
 	}
 	asked := n.now()
 	changes, err := n.Feed.Follow(ctx, n.o.Kind, after, wait)
-	n.reached.Store(err == nil)
+	if err == nil || ctx.Err() == nil { // a call broken off shows nothing
+		n.reached.Store(err == nil)
+	}
 	if err == nil {
 		n.history.followed(after, changes, asked)
 	}
