Budget: a repeat is taken before its target is chosen

Cause: Left was asked, a target chosen, and Repeat called without regard to its answer; requests that failed at the same moment passed the question together, and those too many were not even counted. Its class: a check and the act that it allows as two steps. Change: the repeat is taken first and given back if there is no target. The two other questions (again, elsewhere) only decide whether to look for a target at all; the taking decides. Searched for the same elsewhere: Picker.Pick counts a request in progress under the lock that chooses; the connections' bound reserves before it dials; the planner is one goroutine.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -81,6 +81,14 @@
 	return true
 }
 
+// Return gives back a repeat that was counted at now and not made.
+func (b *Budget) Return(rule BudgetRule, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slot(rule, now).repeats--
+	b.earned.add(1, now)
+}
+
 // Left is how many repeats could be made now.
 func (b *Budget) Left(rule BudgetRule, now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -26,6 +26,18 @@
 	must.False(t, b.Repeat(testRule, now))
 }
 
+func TestRepeatThatWasNotMadeIsGivenBack(t *testing.T) {
+	var b Budget
+	now := time.Unix(100, 0)
+	for range 6 {
+		b.Request(testRule, now)
+	}
+	left := b.Left(testRule, now)
+	must.True(t, b.Repeat(testRule, now))
+	b.Return(testRule, now)
+	must.Eq(t, left, b.Left(testRule, now))
+}
+
 // Load: 30 requests a second, and at one moment a domain of instances is gone, with a
 // quarter of the requests in progress. All of them may be sent again.
 func TestBudgetBearsTheLossOfADomain(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -239,13 +239,15 @@
 		return nil
 	}
 	now, rule := time.Now(), x.gateway.Bounds().Retry
-	if x.attempts.Repeated() && x.budget().Left(rule, now) < 1 {
+	repeat := x.attempts.Repeated()
+	// Taken before the choice: requests that fail together would all find it left.
+	if repeat && !x.budget().Repeat(rule, now) {
 		x.note("retry_budget_spent")
 		return nil
 	}
 	t := x.gateway.Picker.Pick(x.targets(), x.tried, now)
-	if t != nil && x.attempts.Repeated() {
-		x.budget().Repeat(rule, now)
+	if t == nil && repeat {
+		x.budget().Return(rule, now)
 	}
 	return t
 }
