--- a/internal/fleet/contact.go
+++ b/internal/fleet/contact.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/objectapi"
-	"pearlanding/internal/pause"
 )
 
 // ErrReturned ends a call that was sent while the store was away, which has returned
@@ -76,12 +75,12 @@
 	}
 	absence := at.Sub(c.lost)
 	c.lost = time.Time{}
-	close(c.returned)
-	c.returned = make(chan struct{})
 	if absence < c.least {
 		return
 	}
 	c.back = at
+	close(c.returned)
+	c.returned = make(chan struct{})
 	for cancel := range c.open {
 		(*cancel)(ErrReturned)
 	}
@@ -119,20 +118,15 @@
 // Absent is signalled when an absence begins. It has one receiver.
 func (c *Contact) Absent() <-chan struct{} { return c.absent }
 
-// Returned is closed when the store next answers again, however short the absence was.
+// Returned is closed when the next absence ends.
 func (c *Contact) Returned() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.returned
 }
 
-// Bounds of a rest.
-const (
-	// restLeast is kept between two calls that fail while others are answered.
-	restLeast = 250 * time.Millisecond
-	// restWhenKnown bounds a rest that nothing ends, as the store answers.
-	restWhenKnown = time.Second
-)
+// restWhenKnown bounds the rest after a call that failed while others are answered.
+const restWhenKnown = time.Second
 
 // Rest waits for d after a call that got no answer, at most until the store is back.
 func (c *Contact) Rest(ctx context.Context, d time.Duration) {
@@ -140,9 +134,7 @@
 	if !c.Lost() {
 		d = min(d, restWhenKnown)
 	}
-	least := min(d, restLeast)
-	pause.For(ctx, least)
-	t := time.NewTimer(d - least)
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -9,10 +9,7 @@
 )
 
 // probeEvery is the time between two probes of a store that is away. Each is sent
-// whatever became of the ones before, which may hang. A daemon that was itself cut off
-// counts as back after three seconds; by then it must believe no instance any more that
-// it believes for two seconds from when it knows of the return. Without probes it knew
-// 0.2 to 1.3 s after it (nine cuts, by the logs), and by its timeouts up to 2.7 s.
+// whatever became of the ones before, which may hang.
 const probeEvery = 700 * time.Millisecond
 
 // storeProbe asks a store that is away for one small object until it is back. All other
