--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -27,10 +27,9 @@
 	// faster meanwhile.
 	paceTick = 200 * time.Millisecond
 	// retryPause follows a call that failed; it doubles with each further one up to
-	// retryMost, as hundreds of daemons ask a store that is down. It ends when any call
-	// shows that the store is back.
+	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 250 * time.Millisecond
-	retryMost  = 4 * time.Second
+	retryMost  = time.Second
 	// expireTick is how often lapsed entries are looked at.
 	expireTick = 250 * time.Millisecond
 )
@@ -215,12 +214,9 @@
 	list, retry := true, retryPause
 	var revision uint64
 	for ctx.Err() == nil {
-		r, asked := f.once(ctx, list, revision)
-		if asked {
-			list = true
-			continue
-		}
-		if errors.Is(r.err, ErrReturned) {
+		r, broken := f.once(ctx, list, revision)
+		if broken != notBroken {
+			list = broken == forListing
 			continue
 		}
 		select {
@@ -238,7 +234,7 @@
 			list = true
 			continue
 		case r.err != nil:
-			f.belief.Contact().Rest(ctx, retry)
+			f.pauseUntilReturn(ctx, retry)
 			retry = min(2*retry, retryMost)
 			continue
 		}
@@ -263,28 +259,68 @@
 	}
 }
 
-// once makes one call; listAsked tells that a watch was broken off for a listing.
-func (f *Follower) once(ctx context.Context, list bool, revision uint64) (r result, listAsked bool) {
-	r = result{proved: time.Now()}
+// pauseUntilReturn waits for d, or until another call shows that the store is back.
+func (f *Follower) pauseUntilReturn(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.belief.Contact().Returned():
+	case <-ctx.Done():
+	}
+}
+
+// broken is why a watch was broken off.
+type broken int
+
+const (
+	notBroken  broken = iota
+	forListing        // a whole listing was asked for
+	forReturn         // it was sent while the store was away, which has returned since
+)
+
+// once makes one call, unless it is broken off.
+func (f *Follower) once(ctx context.Context, list bool, revision uint64) (result, broken) {
+	r := result{proved: time.Now()}
 	if list {
 		var l objectapi.Listing
 		l, r.err = f.Feed.ListKind(ctx, f.Kind)
 		r.listing = &l
-		return r, false
+		return r, notBroken
 	}
+	asked := r.proved
 	watch, cancel := context.WithCancel(ctx)
-	asked := make(chan bool)
+	why := make(chan broken)
 	go func() {
-		select {
-		case <-f.list:
-			cancel()
-			asked <- true
-		case <-watch.Done():
-			asked <- false
-		}
+		reason := f.interrupted(watch, asked)
+		cancel()
+		why <- reason
 	}()
 	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
-	r.proved = r.proved.Add(-r.changes.Age)
+	r.proved = asked.Add(-r.changes.Age)
 	cancel()
-	return r, <-asked
+	reason := <-why
+	if reason == forReturn && r.err == nil {
+		reason = notBroken
+	}
+	return r, reason
+}
+
+// interrupted waits for a reason to break off a watch that was sent at asked, or for its
+// end. A watch that was sent while the store was away may hang until its timeout and hide
+// all changes since: up to 4.5 s, where instances that leave must be known within 2 s.
+func (f *Follower) interrupted(watch context.Context, asked time.Time) broken {
+	contact := f.belief.Contact()
+	for {
+		select {
+		case <-watch.Done():
+			return notBroken
+		case <-f.list:
+			return forListing
+		case <-contact.Returned():
+			if asked.Before(contact.Back()) {
+				return forReturn
+			}
+		}
+	}
 }
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -32,24 +32,14 @@
 	return &countedFeed{Feed: feed, contact: contact, set: set, total: map[string]uint64{}}
 }
 
-// do makes one call about an object or a kind of objects and counts it. A call that was
-// sent while the store was away ends with fleet.ErrReturned when it has returned: without,
-// a watch hung for 2.5 s after other calls were answered, and hid instances that left.
-func (c *countedFeed) do(ctx context.Context, name, key string, call func(context.Context) error) error {
-	asked := time.Now()
-	ctx, end := c.contact.Begin(ctx)
-	defer end()
-	err := call(ctx)
-	if err != nil && errors.Is(context.Cause(ctx), fleet.ErrReturned) {
-		err = errors.WithType(err, fleet.ErrReturned)
-	}
+// count notes one call about an object or a kind of objects, sent at asked.
+func (c *countedFeed) count(call, key string, asked time.Time, err error) {
 	c.contact.Note(asked, time.Now(), err)
 	kind, _, _ := strings.Cut(key, "/")
 	c.mu.Lock()
-	c.total[name+" "+kind]++
+	c.total[call+" "+kind]++
 	c.mu.Unlock()
-	c.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_store_calls_total{call=%q,kind=%q,outcome=%q}", name, kind, outcome(err))).Inc()
-	return err
+	c.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_store_calls_total{call=%q,kind=%q,outcome=%q}", call, kind, outcome(err))).Inc()
 }
 
 // outcome names an error of the store for a metric.
@@ -67,47 +57,42 @@
 }
 
 // Get implements objectapi.Feed.
-func (c *countedFeed) Get(ctx context.Context, key string) (o objectapi.Object, err error) {
-	err = c.do(ctx, "get", key, func(ctx context.Context) (err error) {
-		o, err = c.Feed.Get(ctx, key)
-		return err
-	})
+func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	asked := time.Now()
+	o, err := c.Feed.Get(ctx, key)
+	c.count("get", key, asked, err)
 	return o, err
 }
 
 // ListKind implements objectapi.Feed.
-func (c *countedFeed) ListKind(ctx context.Context, kind string) (l objectapi.Listing, err error) {
-	err = c.do(ctx, "list", kind, func(ctx context.Context) (err error) {
-		l, err = c.Feed.ListKind(ctx, kind)
-		return err
-	})
+func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
+	asked := time.Now()
+	l, err := c.Feed.ListKind(ctx, kind)
+	c.count("list", kind, asked, err)
 	return l, err
 }
 
 // Follow implements objectapi.Feed.
-func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (changes objectapi.Changes, err error) {
-	err = c.do(ctx, "follow", kind, func(ctx context.Context) (err error) {
-		changes, err = c.Feed.Follow(ctx, kind, after, wait)
-		return err
-	})
+func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	asked := time.Now()
+	changes, err := c.Feed.Follow(ctx, kind, after, wait)
+	c.count("follow", kind, asked, err)
 	return changes, err
 }
 
 // Create implements objectapi.Feed.
-func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (version uint64, err error) {
-	err = c.do(ctx, "create", key, func(ctx context.Context) (err error) {
-		version, err = c.Feed.Create(ctx, key, value)
-		return err
-	})
+func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	asked := time.Now()
+	version, err := c.Feed.Create(ctx, key, value)
+	c.count("create", key, asked, err)
 	return version, err
 }
 
 // Update implements objectapi.Feed.
-func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (v uint64, err error) {
-	err = c.do(ctx, "update", key, func(ctx context.Context) (err error) {
-		v, err = c.Feed.Update(ctx, key, version, value)
-		return err
-	})
+func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	asked := time.Now()
+	v, err := c.Feed.Update(ctx, key, version, value)
+	c.count("update", key, asked, err)
 	return v, err
 }
 
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"pearlanding/internal/fleet"
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
@@ -29,12 +28,9 @@
 	// defaultRead stands in where the deployment sets neither bound.
 	defaultRead = 2 * time.Second
 	// retryPause follows a read that failed; it doubles with each further one up to
-	// retryMost, as hundreds of daemons ask a store that is down. It ends when any call
-	// shows that the store is back.
+	// retryMost, as hundreds of daemons ask a store that is down.
 	retryPause = 300 * time.Millisecond
-	retryMost  = 4 * time.Second
-	// restWhenKnown bounds the pause after a read that failed while others are answered.
-	restWhenKnown = time.Second
+	retryMost  = 1200 * time.Millisecond
 	// leastPause is kept between any two reads.
 	leastPause = 100 * time.Millisecond
 	// firstPause follows a read that found no configuration. The daemon that plans
@@ -72,7 +68,6 @@
 	serving func() bool
 	// planning, if set, tells that this daemon forms the groups.
 	planning func() bool
-	contact  *fleet.Contact
 	heard    chan confirmation
 	current  atomic.Pointer[gateway.Config]
 }
@@ -113,9 +108,6 @@
 	for ctx.Err() == nil {
 		asked := time.Now()
 		o, err := f.feed.Get(ctx, f.key)
-		if errors.Is(err, fleet.ErrReturned) {
-			continue
-		}
 		f.take(o, err, asked)
 		next := asked.Add(f.interval())
 		switch {
@@ -150,13 +142,8 @@
 }
 
 // rest waits until it is time to read: when the proof gets old, or when another
-// daemon has seen a newer version and the store answered lately; or when the store is
-// back.
+// daemon has seen a newer version and the store answered lately.
 func (f *configFollower) rest(ctx context.Context, next time.Time, reached bool) {
-	returned := f.contact.Returned()
-	if !reached && !f.contact.Lost() {
-		next = earliest(next, time.Now().Add(restWhenKnown))
-	}
 	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
 	for {
@@ -165,8 +152,6 @@
 			return
 		case <-timer.C:
 			return
-		case <-returned:
-			return
 		case c := <-f.heard:
 			if c.version > f.version && reached {
 				return
@@ -178,13 +163,6 @@
 	}
 }
 
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // confirmed makes a confirmation of the version in force its proof; false: it is
 // no news.
 func (f *configFollower) confirmed(c confirmation) bool {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -98,7 +98,6 @@
 	picker   *dispatch.Picker
 	gateway  *gateway.Gateway
 	calls    *countedFeed
-	probe    storeProbe
 	relay    *relay.Node // nil: this daemon has no address for peers
 	peers    *relay.Peers
 	survey   *relay.Survey
@@ -148,9 +147,8 @@
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	d.calls = newCountedFeed(d.Outside.Feed, belief.Contact(), d.Metrics)
 	d.Outside.Feed = d.calls
-	d.probe = storeProbe{feed: d.calls, contact: belief.Contact()}
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
-		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1), contact: belief.Contact()}
+		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
@@ -188,7 +186,6 @@
 	run(work, d.config.Run)
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
-	run(work, d.probe.Run)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
 	if d.survey != nil {
 		run(ctx, d.survey.Run)
