--- a/internal/steady/steady_test.go
+++ b/internal/steady/steady_test.go
@@ -20,7 +20,7 @@
 }
 
 // deciders are the packages whose decisions rest on ages.
-var deciders = []string{"fleet", "formation", "front", "gateway", "relay", "upstream"}
+var deciders = []string{"dispatch", "fleet", "formation", "front", "gateway", "relay", "upstream"}
 
 // timeOfDay are the methods and functions that leave the steady clock's reading out.
 var timeOfDay = map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true, "Round": true, "Truncate": true}
