--- /dev/null
+++ b/internal/fleet/watch.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
+)
+
+// call lists once and then follows, listing again when history was lost or when
+// asked to. It goes on from the last change that it saw and not from the store's
+// revision in an answer without changes: a watch that heard nothing may have missed
+// some.
+func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
+	list, retry := true, retryPause
+	var revision uint64
+	for ctx.Err() == nil {
+		r, broken := f.once(ctx, list, revision)
+		if broken != notBroken {
+			list = broken == forListing
+			continue
+		}
+		select {
+		case results <- r:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case revision = <-resume:
+		case <-ctx.Done():
+			return
+		}
+		switch {
+		case errors.Is(r.err, objectapi.ErrCompacted):
+			list = true
+			continue
+		case r.err != nil:
+			f.pauseUntilReturn(ctx, retry)
+			retry = min(2*retry, retryMost)
+			continue
+		}
+		list, retry = false, retryPause
+		if len(r.changes.Events) > 0 {
+			f.rest(ctx)
+		}
+	}
+}
+
+// rest pauses after a call that brought changes, no longer than the pace allows
+// at any moment of the pause.
+func (f *Follower) rest(ctx context.Context) {
+	pace := func() time.Duration { return followPause }
+	if f.Pace != nil {
+		pace = f.Pace
+	}
+	for waited := time.Duration(0); waited < pace() && ctx.Err() == nil; {
+		step := min(paceTick, pace()-waited)
+		pause.For(ctx, step)
+		waited += step
+	}
+}
+
+// pauseUntilReturn waits for d, or until another call shows that the store is back.
+func (f *Follower) pauseUntilReturn(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.belief.Contact().Returned():
+	case <-ctx.Done():
+	}
+}
+
+// broken is why a watch was broken off.
+type broken int
+
+const (
+	notBroken  broken = iota
+	forListing        // a whole listing was asked for
+	forReturn         // it was sent while the store was away, which has returned since
+)
+
+// once makes one call, unless it is broken off.
+func (f *Follower) once(ctx context.Context, list bool, revision uint64) (result, broken) {
+	r := result{proved: time.Now()}
+	if list {
+		var l objectapi.Listing
+		l, r.err = f.Feed.ListKind(ctx, f.Kind)
+		r.listing = &l
+		return r, notBroken
+	}
+	asked := r.proved
+	watch, cancel := context.WithCancel(ctx)
+	why := make(chan broken)
+	go func() {
+		reason := f.interrupted(watch, asked)
+		cancel()
+		why <- reason
+	}()
+	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	r.proved = asked.Add(-r.changes.Age)
+	cancel()
+	reason := <-why
+	if reason == forReturn && r.err == nil {
+		reason = notBroken
+	}
+	return r, reason
+}
+
+// interrupted waits for a reason to break off a watch that was sent at asked, or for its
+// end. A watch that was sent while the store was away may hang until its timeout and hide
+// all changes since: up to 4.5 s, where instances that leave must be known within 2 s.
+func (f *Follower) interrupted(watch context.Context, asked time.Time) broken {
+	contact := f.belief.Contact()
+	for {
+		select {
+		case <-watch.Done():
+			return notBroken
+		case <-f.list:
+			return forListing
+		case <-contact.Returned():
+			if asked.Before(contact.Back()) {
+				return forReturn
+			}
+		}
+	}
+}
