--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -79,17 +79,19 @@
 func (b *Belief) graceEnds() time.Time { return b.contact.Back().Add(returnGrace) }
 
 // Remove takes the removal of an entry. Right after an outage the instance is
-// believed until the grace ends, unless it had said that it was leaving.
-func (b *Belief) Remove(id string, now time.Time) {
+// believed until the grace ends, unless it had said that it was leaving; the result
+// tells whether it is.
+func (b *Belief) Remove(id string, now time.Time) (believed bool) {
 	in := b.instances[id]
 	if in == nil {
-		return
+		return false
 	}
 	if now.Before(b.graceEnds()) && !in.Draining {
 		b.lapsed[id] = true
-		return
+		return true
 	}
 	b.forget(id, now)
+	return false
 }
 
 // Advance notes a change that the belief holds.
--- a/internal/fleet/belief_test.go
+++ b/internal/fleet/belief_test.go
@@ -50,6 +50,17 @@
 	must.Eq(t, []string{"a"}, b.ids())
 }
 
+// The log tells for each removal whether the instance is believed on: without, a removal
+// that was heard and one that was heeded looked alike.
+func TestRemovalTellsWhetherTheInstanceIsBelieved(t *testing.T) {
+	b := testBelief("a", "b")
+	must.False(t, b.Remove("a", start))
+	b.Lost(start)
+	b.Reached(start.Add(5 * heartbeat))
+	must.True(t, b.Remove("b", start.Add(5*heartbeat)))
+	must.False(t, b.Remove("nobody", start.Add(5*heartbeat)))
+}
+
 func TestShortLossOfTheStoreIsNoOutage(t *testing.T) {
 	b := testBelief("a")
 	b.Lost(start)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -173,8 +173,9 @@
 func (f *Follower) apply(e objectapi.Event, now time.Time) {
 	if e.Removed {
 		id := f.id(e.Object.Key)
-		f.belief.Remove(id, now)
-		f.Log.Info("instance entry removed", zap.String("instance", id), zap.Uint64("version", e.Object.Version))
+		believed := f.belief.Remove(id, now)
+		f.Log.Info("instance entry removed", zap.String("instance", id), zap.Uint64("version", e.Object.Version),
+			zap.Bool("believed", believed))
 		return
 	}
 	if in := f.decode(e.Object); in != nil {
