--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -73,9 +73,9 @@
 }
 
 // graceEnds is when an entry that is missing is no lapse any more. It counts from the
-// first answer to any call: the watch that brings a removal may have waited since the
-// store's return, and requests then reached instances that had left for 2.1 s beyond the
-// grace (bound: 2 s).
+// first answer to any call. Counted from the answer that brought the removal, for which a
+// watch may wait long after the store's return, requests reached an instance until 2.1 s
+// after it had left (bound: 2 s).
 func (b *Belief) graceEnds() time.Time { return b.contact.Back().Add(returnGrace) }
 
 // Remove takes the removal of an entry. Right after an outage the instance is
