--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -22,7 +22,7 @@
 // use: one goroutine owns it. Time is passed in.
 type Belief struct {
 	size      SizeOf
-	contact   *Contact
+	reach     *Reachability
 	instances map[string]*Instance
 	lapsed    map[string]bool // removed right after an outage, still believed
 	removed   map[string]Gone
@@ -33,19 +33,19 @@
 // an instance's own entry: entries may lapse in an absence of the store that lasts as
 // long, as it may have begun some heartbeats before a call showed it.
 func NewBelief(heartbeat time.Duration, size SizeOf) *Belief {
-	return &Belief{size: size, contact: NewContact(heartbeat),
+	return &Belief{size: size, reach: NewReachability(heartbeat),
 		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}}
 }
 
-// Contact is where calls to the store are noted. After an absence in which entries may
+// Reachability is where calls to the store are noted. After an absence in which entries may
 // have lapsed, missing ones are believed for returnGrace.
-func (b *Belief) Contact() *Contact { return b.contact }
+func (b *Belief) Reachability() *Reachability { return b.reach }
 
 // Lost notes that a call to the store sent at asked got no answer.
-func (b *Belief) Lost(asked time.Time) { b.contact.Failed(asked) }
+func (b *Belief) Lost(asked time.Time) { b.reach.Failed(asked) }
 
 // Reached notes that the store answered at a time.
-func (b *Belief) Reached(at time.Time) { b.contact.Answered(at) }
+func (b *Belief) Reached(at time.Time) { b.reach.Answered(at) }
 
 // Replace takes a whole listing.
 func (b *Belief) Replace(instances []*Instance, revision uint64, now time.Time) {
@@ -76,7 +76,7 @@
 // first answer to any call. Counted from the answer that brought the removal, for which a
 // watch may wait long after the store's return, requests reached an instance until 2.1 s
 // after it had left (bound: 2 s).
-func (b *Belief) graceEnds() time.Time { return b.contact.Back().Add(returnGrace) }
+func (b *Belief) graceEnds() time.Time { return b.reach.Back().Add(returnGrace) }
 
 // Remove takes the removal of an entry. Right after an outage the instance is
 // believed until the grace ends, unless it had said that it was leaving; the result
@@ -113,7 +113,7 @@
 			delete(b.removed, id)
 		}
 	}
-	if len(b.lapsed) == 0 || now.Before(b.graceEnds()) || b.contact.Lost() {
+	if len(b.lapsed) == 0 || now.Before(b.graceEnds()) || b.reach.Lost() {
 		return changed
 	}
 	for id := range b.lapsed {
--- a/internal/fleet/contact.go
+++ b/internal/fleet/reachability.go
@@ -10,10 +10,10 @@
 	"pearlanding/internal/objectapi"
 )
 
-// Contact is what all calls of one daemon show of whether the store answers. One call
+// Reachability is what all calls of one daemon show of whether the store answers. One call
 // alone tells late: a watch waits for changes, and one sent while the store was away may
 // hang long after its return. Safe for concurrent use; time is passed in.
-type Contact struct {
+type Reachability struct {
 	least    time.Duration // shorter absences are none
 	returned chan struct{}
 
@@ -23,70 +23,70 @@
 	back     time.Time // when the last absence ended
 }
 
-// NewContact returns a contact for which an absence lasts least or longer.
-func NewContact(least time.Duration) *Contact {
-	return &Contact{least: least, returned: make(chan struct{}, 1)}
+// NewReachability returns a reachability for which an absence lasts least or longer.
+func NewReachability(least time.Duration) *Reachability {
+	return &Reachability{least: least, returned: make(chan struct{}, 1)}
 }
 
 // Note takes in one call that was sent at asked and ended at ended.
-func (c *Contact) Note(asked, ended time.Time, err error) {
+func (r *Reachability) Note(asked, ended time.Time, err error) {
 	switch {
 	case err == nil, errors.Is(err, objectapi.ErrNotFound), errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrCompacted):
-		c.Answered(ended)
+		r.Answered(ended)
 	case errors.Is(err, context.Canceled):
 		// This daemon broke the call off.
 	default:
-		c.Failed(asked)
+		r.Failed(asked)
 	}
 }
 
 // Answered notes an answer of the store. One from before the call that got none says
 // nothing of what came after.
-func (c *Contact) Answered(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.Before(c.lost) || at.Before(c.answered) {
+func (r *Reachability) Answered(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.Before(r.lost) || at.Before(r.answered) {
 		return
 	}
-	c.answered = at
-	if c.lost.IsZero() {
+	r.answered = at
+	if r.lost.IsZero() {
 		return
 	}
-	absence := at.Sub(c.lost)
-	c.lost = time.Time{}
-	if absence < c.least {
+	absence := at.Sub(r.lost)
+	r.lost = time.Time{}
+	if absence < r.least {
 		return
 	}
-	c.back = at
+	r.back = at
 	select {
-	case c.returned <- struct{}{}:
+	case r.returned <- struct{}{}:
 	default:
 	}
 }
 
 // Failed notes that a call got no answer. One that was sent before the newest answer came
 // says nothing of the store as it is.
-func (c *Contact) Failed(asked time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lost.IsZero() && !asked.Before(c.answered) {
-		c.lost = asked
+func (r *Reachability) Failed(asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost.IsZero() && !asked.Before(r.answered) {
+		r.lost = asked
 	}
 }
 
 // Lost tells whether the store does not answer.
-func (c *Contact) Lost() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.lost.IsZero()
+func (r *Reachability) Lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost.IsZero()
 }
 
 // Back returns when the last absence ended, as far as any call showed it.
-func (c *Contact) Back() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.back
+func (r *Reachability) Back() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.back
 }
 
 // Returned is signalled when an absence ends. It has one receiver.
-func (c *Contact) Returned() <-chan struct{} { return c.returned }
+func (r *Reachability) Returned() <-chan struct{} { return r.returned }
--- a/internal/fleet/contact_test.go
+++ b/internal/fleet/reachability_test.go
@@ -16,7 +16,7 @@
 // An absence begins when the first call without an answer was sent, and ends with the
 // first answer to any call.
 func TestAbsenceEndsWithTheFirstAnswerToAnyCall(t *testing.T) {
-	c := NewContact(heartbeat)
+	c := NewReachability(heartbeat)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	c.Note(at(0), at(0.1), nil)
 	c.Note(at(1), at(2.5), errNoAnswer) // a read
@@ -46,23 +46,23 @@
 		"call timeout": {errors.WithType(context.DeadlineExceeded, objectapi.ErrUnavailable), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			contact := NewContact(heartbeat)
-			contact.Failed(start)
-			contact.Note(start.Add(heartbeat), start.Add(2*heartbeat), c.err)
-			must.Eq(t, !c.ends, contact.Lost())
+			reach := NewReachability(heartbeat)
+			reach.Failed(start)
+			reach.Note(start.Add(heartbeat), start.Add(2*heartbeat), c.err)
+			must.Eq(t, !c.ends, reach.Lost())
 		})
 	}
 }
 
 func TestCallBrokenOffIsNoLoss(t *testing.T) {
-	c := NewContact(heartbeat)
+	c := NewReachability(heartbeat)
 	c.Note(start, start.Add(time.Second), errors.WithType(errors.Annotate(context.Canceled, "watch"), objectapi.ErrUnavailable))
 	must.False(t, c.Lost())
 }
 
 // What another daemon knew from before the loss does not end it.
 func TestAnswerFromBeforeTheLossDoesNotEndIt(t *testing.T) {
-	c := NewContact(heartbeat)
+	c := NewReachability(heartbeat)
 	c.Failed(start)
 	c.Answered(start.Add(-time.Millisecond))
 	must.True(t, c.Lost())
@@ -75,10 +75,10 @@
 	f, feed := startFollower(t)
 	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 5}
 	<-feed.follows // hangs
-	contact := f.belief.Contact()
+	reach := f.belief.Reachability()
 	sent := time.Now()
-	contact.Failed(sent)
-	contact.Answered(sent.Add(2 * heartbeat))
+	reach.Failed(sent)
+	reach.Answered(sent.Add(2 * heartbeat))
 	select {
 	case call := <-feed.follows:
 		must.Eq(t, 5, call.after)
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -69,7 +69,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-f.belief.Contact().Returned():
+	case <-f.belief.Reachability().Returned():
 	case <-ctx.Done():
 	}
 }
@@ -114,15 +114,15 @@
 // end. A watch that was sent while the store was away may hang until its timeout and hide
 // all changes since: up to 4.5 s, where instances that leave must be known within 2 s.
 func (f *Follower) interrupted(watch context.Context, asked time.Time) broken {
-	contact := f.belief.Contact()
+	reach := f.belief.Reachability()
 	for {
 		select {
 		case <-watch.Done():
 			return notBroken
 		case <-f.list:
 			return forListing
-		case <-contact.Returned():
-			if asked.Before(contact.Back()) {
+		case <-reach.Returned():
+			if asked.Before(reach.Back()) {
 				return forReturn
 			}
 		}
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -19,22 +19,22 @@
 )
 
 // countedFeed counts the calls to the store by call, kind of object and outcome, and
-// tells contact how each ended.
+// tells reach how each ended.
 type countedFeed struct {
 	objectapi.Feed
-	set     *metrics.Set
-	contact *fleet.Contact
-	mu      sync.Mutex
-	total   map[string]uint64 // by call and kind
+	set   *metrics.Set
+	reach *fleet.Reachability
+	mu    sync.Mutex
+	total map[string]uint64 // by call and kind
 }
 
-func newCountedFeed(feed objectapi.Feed, contact *fleet.Contact, set *metrics.Set) *countedFeed {
-	return &countedFeed{Feed: feed, contact: contact, set: set, total: map[string]uint64{}}
+func newCountedFeed(feed objectapi.Feed, reach *fleet.Reachability, set *metrics.Set) *countedFeed {
+	return &countedFeed{Feed: feed, reach: reach, set: set, total: map[string]uint64{}}
 }
 
 // count notes one call about an object or a kind of objects, sent at asked.
 func (c *countedFeed) count(call, key string, asked time.Time, err error) {
-	c.contact.Note(asked, time.Now(), err)
+	c.reach.Note(asked, time.Now(), err)
 	kind, _, _ := strings.Cut(key, "/")
 	c.mu.Lock()
 	c.total[call+" "+kind]++
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -145,7 +145,7 @@
 
 func (d *Daemon) build(s Settings, holder string) {
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
-	d.calls = newCountedFeed(d.Outside.Feed, belief.Contact(), d.Metrics)
+	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics)
 	d.Outside.Feed = d.calls
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
 		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
