--- a/internal/dispatch/picker_test.go
+++ b/internal/dispatch/picker_test.go
@@ -41,7 +41,7 @@
 	p := testPicker()
 	p.Pick([]Target{here}, nil, t0)
 	p.Waits(&here, t0)
-	must.Eq(t, Unknown, p.Health("here", t0.Add(time.Second)))
+	must.Eq(t, Unknown, p.Health(&here, t0.Add(time.Second)))
 }
 
 func TestTargetStandsStillWhenItsRunningStreamsDo(t *testing.T) {
@@ -50,12 +50,12 @@
 	p.Waits(&here, t0)
 	p.Progressed(&here, t0.Add(100*time.Millisecond))
 	p.Runs(&here, "m", t0, t0.Add(100*time.Millisecond))
-	must.Eq(t, Alive, p.Health("here", t0.Add(200*time.Millisecond)))
-	must.Eq(t, Still, p.Health("here", t0.Add(time.Second)))
+	must.Eq(t, Alive, p.Health(&here, t0.Add(200*time.Millisecond)))
+	must.Eq(t, Still, p.Health(&here, t0.Add(time.Second)))
 	must.Eq(t, []string{"here"}, p.Still(t0.Add(time.Second)))
 	must.Eq(t, "there", pickOne(p, t0.Add(time.Second), here, there))
 	p.Ended(&here, t0, true)
-	must.Eq(t, Unknown, p.Health("here", t0.Add(time.Second)))
+	must.Eq(t, Unknown, p.Health(&here, t0.Add(time.Second)))
 }
 
 // A stream that stopped is moved at once; the daemon that plans should still hear of it,
@@ -77,13 +77,13 @@
 	for _, want := range []time.Duration{suspectFor, 2 * suspectFor, 4 * suspectFor, suspectMost} {
 		p.Suspect(&here, now)
 		p.Suspect(&here, now) // another request that failed with it
-		must.Eq(t, Still, p.Health("here", now.Add(want-1)))
-		must.Eq(t, Unknown, p.Health("here", now.Add(want)))
+		must.Eq(t, Still, p.Health(&here, now.Add(want-1)))
+		must.Eq(t, Unknown, p.Health(&here, now.Add(want)))
 		now = now.Add(want)
 	}
 	p.Progressed(&here, now)
 	p.Suspect(&here, now)
-	must.Eq(t, Unknown, p.Health("here", now.Add(suspectFor)))
+	must.Eq(t, Unknown, p.Health(&here, now.Add(suspectFor)))
 }
 
 func TestSoonestCountsWaitsAndTheLastFirstEvent(t *testing.T) {
@@ -140,6 +140,21 @@
 	pickOne(p, t0, here)
 	p.Pick([]Target{there}, nil, t0)
 	p.Sweep(t0.Add(2 * forgetAfter))
-	must.MapNotContainsKey(t, p.records, "here")
-	must.MapContainsKey(t, p.records, "there")
+	must.MapNotContainsKey(t, p.records, here.life())
+	must.MapContainsKey(t, p.records, there.life())
+}
+
+// An instance that starts again under its id has failed nothing yet, and what the life
+// before still has in progress is none of its load.
+func TestSuspicionEndsWithTheLife(t *testing.T) {
+	p := testPicker()
+	next := here
+	next.Born = 2
+	p.Pick([]Target{here}, nil, t0)
+	p.Suspect(&here, t0)
+	must.Eq(t, Still, p.Health(&here, t0.Add(time.Millisecond)))
+	must.Eq(t, Unknown, p.Health(&next, t0.Add(time.Millisecond)))
+	must.Eq(t, "here", pickOne(p, t0.Add(time.Millisecond), next, there))
+	p.Done(&here)
+	must.Eq(t, "here", pickOne(p, t0.Add(time.Millisecond), next, there))
 }
--- a/internal/dispatch/quiet_test.go
+++ b/internal/dispatch/quiet_test.go
@@ -27,7 +27,7 @@
 		p.Waits(&busy, now)
 		p.Runs(&busy, "large", now, now)
 		p.Progressed(&busy, now)
-		must.Eq(t, Alive, p.Health("busy", now.Add(283*time.Millisecond)))
+		must.Eq(t, Alive, p.Health(&Target{Instance: "busy"}, now.Add(283*time.Millisecond)))
 	}
 }
 
@@ -41,7 +41,7 @@
 	p.Waits(&dead, now)
 	p.Runs(&dead, "large", now, now)
 	p.Progressed(&dead, now)
-	must.Eq(t, Still, p.Health("dead", now.Add(400*time.Millisecond)))
+	must.Eq(t, Still, p.Health(&Target{Instance: "dead"}, now.Add(400*time.Millisecond)))
 }
 
 // Where costs are not told, or passes are short, the least patience holds.
