Entries: only what an engine could have written names an instance; lives of one id are told apart

By life: what a planner warmed, staged and saw leave; members of groups that form; deaths found by probes (a report by another life is no sign of this one); the picker's records.

Ruled out: ordering lives by born alone (a clock that steps back would hide the later life). Joins without an answer are kept across lives: the next one may still carry them out.

--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -12,12 +12,21 @@
 // Target is where one request may be sent.
 type Target struct {
 	Instance string // id of the instance, or of a group's head
+	Born     int64  // of its life; 0: not told
 	Address  string
 	Zone     string
 	Group    fleet.Key     // zero for plain services
 	Quiet    time.Duration // how long its running streams may bring nothing
 }
 
+// life is one life of an instance's id. What was seen of one says nothing of the next.
+type life struct {
+	instance string
+	born     int64
+}
+
+func (t *Target) life() life { return life{t.Instance, t.Born} }
+
 // Weights of the choice, in requests in progress.
 const (
 	// otherZonePenalty makes equal targets of the own zone go first: bytes between
@@ -60,14 +69,14 @@
 	zone    string
 	uniform func(n int) int
 	mu      sync.Mutex
-	records map[string]*record
+	records map[life]*record
 	floors  map[string]time.Duration // quickest first events of late, by model
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a number in
 // [0, n).
 func NewPicker(zone string, uniform func(n int) int) *Picker {
-	return &Picker{zone: zone, uniform: uniform, records: map[string]*record{}, floors: map[string]time.Duration{}}
+	return &Picker{zone: zone, uniform: uniform, records: map[life]*record{}, floors: map[string]time.Duration{}}
 }
 
 // Pick takes the least loaded target that was not tried, nil if there is none.
@@ -94,7 +103,7 @@
 		}
 	}
 	if best != nil {
-		r := p.record(best.Instance)
+		r := p.record(best.life())
 		r.inFlight++
 		r.used, r.quiet = now, max(best.Quiet, quietLeast)
 	}
@@ -106,7 +115,7 @@
 	if t.Zone != p.zone {
 		score += otherZonePenalty
 	}
-	r := p.records[t.Instance]
+	r := p.records[t.life()]
 	if r == nil {
 		return score
 	}
@@ -127,7 +136,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range targets {
-		r := p.records[targets[i].Instance]
+		r := p.records[targets[i].life()]
 		if r == nil {
 			return 0, true
 		}
@@ -151,10 +160,10 @@
 )
 
 // Health tells what is known of a target.
-func (p *Picker) Health(instance string, now time.Time) Health {
+func (p *Picker) Health(t *Target, now time.Time) Health {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.records[instance]
+	r := p.records[t.life()]
 	switch {
 	case r == nil:
 		return Unknown
@@ -167,11 +176,11 @@
 }
 
 // record returns a target's record; p.mu is held.
-func (p *Picker) record(instance string) *record {
-	r := p.records[instance]
+func (p *Picker) record(of life) *record {
+	r := p.records[of]
 	if r == nil {
 		r = &record{quiet: quietLeast}
-		p.records[instance] = r
+		p.records[of] = r
 	}
 	return r
 }
@@ -180,7 +189,7 @@
 func (p *Picker) Waits(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.Instance)
+	r := p.record(t.life())
 	r.waiting = append(r.waiting, now)
 }
 
@@ -189,7 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.learn(model, now.Sub(sent))
-	r := p.record(t.Instance)
+	r := p.record(t.life())
 	r.running++
 	r.first, r.firstAt = now.Sub(sent), now
 	r.unwait(sent)
@@ -221,7 +230,7 @@
 func (p *Picker) Done(t *Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.Instance).inFlight--
+	p.record(t.life()).inFlight--
 }
 
 // Ended ends a stream that was sent at a time; ran tells whether it brought an
@@ -229,7 +238,7 @@
 func (p *Picker) Ended(t *Target, sent time.Time, ran bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.Instance)
+	r := p.record(t.life())
 	r.inFlight--
 	if ran {
 		r.running--
@@ -242,7 +251,7 @@
 func (p *Picker) Progressed(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.Instance)
+	r := p.record(t.life())
 	r.progress, r.used, r.suspicion = now, now, 0
 }
 
@@ -250,7 +259,7 @@
 func (p *Picker) Suspect(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(t.Instance)
+	r := p.record(t.life())
 	if now.Before(r.suspectUntil) {
 		return // failed together with others
 	}
@@ -270,8 +279,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]Load, 0, len(p.records))
-	for id, r := range p.records {
-		out = append(out, Load{id, r.inFlight, r.expected(now)})
+	for of, r := range p.records {
+		out = append(out, Load{of.instance, r.inFlight, r.expected(now)})
 	}
 	slices.SortFunc(out, func(a, b Load) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
@@ -283,9 +292,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
-	for id, r := range p.records {
+	for of, r := range p.records {
 		if r.still(now) || now.Before(r.suspectUntil) {
-			out = append(out, id)
+			out = append(out, of.instance)
 		}
 	}
 	return out
@@ -295,7 +304,7 @@
 func (p *Picker) NoteStopped(t *Target, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.record(t.Instance).stoppedAt = now
+	p.record(t.life()).stoppedAt = now
 }
 
 // Stopped lists the instances at which running streams of this daemon stopped lately and
@@ -304,9 +313,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
-	for id, r := range p.records {
+	for of, r := range p.records {
 		if r.still(now) || now.Sub(r.stoppedAt) < stoppedFor && r.progress.Before(r.stoppedAt) {
-			out = append(out, id)
+			out = append(out, of.instance)
 		}
 	}
 	slices.Sort(out)
@@ -317,9 +326,9 @@
 func (p *Picker) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, r := range p.records {
+	for of, r := range p.records {
 		if r.inFlight == 0 && now.Sub(r.used) > forgetAfter {
-			delete(p.records, id)
+			delete(p.records, of)
 		}
 	}
 }
--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 	instances map[string]*Instance
 	lapsed    map[string]bool // removed right after an outage, still believed
 	removed   map[string]Gone
+	earlier   map[string][]int64 // births of the lives of an id that have ended
 	revision  uint64
 }
 
@@ -34,7 +36,7 @@
 // long, as it may have begun some heartbeats before a call showed it.
 func NewBelief(heartbeat time.Duration, size SizeOf) *Belief {
 	return &Belief{size: size, reach: NewReachability(heartbeat),
-		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}}
+		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}, earlier: map[string][]int64{}}
 }
 
 // Reachability is where calls to the store are noted. After an absence in which entries may
@@ -62,11 +64,21 @@
 	b.revision = max(b.revision, revision)
 }
 
-// Put takes an instance's entry unless a newer one is known.
+// Put takes an instance's entry unless a newer one is known, or one of a later life. A
+// late entry of an earlier life would bring back a group that the instance left as it
+// ended. Of two lives the one that was seen first is the earlier: the instance's clock
+// may step back between them.
 func (b *Belief) Put(in *Instance) {
-	if old := b.instances[in.ID]; old != nil && old.Version > in.Version {
+	old := b.instances[in.ID]
+	if old != nil && old.Version > in.Version || slices.Contains(b.earlier[in.ID], in.Born) {
 		return
 	}
+	if old == nil {
+		old = b.removed[in.ID].Instance
+	}
+	if old != nil && old.Born != in.Born && old.Born != 0 {
+		b.earlier[in.ID] = append(b.earlier[in.ID], old.Born)
+	}
 	b.instances[in.ID] = in
 	delete(b.lapsed, in.ID)
 	delete(b.removed, in.ID)
@@ -94,6 +106,14 @@
 	return false
 }
 
+// Discard takes an entry, as it is since a version, that names no instance: another
+// writer's, or one that can't be read. What it said before ends at once.
+func (b *Belief) Discard(id string, version uint64, now time.Time) {
+	if in := b.instances[id]; in != nil && in.Version <= version {
+		b.forget(id, now)
+	}
+}
+
 // Advance notes a change that the belief holds.
 func (b *Belief) Advance(revision uint64) { b.revision = max(b.revision, revision) }
 
@@ -111,6 +131,7 @@
 		}
 		if now.Sub(gone.At) > removedMemory {
 			delete(b.removed, id)
+			delete(b.earlier, id)
 		}
 	}
 	if len(b.lapsed) == 0 || now.Before(b.graceEnds()) || b.reach.Lost() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,10 @@
 
 // Instance is one incarnation of an upstream process, as its own entry tells.
 type Instance struct {
-	ID       string // new with each start
+	ID string
+	// Born tells the lives of one id apart: the Unix millisecond of the start, by the
+	// instance's own clock; 0: not told. A life holds nothing of the one before.
+	Born     int64
 	Service  string
 	Address  string // IP:port
 	Zone     string // failure domain of the machine
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -33,7 +33,7 @@
 	expireTick = 250 * time.Millisecond
 )
 
-// Decode reads an instance's entry.
+// Decode reads an instance's entry. Its error says why the entry names no instance.
 type Decode func(id string, version uint64, value []byte) (*Instance, error)
 
 // Follower keeps the view of instances current. Run owns its state; View and
@@ -162,7 +162,7 @@
 func (f *Follower) replace(l *objectapi.Listing, now time.Time) {
 	var all []*Instance
 	for _, o := range l.Objects {
-		if in := f.decode(o); in != nil {
+		if in := f.decode(o, now); in != nil {
 			all = append(all, in)
 		}
 	}
@@ -178,19 +178,22 @@
 			zap.Bool("believed", believed))
 		return
 	}
-	if in := f.decode(e.Object); in != nil {
+	if in := f.decode(e.Object, now); in != nil {
 		f.belief.Put(in)
-		f.Log.Debug("instance entry", zap.String("instance", in.ID), zap.Bool("draining", in.Draining),
+		f.Log.Debug("instance entry", zap.String("instance", in.ID), zap.Int64("born", in.Born), zap.Bool("draining", in.Draining),
 			zap.String("group", in.Group.Name), zap.Uint64("epoch", in.Group.Epoch), zap.Int("rank", in.Group.Rank),
 			zap.String("state", string(in.Group.State)), zap.Strings("models", in.Models), zap.Strings("staged", in.Staged),
 			zap.String("domain", in.Domain), zap.Uint64("version", in.Version))
 	}
 }
 
-func (f *Follower) decode(o objectapi.Object) *Instance {
+// decode reads an entry. One that names no instance ends what it said before.
+func (f *Follower) decode(o objectapi.Object, now time.Time) *Instance {
 	in, err := f.Decode(f.id(o.Key), o.Version, o.Value)
 	if err != nil {
-		f.Log.Error("instance entry not understood; ignored", zap.String("key", o.Key), zap.Error(err))
+		f.Log.Warn("instance entry not understood", zap.String("decision", "use_no_instance"), zap.String("key", o.Key),
+			zap.Uint64("version", o.Version), zap.Error(err))
+		f.belief.Discard(f.id(o.Key), o.Version, now)
 		return nil
 	}
 	return in
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -51,7 +51,7 @@
 	epoch := p.nextEpoch()
 	f := &forming{key: fleet.Key{Name: name(o.model.Name, epoch), Epoch: epoch}, model: o.model, since: now, loads: o.loads}
 	for _, in := range o.members {
-		f.members = append(f.members, in.ID)
+		f.members, f.born = append(f.members, in.ID), append(f.born, in.Born)
 	}
 	p.forming[f.key] = f
 	return f
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -37,6 +37,7 @@
 	key     fleet.Key
 	model   routes.Model
 	members []string
+	born    []int64 // of the members' lives, in the same order
 	since   time.Time
 	loads   int // members that load from the weight store
 }
@@ -70,6 +71,7 @@
 	warmed     map[string]string       // model of the last group of each instance, as far as seen or asked for
 	given      map[string]string       // model of each domain
 	closing    map[fleet.Key]time.Time // when a group was first asked to close
+	born       map[string]int64        // of each instance's life, as last seen
 }
 
 // sentJoin is a join that may still be carried out.
@@ -91,7 +93,7 @@
 func NewPlanner(service string, term uint64, inherited map[string]bool, now time.Time) *Planner {
 	return &Planner{Service: service, term: term, inherited: inherited, started: now,
 		forming: map[fleet.Key]*forming{}, sent: map[sentKey]time.Time{}, joins: map[string]sentJoin{}, left: map[string]leave{},
-		doubled: map[string]time.Time{}, staging: map[string]staging{}, warming: map[fleet.Key]time.Time{}, warmed: map[string]string{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}}
+		doubled: map[string]time.Time{}, staging: map[string]staging{}, warming: map[fleet.Key]time.Time{}, warmed: map[string]string{}, given: map[string]string{}, closing: map[fleet.Key]time.Time{}, born: map[string]int64{}}
 }
 
 // epochsPerTerm is how many epochs one term can give.
@@ -142,6 +144,7 @@
 			delete(p.joins, id)
 		}
 	}
+	p.notice(v)
 	p.remember(v)
 	for key, until := range p.warming {
 		if now.Sub(until) > lateOrders {
@@ -240,9 +243,9 @@
 
 // viable tells whether a group that is forming may still become complete.
 func (p *Planner) viable(v *fleet.View, f *forming, now time.Time) bool {
-	for _, id := range f.members {
+	for i, id := range f.members {
 		in := v.Instances[id]
-		if in == nil || in.Draining || in.Group.Epoch > f.key.Epoch || in.Group.Key() == f.key && in.Group.State == fleet.Broken {
+		if in == nil || in.Born != f.born[i] || in.Draining || in.Group.Epoch > f.key.Epoch || in.Group.Key() == f.key && in.Group.State == fleet.Broken {
 			return false
 		}
 	}
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -5,14 +5,19 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"pearlanding/internal/fleet"
 )
 
+// ErrAnotherLife: the instance that answers has the id, but started after the one asked
+// for had ended.
+const ErrAnotherLife = errors.ConstError("formation: another life answers under the id")
+
 // Prober asks instances whether they live.
 type Prober interface {
-	// Probe returns nil if the instance answered as itself.
+	// Probe returns nil if the instance answered as itself, in the life that is meant.
 	Probe(ctx context.Context, in *fleet.Instance) error
 }
 
@@ -37,11 +42,19 @@
 	log    *zap.Logger
 	mu     sync.Mutex
 	asked  map[fleet.Key]time.Time
-	dead   map[string]time.Time // since when an instance counts as dead
+	dead   map[life]time.Time // since when an instance counts as dead
+}
+
+// life is one life of an instance's id.
+type life struct {
+	id   string
+	born int64
 }
 
+func lifeOf(in *fleet.Instance) life { return life{in.ID, in.Born} }
+
 func newSearch(prober Prober, log *zap.Logger) *search {
-	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, dead: map[string]time.Time{}}
+	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, dead: map[life]time.Time{}}
 }
 
 // look probes the members of the groups led by the given heads, and the members whose
@@ -88,11 +101,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.dead[in.ID]; !known {
+	if _, known := s.dead[lifeOf(in)]; !known {
 		s.log.Info("instance taken for dead", zap.String("instance", in.ID), zap.String("group", in.Group.Name),
 			zap.Uint64("epoch", in.Group.Epoch), zap.Int("probes", probesToDie), zap.String("error", err.Error()))
 	}
-	s.dead[in.ID] = time.Now()
+	s.dead[lifeOf(in)] = time.Now()
 }
 
 func (s *search) try(ctx context.Context, in *fleet.Instance) error {
@@ -104,8 +117,8 @@
 func (s *search) lives(in *fleet.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.dead[in.ID]; known {
-		delete(s.dead, in.ID)
+	if _, known := s.dead[lifeOf(in)]; known {
+		delete(s.dead, lifeOf(in))
 		s.log.Info("instance answers again", zap.String("instance", in.ID))
 	}
 }
@@ -113,9 +126,9 @@
 func (s *search) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, at := range s.dead {
+	for one, at := range s.dead {
 		if now.Sub(at) > deadFor {
-			delete(s.dead, id)
+			delete(s.dead, one)
 		}
 	}
 	for key, at := range s.asked {
@@ -135,13 +148,13 @@
 	living := make(map[string]*fleet.Instance, len(v.Instances))
 	removed := make(map[string]fleet.Gone, len(v.Removed)+len(s.dead))
 	for id, gone := range v.Removed {
-		if _, ok := s.dead[id]; ok {
+		if _, ok := s.dead[lifeOf(gone.Instance)]; ok {
 			gone.Lapsed = false
 		}
 		removed[id] = gone
 	}
 	for id, in := range v.Instances {
-		if at, ok := s.dead[id]; ok {
+		if at, ok := s.dead[lifeOf(in)]; ok {
 			removed[id] = fleet.Gone{Instance: in, At: at}
 		} else {
 			living[id] = in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,7 @@
 	quiet := dispatch.QuietFor(service.Engine, m)
 	for _, g := range v.Groups {
 		if g.Service == service.Name && g.Model == model && g.Serving() {
-			out = append(out, dispatch.Target{Instance: g.Head.ID, Address: g.Head.Address, Zone: g.Zone, Group: g.Key, Quiet: quiet})
+			out = append(out, dispatch.Target{Instance: g.Head.ID, Born: g.Head.Born, Address: g.Head.Address, Zone: g.Zone, Group: g.Key, Quiet: quiet})
 		}
 	}
 	return out
@@ -226,7 +226,7 @@
 	var out []dispatch.Target
 	for _, in := range v.Services[service] {
 		if !in.Draining {
-			out = append(out, dispatch.Target{Instance: in.ID, Address: in.Address, Zone: in.Zone})
+			out = append(out, dispatch.Target{Instance: in.ID, Born: in.Born, Address: in.Address, Zone: in.Zone})
 		}
 	}
 	return out
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 	objective := x.route.Objective
 	w.arm(t.FirstLook(), func() bool {
 		now := time.Now()
-		silence := dispatch.Silence{Begun: w.begun.Load(), Waited: now.Sub(sent), Objective: objective, Replica: picker.Health(t.Instance, now)}
+		silence := dispatch.Silence{Begun: w.begun.Load(), Waited: now.Sub(sent), Objective: objective, Replica: picker.Health(t, now)}
 		if !silence.Move() || !elsewhere() {
 			return true
 		}
@@ -136,7 +136,7 @@
 			return false
 		}
 		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o dispatch.Target) bool {
-			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(o.Instance, time.Now()) != dispatch.Still
+			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, time.Now()) != dispatch.Still
 		})
 	}
 }
