Tests: what a start costs the store, on the load of a large site's start (red)

Replays: 760 entries that change eight times while 20 daemons start; restarts of half a zone with its relay; a relay cut off alone; a change of the configuration read by everyone. Red on the code before (or not built, where they count old reads).

Replaced: TestAskerThatLacksTooMuchLists took a listing by a peer that lacks 257 changes for right; that is the fault. TestStartAmongManyChangesCostsNoListings asks that it is told them, TestAskerFromBeforeTheRelayBeganLists that only what a relay can't know is listed. TestHistoryForgetsTheOldest counted each change of one object; now an object takes one place and removals are bounded (TestHistoryForgetsTheOldestRemovals).

--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// ListStale lists as ListKind does; a test that starts a follower gets past the proof.
+func (f *scriptedFeed) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
+	return f.ListKind(ctx, kind)
+}
+
 func (f *scriptedFeed) Follow(ctx context.Context, _ string, after uint64, _ time.Duration) (objectapi.Changes, error) {
 	call := followCall{after, make(chan followAnswer, 1)}
 	select {
@@ -121,6 +126,7 @@
 	go func() { f.Run(ctx); close(ended) }()
 	defer func() { cancel(); <-ended }()
 	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 5}
+	(<-feed.follows).answer <- followAnswer{revision: 5}
 	<-f.Changed()
 	must.False(t, f.View().Groups[Key{"g", 3}].Serving())
 	feedSize = 1
@@ -128,3 +134,29 @@
 	<-f.Changed()
 	must.True(t, f.View().Groups[Key{"g", 3}].Serving())
 }
+
+// What happened: each start of a daemon listed the store as of now, two pages of the full
+// price, though what it followed next would have proved an old listing as well. What must
+// hold: no view is published on an old listing before what came after it is known.
+func TestFirstListingIsNoViewBeforeItIsFollowedUp(t *testing.T) {
+	f, feed := startFollower(t)
+	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 3}
+	call := <-feed.follows
+	must.Nil(t, f.View())
+	must.True(t, f.Proved().IsZero())
+	must.Eq(t, 3, call.after)
+	call.answer <- followAnswer{events: []objectapi.Event{{Object: object("a", 5), Removed: true}, {Object: object("b", 7)}}, revision: 9}
+	<-feed.follows
+	must.MapContainsKeys(t, f.View().Instances, []string{"b"})
+	must.MapNotContainsKey(t, f.View().Instances, "a")
+	must.False(t, f.Proved().IsZero())
+}
+
+// Where nothing changed since, the proof alone makes it a view.
+func TestProofAloneMakesTheFirstListingAView(t *testing.T) {
+	f, feed := startFollower(t)
+	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 3}
+	(<-feed.follows).answer <- followAnswer{revision: 3}
+	<-feed.follows
+	must.MapContainsKey(t, f.View().Instances, "a")
+}
--- a/internal/front/config_test.go
+++ b/internal/front/config_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"runtime"
 	"strconv"
 	"testing"
@@ -119,3 +120,69 @@
 	f.planning = func() bool { return true }
 	must.Eq(t, leastPause, f.untilFirst())
 }
+
+// pricedFeed answers reads of the configuration and counts them, the old ones apart.
+type pricedFeed struct {
+	objectapi.Feed
+	current, old objectapi.Object
+	err          error
+	gets, stales int
+}
+
+func (p *pricedFeed) Get(context.Context, string) (objectapi.Object, error) {
+	p.gets++
+	return p.current, p.err
+}
+
+func (p *pricedFeed) GetStale(context.Context, string) (objectapi.Object, error) {
+	p.stales++
+	return p.old, p.err
+}
+
+// What happened: each change of the configuration was read by 295 daemons at the full
+// price, and a storm of twelve by each of them several times. Why: only a read as of now was
+// taken for news, though the relay's word had proved the version. What must hold: an old read
+// that shows the version proved, or a later one, is in force with that word's time as its
+// proof; one that shows an older version is not.
+func TestOldReadWithAnotherDaemonsProofIsEnough(t *testing.T) {
+	feed := &pricedFeed{current: object(7, "70"), old: object(7, "70")}
+	f := testConfig()
+	f.feed = feed
+	f.take(object(5, "50"), nil, now)
+	proved, err := f.read(t.Context(), &confirmation{7, now.Add(time.Second)})
+	must.NoError(t, err)
+	must.Eq(t, now.Add(time.Second), proved)
+	must.Eq(t, 70, f.Table().Config.Version)
+	must.Eq(t, now.Add(time.Second), f.Current().Proved)
+	must.Eq(t, 0, feed.gets)
+
+	feed.current = object(9, "90")
+	proved, err = f.read(t.Context(), &confirmation{9, now.Add(2 * time.Second)})
+	must.NoError(t, err)
+	must.Eq(t, 90, f.Table().Config.Version)
+	must.Eq(t, 1, feed.gets) // the old read showed version 7 still
+	must.True(t, proved.After(now.Add(2*time.Second)))
+}
+
+// A store that is away is asked once, not twice.
+func TestStoreThatIsAwayIsAskedOnce(t *testing.T) {
+	feed := &pricedFeed{err: errors.WithType(errors.New("down"), objectapi.ErrUnavailable)}
+	f := testConfig()
+	f.feed = feed
+	_, err := f.read(t.Context(), &confirmation{7, now})
+	must.ErrorIs(t, err, objectapi.ErrUnavailable)
+	must.Eq(t, 1, feed.gets+feed.stales)
+}
+
+// A daemon that starts waits a moment for a relay's word, and none at all if others count
+// on its own reads.
+func TestFirstReadWaitsForARelaysWord(t *testing.T) {
+	f := testConfig()
+	f.heard, f.startPatience = make(chan confirmation, 1), 10*time.Second
+	f.confirm(7, now)
+	must.Eq(t, &confirmation{7, now}, f.awaitHint(t.Context()))
+	f.serving = func() bool { return true }
+	must.Nil(t, f.awaitHint(t.Context()))
+	f.serving, f.startPatience = nil, time.Millisecond
+	must.Nil(t, f.awaitHint(t.Context()))
+}
--- a/internal/relay/history_test.go
+++ b/internal/relay/history_test.go
@@ -18,11 +18,20 @@
 	return objectapi.Event{Object: objectapi.Object{Key: key, Version: version}}
 }
 
+// listing returns a listing of objects named by their keys, at versions 1, 2 and so on.
+func listing(revision uint64, keys ...string) objectapi.Listing {
+	l := objectapi.Listing{Revision: revision}
+	for i, key := range keys {
+		l.Objects = append(l.Objects, objectapi.Object{Key: key, Version: uint64(i + 1)})
+	}
+	return l
+}
+
 func TestHistoryTellsWhatCameAfter(t *testing.T) {
 	h := newHistory()
 	_, _, gap := h.after(5)
 	must.True(t, gap, must.Sprint("nothing is known yet"))
-	h.listed(5, start)
+	h.listed(listing(5), start)
 	h.followed(5, objectapi.Changes{Events: []objectapi.Event{event("a", 7)}, Revision: 9}, start)
 	events, end, gap := h.after(5)
 	must.False(t, gap)
@@ -39,23 +48,60 @@
 // An asker that is ahead, as it asked the store itself, is told nothing old.
 func TestHistoryOfARelayThatIsBehind(t *testing.T) {
 	h := newHistory()
-	h.listed(5, start)
+	h.listed(listing(5), start)
 	events, end, gap := h.after(8)
 	must.False(t, gap)
 	must.SliceEmpty(t, events)
 	must.Eq(t, 8, end)
 }
 
-func TestHistoryForgetsTheOldest(t *testing.T) {
+// An object that changes often takes one place; it is told once, as it is.
+func TestHistoryTellsEachObjectOnce(t *testing.T) {
 	h := newHistory()
-	h.listed(0, start)
-	for i := range uint64(historyEvents + 10) {
+	h.listed(listing(0), start)
+	for i := range uint64(5000) {
 		h.followed(i, objectapi.Changes{Events: []objectapi.Event{event("a", i+1)}, Revision: i + 1}, start)
 	}
+	events, end, gap := h.after(5)
+	must.False(t, gap)
+	must.Eq(t, 5000, end)
+	must.Eq(t, []objectapi.Event{event("a", 5000)}, events)
+}
+
+// Removals are the one thing that grows; the oldest are forgotten, and who lacks them lists.
+func TestHistoryForgetsTheOldestRemovals(t *testing.T) {
+	h := newHistory()
+	h.listed(listing(0), start)
+	revision := uint64(0)
+	for i := range removalsMost + 10 {
+		for _, removed := range []bool{false, true} {
+			e := event(fmt.Sprint("k", i), revision+1)
+			e.Removed = removed
+			h.followed(revision, objectapi.Changes{Events: []objectapi.Event{e}, Revision: revision + 1}, start)
+			revision++
+		}
+	}
+	must.LessEq(t, removalsMost, len(h.latest))
 	_, _, gap := h.after(5)
 	must.True(t, gap)
-	_, _, gap = h.after(historyEvents + 5)
+	events, _, gap := h.after(revision - 20)
 	must.False(t, gap)
+	must.Len(t, 10, events)
+}
+
+// A listing's later pages show changes from after its revision. Told before the store's
+// own order brings them, they would be told again and again.
+func TestHistoryTellsNothingBeyondItsEnd(t *testing.T) {
+	h := newHistory()
+	l := listing(1, "a")
+	l.Objects = append(l.Objects, objectapi.Object{Key: "b", Version: 4})
+	h.listed(l, start)
+	events, end, _ := h.after(1)
+	must.SliceEmpty(t, events)
+	must.Eq(t, 1, end)
+	h.followed(1, objectapi.Changes{Events: []objectapi.Event{event("b", 4)}, Revision: 4}, start)
+	events, _, _ = h.after(1)
+	must.Len(t, 1, events)
 }
 
 // Whoever applies what the history tells knows what the store held, whatever
@@ -79,7 +125,11 @@
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				followed = uint64(len(log))
-				h.listed(followed, start)
+				l := objectapi.Listing{Revision: followed}
+				for key, version := range stateAt(followed) {
+					l.Objects = append(l.Objects, objectapi.Object{Key: key, Version: version})
+				}
+				h.listed(l, start)
 			case 1, 2, 3:
 				var events []objectapi.Event
 				for _, c := range log[followed:] {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,22 +173,154 @@
 	must.False(t, z.relays()[0] == relay)
 }
 
-func TestAskerThatLacksTooMuchLists(t *testing.T) {
-	z := newZone(2)
+// What happened: while 760 engines wrote their first entries and groups formed (1,850
+// changes in two seconds), each of 295 daemons listed the whole store five to seven times,
+// 14 pages of about 22 calls that its start made. Why: a relay remembered 1,024 changes and
+// told 256, and a peer that lacked more was sent to the store. What settled it: "history
+// compacted" from the relay before each "instances listed".
+func TestStartAmongManyChangesCostsNoListings(t *testing.T) {
+	z := newZone(20)
+	for i := range 760 {
+		z.change(fmt.Sprint("e", i), false)
+	}
+	for range 8 {
+		for i := range 760 {
+			z.change(fmt.Sprint("e", i), false)
+		}
+		z.rounds(t, 1)
+	}
+	z.rounds(t, 3)
+	must.Zero(t, z.lists)
+	must.Eq(t, len(z.daemons), z.stales)
+	must.Len(t, 1, z.relays())
+	for _, d := range z.daemons {
+		must.Eq(t, z.state(), d.state)
+	}
+}
+
+// Daemons that start anew one after the other, or half of a zone at once, relay included,
+// list as of some seconds ago and ask one of them for the rest.
+func TestRestartsCostNoListings(t *testing.T) {
+	z := newZone(10)
+	for i := range 50 {
+		z.change(fmt.Sprint("e", i), false)
+	}
 	z.rounds(t, 6)
-	relay := z.relays()[0]
-	for range replyEvents + 1 {
-		z.change("a", false)
+	for round := range 4 {
+		z.behind = uint64(round)
+		for i := range 5 {
+			z.daemons[(round+i)%10].restart()
+		}
+		z.change("late", round%2 == 0)
+		z.rounds(t, 8)
+		for _, d := range z.daemons {
+			must.Eq(t, z.state(), d.state)
+		}
 	}
-	must.NoError(t, relay.step())
-	r, err := relay.news(context.Background(), NewsRequest{After: 1})
+	must.Zero(t, z.lists)
+	must.Len(t, 1, z.relays())
+}
+
+// Whoever takes a dead relay's place knows from it what came before: peers that lag a
+// little are told so, and list nothing.
+func TestNextRelayKnowsWhatCameBefore(t *testing.T) {
+	z := newZone(6)
+	z.change("a", false)
+	z.rounds(t, 6)
+	slow := z.daemons[5]
+	must.True(t, slow.Relayed())
+	for i := range 10 {
+		z.change(fmt.Sprint("b", i), false)
+		for _, d := range z.daemons[:5] {
+			z.pass(100 * time.Millisecond)
+			must.NoError(t, d.step())
+		}
+	}
+	z.relays()[0].dead = true
+	z.rounds(t, 8)
+	must.Zero(t, z.lists)
+	must.Eq(t, z.state(), slow.state)
+}
+
+// A listing of its own, as a daemon makes that begins to plan, does not lose what a relay
+// knew: its peers are told on.
+func TestListingOfARelayCostsItsPeersNone(t *testing.T) {
+	z := newZone(4)
+	z.change("a", false)
+	z.change("b", false)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	z.change("b", true)
+	z.change("c", false)
+	_, err := relay.ListKind(context.Background(), entriesKind)
 	must.NoError(t, err)
-	must.True(t, r.Gap)
-	must.SliceEmpty(t, r.Events)
 	z.rounds(t, 2)
+	must.Eq(t, 1, z.lists)
 	for _, d := range z.daemons {
-		must.Eq(t, z.state(), d.state)
+		if d != relay { // the test took its listing
+			must.Eq(t, z.state(), d.state)
+		}
+	}
+}
+
+// What was removed before a relay began is not known to it: who lacks that lists.
+func TestAskerFromBeforeTheRelayBeganLists(t *testing.T) {
+	z := newZone(2)
+	for i := range 10 {
+		z.change(fmt.Sprint("e", i), false)
+	}
+	z.rounds(t, 6)
+	r, err := z.relays()[0].news(context.Background(), NewsRequest{After: 1})
+	must.NoError(t, err)
+	must.True(t, r.Gap)
+	must.Len(t, 0, r.Changes)
+}
+
+// What happened: the relay of a zone was cut off from the store for 9 s with a third of
+// all daemons; the other two thirds of its zone each asked the store as long. Why: a relay
+// out of touch was replaced after three times its proofs' age, as if the store were away for
+// all. What settled it: "follow_the_store" of each, and no "relay taken" until the cut's end.
+func TestRelayCutOffAloneIsReplacedSoon(t *testing.T) {
+	z := newZone(6)
+	z.rounds(t, 6)
+	old := z.relays()[0]
+	old.cut = true
+	for range 14 { // the proofs get stale, then half as long again, and the looks between
+		z.pass(500 * time.Millisecond)
+		for _, d := range z.daemons {
+			_ = d.step() // that of the relay fails
+		}
+	}
+	must.Len(t, 1, z.relays())
+	must.False(t, z.relays()[0] == old)
+	z.follows = map[*daemon]int{}
+	for range 2 {
+		z.pass(500 * time.Millisecond)
+		for _, d := range z.daemons {
+			must.True(t, d.step() == nil || d == old)
+		}
+	}
+	must.MapLen(t, 1, z.follows)
+}
+
+// Answers larger than a peer can hold, or broken ones, are errors and no changes.
+func TestPackedChanges(t *testing.T) {
+	events := []objectapi.Event{event("a", 3), {Object: objectapi.Object{Key: "b", Version: 4, Value: []byte(`{"x":"y"}`)}}, {Object: objectapi.Object{Key: "c", Version: 5}, Removed: true}}
+	packed, err := pack(events)
+	must.NoError(t, err)
+	got, err := unpack(packed, 3)
+	must.NoError(t, err)
+	must.Eq(t, events[1:], got)
+	_, err = unpack(packed[:len(packed)/2], 0)
+	must.Error(t, err)
+	large := make([]objectapi.Event, 0, 20)
+	for i := range 20 {
+		large = append(large, objectapi.Event{Object: objectapi.Object{Key: fmt.Sprint(i), Version: 1, Value: []byte(`"` + strings.Repeat("x", 1<<20) + `"`)}})
 	}
+	packed, err = pack(large)
+	must.NoError(t, err)
+	_, err = unpack(packed, 0)
+	must.ErrorIs(t, err, errTooMuch)
 }
 
 // Whatever fails, what a daemon takes as proved was so: every change up to the
@@ -217,6 +351,8 @@
 				changed[z.revision] = z.now
 			case 8:
 				z.configure()
+			case 9:
+				z.behind = rapid.Uint64Range(0, 5).Draw(t, "behind")
 			default:
 				_ = d.step() // an error only means that it learns nothing
 			}
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -26,7 +26,10 @@
 	config   []configChange
 	record   objectapi.Object
 	down     bool
+	behind   uint64          // revisions that an old read lags
 	follows  map[*daemon]int // calls of Follow that reached the store
+	lists    int             // listings of full price
+	stales   int             // old listings
 	writes   int
 	daemons  []*daemon
 }
@@ -47,6 +50,7 @@
 	at      uint64    // revision
 	proved  time.Time // of state
 	listed  bool
+	begun   bool // it listed once in this life
 	planner bool
 	// What stands still for it.
 	standing []string
@@ -85,7 +89,7 @@
 
 // restart starts a daemon's process anew.
 func (d *daemon) restart() {
-	d.dead, d.listed, d.at, d.proved, d.config = false, false, 0, time.Time{}, time.Time{}
+	d.dead, d.listed, d.begun, d.at, d.proved, d.config = false, false, false, 0, time.Time{}, time.Time{}
 	d.Node = d.zone.node(d)
 }
 
@@ -127,7 +131,11 @@
 		d.NoteConfig(d.zone.configAt(asked), asked)
 	}
 	if !d.listed {
-		l, err := d.ListKind(ctx, entriesKind)
+		list := d.ListKind
+		if !d.begun {
+			list = d.ListStale
+		}
+		l, err := list(ctx, entriesKind)
 		if err != nil {
 			return err
 		}
@@ -135,7 +143,11 @@
 		for _, o := range l.Objects {
 			d.state[o.Key] = o.Version
 		}
-		d.at, d.listed, d.proved = l.Revision, true, asked
+		d.at, d.listed = l.Revision, true
+		if d.begun {
+			d.proved = asked
+		}
+		d.begun = true
 		return nil
 	}
 	c, err := d.Follow(ctx, entriesKind, d.at, time.Second)
@@ -187,22 +199,50 @@
 	return s.z.record, nil
 }
 
+func (s *storeOf) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
+	return s.Get(ctx, key)
+}
+
 func (s *storeOf) ListKind(_ context.Context, _ string) (objectapi.Listing, error) {
 	if !s.reached() {
 		return objectapi.Listing{}, errDown
 	}
-	l := objectapi.Listing{Revision: s.z.revision}
-	for key, version := range s.z.state() {
-		l.Objects = append(l.Objects, objectapi.Object{Key: key, Version: version})
+	s.z.lists++
+	return s.z.listing(s.z.revision), nil
+}
+
+// ListStale answers from behind, with the revision of the latest change that it shows.
+func (s *storeOf) ListStale(_ context.Context, _ string) (objectapi.Listing, error) {
+	if !s.reached() {
+		return objectapi.Listing{}, errDown
+	}
+	s.z.stales++
+	l := s.z.listing(s.z.revision - min(s.z.behind, s.z.revision))
+	l.Revision = 0
+	for _, o := range l.Objects {
+		l.Revision = max(l.Revision, o.Version)
 	}
 	return l, nil
 }
 
+func (z *zone) listing(revision uint64) objectapi.Listing {
+	l := objectapi.Listing{Revision: revision}
+	for key, version := range z.stateAt(revision) {
+		l.Objects = append(l.Objects, objectapi.Object{Key: key, Version: version, Value: []byte(`{}`)})
+	}
+	return l
+}
+
 // state is what the store holds now.
-func (z *zone) state() map[string]uint64 {
+func (z *zone) state() map[string]uint64 { return z.stateAt(z.revision) }
+
+// stateAt is what the store held at a revision.
+func (z *zone) stateAt(revision uint64) map[string]uint64 {
 	state := map[string]uint64{}
 	for _, e := range z.entries {
-		applyTo(state, e)
+		if e.Object.Version <= revision {
+			applyTo(state, e)
+		}
 	}
 	return state
 }
