--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -19,6 +19,9 @@
 	// its history a watch may hear nothing until it ends, so this bounds how long
 	// changes are missed.
 	followWait = 3 * time.Second
+	// firstWait is that of the call that proves the first listing: nothing is served
+	// before it, changes or none.
+	firstWait = time.Millisecond
 	// followPause follows each call that brought changes where nobody sets a pace,
 	// so that a burst of them costs one call and not one each.
 	followPause = 700 * time.Millisecond
@@ -88,6 +91,7 @@
 // result is what one call brought.
 type result struct {
 	listing *objectapi.Listing
+	old     bool // the listing is as of some seconds ago: no view before it is followed up
 	changes objectapi.Changes
 	proved  time.Time // when the store was asked for it, at the latest
 	err     error
@@ -141,7 +145,9 @@
 		f.Log.Warn("instances not followed", zap.String("decision", "keep_last_view"), zap.Uint64("revision", f.belief.Revision()), zap.Error(r.err))
 		return
 	}
-	f.belief.Reached(r.answered(now))
+	if !r.old {
+		f.belief.Reached(r.answered(now))
+	}
 	if r.listing != nil {
 		f.replace(r.listing, now)
 	}
@@ -151,10 +157,13 @@
 	if len(r.changes.Events) > 0 {
 		f.belief.Advance(r.changes.Revision)
 	}
+	if r.old {
+		return
+	}
 	if r.proved.After(f.proved.Load()) {
 		f.proved.Store(r.proved)
 	}
-	if r.listing != nil || len(r.changes.Events) > 0 {
+	if r.listing != nil || len(r.changes.Events) > 0 || f.View() == nil {
 		f.publish(r.proved)
 	}
 }
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -11,16 +11,19 @@
 )
 
 // call lists once and then follows, listing again when history was lost or when
-// asked to. It goes on from the last change that it saw and not from the store's
+// asked to. The first listing may be old, as what is followed from it proves it. It goes on from the last change that it saw and not from the store's
 // revision in an answer without changes: a watch that heard nothing may have missed
 // some.
 func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
-	list, retry := true, retryPause
+	next, retry := firstListing, retryPause
 	var revision uint64
 	for ctx.Err() == nil {
-		r, broken := f.once(ctx, list, revision)
+		r, broken := f.once(ctx, next, revision)
 		if broken != notBroken {
-			list = broken == forListing
+			next = follow
+			if broken == forListing {
+				next = listing
+			}
 			continue
 		}
 		select {
@@ -35,14 +38,14 @@
 		}
 		switch {
 		case errors.Is(r.err, objectapi.ErrCompacted):
-			list = true
+			next = listing
 			continue
 		case r.err != nil:
 			f.pauseUntilReturn(ctx, retry)
 			retry = min(2*retry, retryMost)
 			continue
 		}
-		list, retry = false, retryPause
+		next, retry = follow, retryPause
 		if len(r.changes.Events) > 0 {
 			f.rest(ctx)
 		}
@@ -83,12 +86,26 @@
 	forReturn         // it was sent while the store was away, which has returned since
 )
 
+// kindOfCall is what a call asks for.
+type kindOfCall int
+
+const (
+	firstListing kindOfCall = iota // as of some seconds ago
+	listing                        // as of now
+	follow
+)
+
 // once makes one call, unless it is broken off.
-func (f *Follower) once(ctx context.Context, list bool, revision uint64) (result, broken) {
+func (f *Follower) once(ctx context.Context, call kindOfCall, revision uint64) (result, broken) {
 	r := result{proved: time.Now()}
-	if list {
+	if call != follow {
 		var l objectapi.Listing
-		l, r.err = f.Feed.ListKind(ctx, f.Kind)
+		if call == firstListing {
+			l, r.err = f.Feed.ListStale(ctx, f.Kind)
+			r.old = true
+		} else {
+			l, r.err = f.Feed.ListKind(ctx, f.Kind)
+		}
 		r.listing = &l
 		return r, notBroken
 	}
@@ -100,7 +117,11 @@
 		cancel()
 		why <- reason
 	}()
-	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, followWait)
+	wait := followWait
+	if f.View() == nil {
+		wait = firstWait
+	}
+	r.changes, r.err = f.Feed.Follow(watch, f.Kind, revision, wait)
 	r.proved = asked.Add(-r.changes.Age)
 	cancel()
 	reason := <-why
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -41,6 +41,9 @@
 	// Relayed tells that this daemon follows the instances through another one, which
 	// then looks for work that nobody does; nil: it does not.
 	Relayed func() bool
+	// FirstLook is how long after its start a daemon first looks at the lease: by then it
+	// knows whether it follows through another one.
+	FirstLook time.Duration
 	// Still lists the instances whose streams stand still for this daemon.
 	Still func(now time.Time) []string
 	Log   *zap.Logger
@@ -104,11 +107,12 @@
 // every look has its price, and there may be hundreds of daemons.
 func (m *Manager) keepLease(ctx context.Context, taken chan<- struct{}, stopped chan<- struct{}) {
 	defer close(stopped)
-	var looked time.Time
+	pause.For(ctx, m.FirstLook)
+	looked := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
 		held := m.Lease.Held(now) != 0
-		if held || !m.Lease.Seen() || m.neglected.Load() || now.Sub(looked) > m.lookEvery() {
+		if held || !m.Lease.Seen() && !m.relayed() || m.neglected.Load() || now.Sub(looked) > m.lookEvery() {
 			looked = now
 			m.Lease.Step(ctx)
 			if !held && m.Lease.Held(time.Now()) != 0 {
@@ -129,6 +133,9 @@
 	// and each second counts then.
 	lookEvery   = 20 * time.Second
 	lookServing = time.Second
+	// lookRelayed is that of a daemon that follows through another one, which looks for
+	// it: each 20 s, 295 daemons made 15 calls a second, a twentieth of all.
+	lookRelayed = 2 * time.Minute
 	// neglectAfter is how long work may stand before the lease is looked at. Most
 	// of a planner's steps take less. A daemon that follows through another one
 	// leaves that to it for longer, or hundreds would look at once.
@@ -139,12 +146,17 @@
 )
 
 func (m *Manager) lookEvery() time.Duration {
-	if m.Serving != nil && m.Serving() {
+	switch {
+	case m.Serving != nil && m.Serving():
 		return lookServing
+	case m.relayed():
+		return lookRelayed
 	}
 	return lookEvery
 }
 
+func (m *Manager) relayed() bool { return m.Relayed != nil && m.Relayed() }
+
 // notice looks for work that whoever holds the lease should have done.
 func (m *Manager) notice(view *fleet.View, table *routes.Table, now time.Time) {
 	if !workStands(view, table, now) {
@@ -153,7 +165,7 @@
 		m.standing = now
 	}
 	patience := neglectAfter
-	if m.Relayed != nil && m.Relayed() {
+	if m.relayed() {
 		patience = neglectRelayed
 	}
 	m.neglected.Store(!m.standing.IsZero() && now.Sub(m.standing) > patience)
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -32,9 +32,16 @@
 	return &countedFeed{Feed: feed, reach: reach, set: set, total: map[string]uint64{}}
 }
 
-// count notes one call about an object or a kind of objects, sent at asked.
-func (c *countedFeed) count(call, key string, asked time.Time, err error) {
+// note counts one call about an object or a kind of objects, sent at asked, and tells
+// reach of it.
+func (c *countedFeed) note(call, key string, asked time.Time, err error) {
 	c.reach.Note(asked, time.Now(), err)
+	c.count(call, key, err)
+}
+
+// count counts one call. One that may be answered from an old copy shows nothing of
+// whether the store is there.
+func (c *countedFeed) count(call, key string, err error) {
 	kind, _, _ := strings.Cut(key, "/")
 	c.mu.Lock()
 	c.total[call+" "+kind]++
@@ -60,15 +67,29 @@
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	asked := time.Now()
 	o, err := c.Feed.Get(ctx, key)
-	c.count("get", key, asked, err)
+	c.note("get", key, asked, err)
+	return o, err
+}
+
+// GetStale implements objectapi.Feed.
+func (c *countedFeed) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
+	o, err := c.Feed.GetStale(ctx, key)
+	c.count("get-stale", key, err)
 	return o, err
 }
 
+// ListStale implements objectapi.Feed.
+func (c *countedFeed) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
+	l, err := c.Feed.ListStale(ctx, kind)
+	c.count("list-stale", kind, err)
+	return l, err
+}
+
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
 	asked := time.Now()
 	l, err := c.Feed.ListKind(ctx, kind)
-	c.count("list", kind, asked, err)
+	c.note("list", kind, asked, err)
 	return l, err
 }
 
@@ -76,7 +97,7 @@
 func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	asked := time.Now()
 	changes, err := c.Feed.Follow(ctx, kind, after, wait)
-	c.count("follow", kind, asked, err)
+	c.note("follow", kind, asked, err)
 	return changes, err
 }
 
@@ -84,7 +105,7 @@
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
 	asked := time.Now()
 	version, err := c.Feed.Create(ctx, key, value)
-	c.count("create", key, asked, err)
+	c.note("create", key, asked, err)
 	return version, err
 }
 
@@ -92,7 +113,7 @@
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
 	asked := time.Now()
 	v, err := c.Feed.Update(ctx, key, version, value)
-	c.count("update", key, asked, err)
+	c.note("update", key, asked, err)
 	return v, err
 }
 
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -34,8 +34,15 @@
 	// leastPause is kept between any two reads.
 	leastPause = 100 * time.Millisecond
 	// firstPause follows a read that found no configuration. The daemon that plans
-	// asks again after leastPause: groups should form as soon as there is one.
-	firstPause = 500 * time.Millisecond
+	// asks again after leastPause: groups should form as soon as there is one. One that
+	// hears of the first through a relay waits for that.
+	firstPause   = 500 * time.Millisecond
+	firstRelayed = 2 * time.Second
+	// startPatience is how long a daemon that starts waits for a relay's word before its
+	// first read: with it the read may be an old one, at a tenth of the price. Where all
+	// start together for the first time, relays must be found first.
+	startPatience     = 400 * time.Millisecond
+	bootstrapPatience = 2 * time.Second
 )
 
 // readEvery is how often the whole configuration is read: each read is both the
@@ -68,8 +75,12 @@
 	serving func() bool
 	// planning, if set, tells that this daemon forms the groups.
 	planning func() bool
-	heard    chan confirmation
-	current  atomic.Pointer[gateway.Config]
+	// relayed, if set, tells that other daemons' words come through a relay; startPatience
+	// is how long the first is waited for.
+	relayed       func() bool
+	startPatience time.Duration
+	heard         chan confirmation
+	current       atomic.Pointer[gateway.Config]
 }
 
 // confirmation is another daemon's word that the configuration's object had a
@@ -105,11 +116,10 @@
 // Run follows until ctx ends.
 func (f *configFollower) Run(ctx context.Context) {
 	retry := retryPause
+	hint := f.awaitHint(ctx)
 	for ctx.Err() == nil {
-		asked := time.Now()
-		o, err := f.feed.Get(ctx, f.key)
-		f.take(o, err, asked)
-		next := asked.Add(f.interval())
+		proved, err := f.read(ctx, hint)
+		next := proved.Add(f.interval())
 		switch {
 		case err == nil:
 			retry = retryPause
@@ -119,10 +129,47 @@
 			next, retry = time.Now().Add(retry), min(2*retry, retryMost)
 		}
 		pause.For(ctx, leastPause)
-		f.rest(ctx, next, err == nil)
+		hint = f.rest(ctx, next, err == nil || errors.Is(err, objectapi.ErrNotFound))
 	}
 }
 
+// awaitHint waits at the start for another daemon's word, as long as none counts on this one.
+func (f *configFollower) awaitHint(ctx context.Context) *confirmation {
+	for end := time.Now().Add(f.startPatience); ctx.Err() == nil && time.Now().Before(end); {
+		if f.serving != nil && f.serving() {
+			return nil
+		}
+		select {
+		case c := <-f.heard:
+			return &c
+		case <-time.After(leastPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// read reads the configuration and returns since when it is proved. With another daemon's
+// word that there is a newer version an old read is enough if it shows that version or one
+// after it: what was current then is not newer. Each change is read by all daemons.
+func (f *configFollower) read(ctx context.Context, hint *confirmation) (proved time.Time, err error) {
+	if hint != nil {
+		o, err := f.feed.GetStale(ctx, f.key)
+		if errors.Is(err, objectapi.ErrUnavailable) {
+			f.take(o, err, time.Now())
+			return time.Now(), err
+		}
+		if err == nil && o.Version >= hint.version {
+			f.take(o, nil, hint.proved)
+			return hint.proved, nil
+		}
+	}
+	asked := time.Now()
+	o, err := f.feed.Get(ctx, f.key)
+	f.take(o, err, asked)
+	return asked, err
+}
+
 // interval is the time between two reads, as long as nobody else confirms what is
 // in force.
 func (f *configFollower) interval() time.Duration {
@@ -135,26 +182,29 @@
 
 // untilFirst is the pause after a read that found no configuration.
 func (f *configFollower) untilFirst() time.Duration {
-	if f.planning != nil && f.planning() {
+	switch {
+	case f.planning != nil && f.planning():
 		return leastPause
+	case f.relayed != nil && f.relayed():
+		return firstRelayed
 	}
 	return firstPause
 }
 
 // rest waits until it is time to read: when the proof gets old, or when another
-// daemon has seen a newer version and the store answered lately.
-func (f *configFollower) rest(ctx context.Context, next time.Time, reached bool) {
+// daemon has seen a newer version, its hint, and the store answered lately.
+func (f *configFollower) rest(ctx context.Context, next time.Time, reached bool) (hint *confirmation) {
 	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-timer.C:
-			return
+			return nil
 		case c := <-f.heard:
 			if c.version > f.version && reached {
-				return
+				return &c
 			}
 			if f.confirmed(c) {
 				timer.Reset(time.Until(c.proved.Add(f.interval())))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -155,7 +155,11 @@
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
-		entries, d.config.noted, d.config.serving = d.relay, d.relay.NoteConfig, d.relay.Serving
+		entries, d.config.noted, d.config.serving, d.config.relayed = d.relay, d.relay.NoteConfig, d.relay.Serving, d.relay.Relayed
+		d.config.startPatience = startPatience
+		if s.Bootstrap {
+			d.config.startPatience = bootstrapPatience
+		}
 	}
 	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
@@ -202,6 +206,12 @@
 		Relayed: func() bool { return d.following() == followsRelayed },
 		Serving: func() bool { return d.following() == followsForAll },
 		Window:  func() time.Duration { return d.Settings().Bounds.CeilingWindow },
+		FirstLook: func() time.Duration {
+			if d.relay == nil {
+				return 0
+			}
+			return d.relay.Settles()
+		}(),
 		Log:     d.Log,
 		Metrics: d.Metrics,
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -74,10 +74,11 @@
 	return relay.NewNode(relay.Options{
 		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
-		Stale:    func() time.Duration { return d.drainPart(stalePart, defaultStale) },
-		Standing: d.picker.Stopped,
-		Uniform:  func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:      time.Now, Log: d.Log,
+		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
+		Standing:  d.picker.Stopped,
+		Bootstrap: s.Bootstrap,
+		Uniform:   func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
+		Now:       time.Now, Log: d.Log,
 	})
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -9,6 +9,7 @@
 	Node      string
 	Zone      string
 	IP        string
+	Bootstrap bool   // all daemons start for the first time, together
 	Callers   string // address that serves callers
 	Readiness string // address asked whether this daemon takes connections
 	Peers     string // address that answers other daemons; empty: none may ask
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -44,8 +44,15 @@
 type Feed interface {
 	// Get returns the current object or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
+	// GetStale is Get at a tenth of its price: the object as it was some seconds ago, if
+	// it was there then. It proves nothing of what holds now.
+	GetStale(ctx context.Context, key string) (Object, error)
 	// ListKind returns all objects of a kind.
 	ListKind(ctx context.Context, kind string) (Listing, error)
+	// ListStale is ListKind at a tenth of its price: objects as they were some seconds
+	// ago, not all at one time. Every change up to Revision is in it; whoever then
+	// follows from Revision knows the kind as it is, and nothing before.
+	ListStale(ctx context.Context, kind string) (Listing, error)
 	// Follow waits up to wait for changes of a kind after a revision. It returns
 	// them, possibly none, or ErrCompacted.
 	Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -1,26 +1,18 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"pearlanding/internal/objectapi"
 )
 
-// Bounds of what a relay remembers and tells.
-const (
-	// historyEvents is how many changes are remembered. Sixty engines that are
-	// replaced one after the other make some hundreds; an entry takes half a KB.
-	historyEvents = 1024
-	// replyEvents bounds one answer; a peer that lacks more lists from the store.
-	replyEvents = 256
-)
-
-// batch is one answer of the store: all changes after one revision up to another.
-type batch struct {
-	from, to uint64
-	events   []objectapi.Event
-}
+// removalsMost bounds how many removals are remembered: an engine that ends leaves one,
+// and a peer that is further behind than so many lists from the store. An object that
+// lives takes one place however often it changes.
+const removalsMost = 2048
 
 // configProof is the newest version of the configuration that a read showed.
 type configProof struct {
@@ -29,83 +21,222 @@
 	proved  time.Time
 }
 
-// history is what a daemon that follows the store itself can tell its peers. Safe
-// for concurrent use; time is passed in.
+// hole is a span of revisions, both ends excluded, of which only the result is known.
+type hole struct{ from, to uint64 }
+
+// holesMost bounds the holes that are remembered; a daemon that plans lists now and then.
+const holesMost = 16
+
+// history is what a daemon can tell its peers of the entries: of each object its latest
+// change. Told one by one, the changes of 760 engines whose groups form (revision 509 to
+// 2,359 in two seconds) overran any bounded list before peers came back, and each of 295
+// listed the store five to seven times as it started (two pages each). Safe for concurrent
+// use; time is passed in.
 type history struct {
-	mu      sync.Mutex
-	batches []batch // each begins where the one before ends
-	events  int     // in all batches
-	known   bool
-	end     uint64    // revision up to which all changes are known
-	proved  time.Time // when the store was last asked for what is known
-	config  configProof
-	news    chan struct{} // closed at the next change
+	mu       sync.Mutex
+	known    bool
+	complete bool // latest holds every object that lives, not only those that changed
+	latest   map[string]objectapi.Event
+	removals int    // in latest
+	base     uint64 // revision from which on all changes are known
+	end      uint64 // revision up to which they are
+	holes    []hole // within: what was made and removed again is not known
+	proved   time.Time
+	config   configProof
+	packed   map[uint64][]byte // answers made of the state as it is, by revision asked for
+	news     chan struct{}     // closed at the next change
+}
+
+func newHistory() *history {
+	return &history{latest: map[string]objectapi.Event{}, packed: map[uint64][]byte{}, news: make(chan struct{})}
 }
 
-func newHistory() *history { return &history{news: make(chan struct{})} }
+// begin starts anew with what is known at a revision; h.mu is held.
+func (h *history) begin(objects []objectapi.Object, revision uint64, complete bool) {
+	h.known, h.complete, h.base, h.end, h.removals, h.holes = true, complete, revision, revision, 0, nil
+	h.latest = make(map[string]objectapi.Event, len(objects))
+	for _, o := range objects {
+		h.latest[o.Key] = objectapi.Event{Object: o}
+	}
+}
+
+// seeded takes a listing that may be old, as a start: it proves nothing.
+func (h *history) seeded(l objectapi.Listing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.known && h.end >= l.Revision {
+		return
+	}
+	h.begin(l.Objects, l.Revision, true)
+	h.wake()
+}
 
-// listed starts anew: everything up to a revision is known, nothing of how it came
-// about.
-func (h *history) listed(revision uint64, asked time.Time) {
+// listed takes a listing as of now. What came before is kept where all objects were known:
+// those that the listing lacks were removed since.
+func (h *history) listed(l objectapi.Listing, asked time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.batches, h.events, h.known, h.end, h.proved = nil, 0, true, revision, asked
+	if !h.complete || l.Revision < h.end {
+		h.begin(l.Objects, l.Revision, true)
+	} else {
+		h.compare(l)
+	}
+	h.proved = latest(h.proved, asked)
 	h.wake()
 }
 
-// followed takes in an answer to a call that asked for the changes after a revision.
-func (h *history) followed(after uint64, c objectapi.Changes, asked time.Time) {
+// compare notes what changed up to a listing; h.mu is held.
+func (h *history) compare(l objectapi.Listing) {
+	present := make(map[string]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		present[o.Key] = true
+		h.put(objectapi.Event{Object: o})
+	}
+	for key, e := range h.latest {
+		if !e.Removed && !present[key] && e.Object.Version < l.Revision {
+			h.put(objectapi.Event{Object: objectapi.Object{Key: key, Version: l.Revision}, Removed: true})
+		}
+	}
+	if l.Revision > h.end {
+		h.holes = append(h.holes, hole{h.end, l.Revision})
+	}
+	h.end = max(h.end, l.Revision)
+	if len(h.holes) > holesMost {
+		h.base = max(h.base, h.holes[0].to)
+		h.holes = h.holes[1:]
+	}
+}
+
+// followed takes in the changes after a revision, as they were at a time.
+func (h *history) followed(after uint64, c objectapi.Changes, proved time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.known || after != h.end {
-		h.batches, h.events, h.known, h.end = nil, 0, true, after
+	if !h.known || after > h.end {
+		h.begin(nil, after, false)
 	}
-	h.proved = asked
+	h.proved = latest(h.proved, proved)
 	if len(c.Events) == 0 {
 		return
 	}
-	h.batches = append(h.batches, batch{after, c.Revision, c.Events})
-	h.events += len(c.Events)
-	h.end = c.Revision
-	for len(h.batches) > 1 && h.events > historyEvents {
-		h.events -= len(h.batches[0].events)
-		h.batches = h.batches[1:]
+	for _, e := range c.Events {
+		h.put(e)
 	}
+	h.end = max(h.end, c.Revision)
+	h.forget()
 	h.wake()
 }
 
+// put notes a change unless a later one of the same object is known; h.mu is held.
+func (h *history) put(e objectapi.Event) {
+	old, known := h.latest[e.Object.Key]
+	if known && old.Object.Version >= e.Object.Version {
+		return
+	}
+	if known && old.Removed {
+		h.removals--
+	}
+	if e.Removed {
+		h.removals++
+	}
+	h.latest[e.Object.Key] = e
+}
+
+// forget drops the older half of the removals when they are too many; h.mu is held.
+func (h *history) forget() {
+	if h.removals <= removalsMost {
+		return
+	}
+	var versions []uint64
+	for _, e := range h.latest {
+		if e.Removed {
+			versions = append(versions, e.Object.Version)
+		}
+	}
+	slices.Sort(versions)
+	h.base = max(h.base, versions[len(versions)/2])
+	for key, e := range h.latest {
+		if e.Removed && e.Object.Version <= h.base {
+			delete(h.latest, key)
+			h.removals--
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // noteConfig takes in a read of the configuration.
 func (h *history) noteConfig(version uint64, asked time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.config = configProof{h.config.seq + 1, version, asked}
-	h.wake()
+	h.wakeAll()
 }
 
-// wake lets everyone look again; h.mu is held.
+// wake lets everyone look again at what has changed; h.mu is held.
 func (h *history) wake() {
+	clear(h.packed)
+	h.wakeAll()
+}
+
+func (h *history) wakeAll() {
 	close(h.news)
 	h.news = make(chan struct{})
 }
 
-// after returns the changes after a revision, with the revision that they lead to.
-// gap: the way from there to here is not remembered, or too long.
+// after returns the latest change of each object that changed after a revision, in their
+// order, with the revision that they lead to. gap: what was removed since is not known.
 func (h *history) after(revision uint64) (events []objectapi.Event, end uint64, gap bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	start := h.end
-	if len(h.batches) > 0 {
-		start = h.batches[0].from
-	}
-	if !h.known || revision < start {
+	return h.since(revision)
+}
+
+// since is after; h.mu is held.
+func (h *history) since(revision uint64) (events []objectapi.Event, end uint64, gap bool) {
+	inHole := func(o hole) bool { return o.from < revision && revision < o.to }
+	if !h.known || revision < h.base || slices.ContainsFunc(h.holes, inHole) {
 		return nil, 0, true
 	}
-	for _, b := range h.batches {
-		if b.to > revision {
-			events = append(events, b.events...)
+	for _, e := range h.latest {
+		// Beyond the end lies what a listing's later pages showed: it is told again.
+		if e.Object.Version > revision && e.Object.Version <= h.end {
+			events = append(events, e)
 		}
 	}
-	return events, max(h.end, revision), len(events) > replyEvents
+	slices.SortFunc(events, func(a, b objectapi.Event) int { return cmp.Compare(a.Object.Version, b.Object.Version) })
+	return events, max(h.end, revision), false
+}
+
+// told is an answer to a peer.
+type told struct {
+	changes []byte // packed; nil: none
+	end     uint64 // revision that they lead to
+	gap     bool
+}
+
+// tell returns what came after a revision as one answer. Peers that keep up ask for the
+// same, which is packed once for all of them.
+func (h *history) tell(revision uint64) (told, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if changes, ok := h.packed[revision]; ok {
+		return told{changes: changes, end: max(h.end, revision)}, nil
+	}
+	events, end, gap := h.since(revision)
+	if gap || len(events) == 0 {
+		return told{end: end, gap: gap}, nil
+	}
+	changes, err := pack(events)
+	if err != nil {
+		return told{}, err
+	}
+	h.packed[revision] = changes
+	return told{changes: changes, end: end}, nil
 }
 
 // state returns what is proved, and a channel that is closed when it changes.
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -2,19 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"time"
 
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/handler"
+	"github.com/juju/errors"
 
-	"pearlanding/internal/objectapi"
 	"pearlanding/internal/rpc"
 )
 
-// methodNews asks a relay for what is new.
-const methodNews = "relay.news"
+// methodNews asks a relay for what is new. Another form of its answer has another name:
+// daemons of two versions serve side by side while they are replaced.
+const methodNews = "relay.packed_news"
 
 // codeNotRelaying is the error of a daemon that doesn't follow the store itself, or
 // has not heard from it for too long.
@@ -38,40 +38,16 @@
 // NewsReply is what a relay knows. Ages are in milliseconds before the reply was
 // made, rounded up; the asker counts them back from when it sent the request.
 type NewsReply struct {
-	Gap        bool     `json:"gap,omitempty"` // the changes are no longer known: list
-	Events     []change `json:"events,omitempty"`
-	Revision   uint64   `json:"revision"`
-	EntriesAge int64    `json:"entries_age_ms"`
+	Gap        bool   `json:"gap,omitempty"`     // the changes are no longer known: list
+	Changes    []byte `json:"changes,omitempty"` // the latest of each object, packed
+	Revision   uint64 `json:"revision"`
+	EntriesAge int64  `json:"entries_age_ms"`
 	// ConfigVersion is the version of the configuration's object; 0: not read yet.
 	ConfigVersion uint64 `json:"config_version"`
 	ConfigSeq     uint64 `json:"config_seq"`
 	ConfigAge     int64  `json:"config_age_ms"`
 }
 
-// change is one event on the wire.
-type change struct {
-	Key     string          `json:"key"`
-	Version uint64          `json:"version"`
-	Value   json.RawMessage `json:"value,omitempty"`
-	Removed bool            `json:"removed,omitempty"`
-}
-
-func toChanges(events []objectapi.Event) []change {
-	out := make([]change, 0, len(events))
-	for _, e := range events {
-		out = append(out, change{e.Object.Key, e.Object.Version, e.Object.Value, e.Removed})
-	}
-	return out
-}
-
-func fromChanges(changes []change) []objectapi.Event {
-	out := make([]objectapi.Event, 0, len(changes))
-	for _, c := range changes {
-		out = append(out, objectapi.Event{Object: objectapi.Object{Key: c.Key, Version: c.Version, Value: c.Value}, Removed: c.Removed})
-	}
-	return out
-}
-
 // ageMS is the age of a proof in whole milliseconds, never too young.
 func ageMS(now, proved time.Time) int64 {
 	return int64(math.Ceil(float64(now.Sub(proved)) / float64(time.Millisecond)))
@@ -95,7 +71,7 @@
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := false; ; {
-		entries, config, news := n.history.state()
+		entries, config, changed := n.history.state()
 		left := entries.Add(n.o.Stale()).Sub(n.now())
 		if n.closed.Load() {
 			return NewsReply{}, jrpc2.Errorf(codeStopping, "stopping")
@@ -103,13 +79,16 @@
 		if !n.relaying() || left <= 0 {
 			return NewsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 		}
-		events, end, gap := n.history.after(r.After)
-		if expired || gap || len(events) > 0 || config.seq != r.ConfigSeq {
-			return n.reply(entries, config, events, end, gap), nil
+		news, err := n.history.tell(r.After)
+		if err != nil {
+			return NewsReply{}, errors.Trace(err)
+		}
+		if expired || news.gap || len(news.changes) > 0 || config.seq != r.ConfigSeq {
+			return n.reply(entries, config, news), nil
 		}
 		stale := time.NewTimer(left)
 		select {
-		case <-news:
+		case <-changed:
 		case <-stale.C:
 		case <-timer.C:
 			expired = true
@@ -121,12 +100,10 @@
 	}
 }
 
-func (n *Node) reply(entries time.Time, config configProof, events []objectapi.Event, end uint64, gap bool) NewsReply {
+func (n *Node) reply(entries time.Time, config configProof, news told) NewsReply {
 	now := n.now()
-	out := NewsReply{Gap: gap, Revision: end, EntriesAge: ageMS(now, entries), ConfigSeq: config.seq, ConfigVersion: config.version}
-	if !gap {
-		out.Events = toChanges(events)
-	}
+	out := NewsReply{Gap: news.gap, Changes: news.changes, Revision: news.end, EntriesAge: ageMS(now, entries),
+		ConfigSeq: config.seq, ConfigVersion: config.version}
 	if config.version != 0 {
 		out.ConfigAge = ageMS(now, config.proved)
 	}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -33,6 +33,7 @@
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
 	n.suspect, n.peer, n.proved, n.failedAt = n.peer, "", time.Time{}, n.now()
+	n.aloneAt = time.Time{}
 	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
 }
 
@@ -47,7 +48,7 @@
 		case err == nil || errors.Is(err, objectapi.ErrCompacted):
 			n.use(n.suspect)
 			return
-		case errors.Is(err, errOutOfTouch) && n.now().Sub(n.failedAt) < n.part(stalePatience):
+		case errors.Is(err, errOutOfTouch) && n.now().Sub(n.failedAt) < n.part(stalePatience) && !n.aloneInTouch():
 			n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
 			return
 		}
@@ -55,6 +56,13 @@
 	n.look(ctx)
 }
 
+// aloneInTouch tells whether the store has answered this daemon for so long that a relay
+// which is still out of touch is cut off alone. Its zone then needs another one: cut off
+// for 9 s with a third of all daemons, it left the other two thirds of its zone to the store.
+func (n *Node) aloneInTouch() bool {
+	return n.reached.Load() && !n.aloneAt.IsZero() && n.now().Sub(n.aloneAt) >= n.part(alonePatience)
+}
+
 // look reads the record. A record that names nobody, this daemon's own address or a
 // relay that failed twice is taken over.
 func (n *Node) look(ctx context.Context) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/pause"
 	"pearlanding/internal/steady"
 )
 
@@ -37,6 +38,7 @@
 	leastAskPart  = 1.0 / 8 // a call gets this much time, however old the last proof
 	answerMargin  = 1.0 / 5 // how much longer than it may be held a call may take
 	stalePatience = 3.0     // how long a relay may be out of touch until it is replaced
+	alonePatience = 1.0 / 2 // the same while the store answers whoever would replace it
 )
 
 // Other times.
@@ -78,6 +80,8 @@
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
 	Confirm func(version uint64, proved time.Time)
+	// Bootstrap: all daemons start together, and no relay can be known yet.
+	Bootstrap bool
 	// Standing lists the instances whose running streams stopped for this daemon lately.
 	Standing func(now time.Time) []string
 	// Uniform returns a duration in [least, most) by chance.
@@ -105,18 +109,33 @@
 	peer      string // the relay's address; empty: none that is known to work
 	suspect   string // a relay that failed
 	failedAt  time.Time
+	aloneAt   time.Time // since when the store answers this daemon's own calls without fail
 	configSeq uint64    // last heard from peer
 	proved    time.Time // by the last answer of a relay
 	lookAt    time.Time
+	looked    bool // the zone's record was looked at once
 }
 
-// NewNode returns a node that first follows the store itself.
+// NewNode returns a node that first looks for its zone's relay. Where all daemons start
+// together, they look one after the other, so that most find a relay.
 func NewNode(o Options) *Node {
-	return &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now().Add(o.Uniform(0, settleMost))}
+	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now()}
+	if o.Bootstrap {
+		n.lookAt = n.lookAt.Add(o.Uniform(0, settleMost))
+	}
+	return n
 }
 
 func (n *Node) now() time.Time { return n.o.Now() }
 
+// Settles returns how long after its start a daemon may be without a relay that is there.
+func (n *Node) Settles() time.Duration {
+	if n.o.Bootstrap {
+		return settleMost
+	}
+	return settleLeast
+}
+
 // part returns a part of the age at which a proof is stale.
 func (n *Node) part(of float64) time.Duration { return time.Duration(of * float64(n.o.Stale())) }
 
@@ -155,20 +174,37 @@
 	if kind == n.o.Kind {
 		n.reached.Store(err == nil)
 		if err == nil {
-			n.history.listed(l.Revision, asked)
+			n.history.listed(l, asked)
 		}
 	}
 	return l, err
 }
 
+// ListStale implements objectapi.Feed.
+func (n *Node) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
+	l, err := n.Feed.ListStale(ctx, kind)
+	if kind == n.o.Kind && err == nil {
+		n.history.seeded(l)
+	}
+	return l, err
+}
+
 // Follow implements objectapi.Feed.
 func (n *Node) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	if kind != n.o.Kind {
 		return n.Feed.Follow(ctx, kind, after, wait)
 	}
+	if !n.looked {
+		n.looked = true
+		pause.For(ctx, n.lookAt.Sub(n.now()))
+	}
 	n.locate(ctx, after)
 	if n.peer != "" && !n.o.Direct() {
-		changes, err := n.ask(ctx, n.peer, after, n.part(askPart))
+		changes, err := n.ask(ctx, n.peer, after, min(wait, n.part(askPart)))
+		if err == nil {
+			// Told on, if this daemon takes its relay's place.
+			n.history.followed(after, changes, n.proved)
+		}
 		if err == nil || errors.Is(err, objectapi.ErrCompacted) || ctx.Err() != nil {
 			n.via.Store(true)
 			return changes, err
@@ -189,6 +225,12 @@
 	if err == nil || ctx.Err() == nil { // a call broken off shows nothing
 		n.reached.Store(err == nil)
 	}
+	switch {
+	case err != nil:
+		n.aloneAt = time.Time{}
+	case n.aloneAt.IsZero():
+		n.aloneAt = n.now()
+	}
 	if err == nil {
 		n.history.followed(after, changes, asked)
 	}
@@ -221,5 +263,6 @@
 	if r.Gap {
 		return objectapi.Changes{}, objectapi.ErrCompacted
 	}
-	return objectapi.Changes{Events: fromChanges(r.Events), Revision: r.Revision, Age: age}, nil
+	events, err := unpack(r.Changes, after)
+	return objectapi.Changes{Events: events, Revision: r.Revision, Age: age}, errors.Trace(err)
 }
