Repeats and loads are shared through relays; a store that is away is asked by one call a daemon

Pool of repeats. What a daemon earned beyond the repeat that it keeps goes to its zone's pool, kept by the relay, where a request in need takes one. Conservation keeps the rule: a repeat is spent once; what is handed over lasts one second, a new relay's pool begins empty.

Cause: a daemon sees a 295th of a replica's load, and prefers its own zone until each replica there has one of its own streams. Daemons tell their relay four times a second what they have in progress, relays tell one another. One replica of the own zone and one of another are drawn by chance, and the less loaded is taken.

Calls to a store that does not answer are held back to one a second for each daemon, half a second for a relay, three where a relay will tell; four loops retried by themselves before. Renewals of the lease are not held back.

A daemon that has just started asks callers to come back after 1 s instead of 0.1 s.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -16,6 +16,9 @@
 	earned earned
 }
 
+// NewBudget returns a budget that has earned nothing.
+func NewBudget() *Budget { return &Budget{earned: newEarned()} }
+
 // budgetSlot counts one part of the window.
 type budgetSlot struct {
 	number   int64 // of the slot since the budget began
@@ -89,6 +92,14 @@
 	b.earned.add(1, now)
 }
 
+// Spare takes out what was earned beyond the repeat that this daemon keeps, for daemons
+// that need more.
+func (b *Budget) Spare(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.earned.spare(now)
+}
+
 // Left is how many repeats could be made now.
 func (b *Budget) Left(rule BudgetRule, now time.Time) float64 {
 	b.mu.Lock()
@@ -126,11 +137,24 @@
 		b.m = map[string]*Budget{}
 	}
 	if b.m[service] == nil {
-		b.m[service] = &Budget{}
+		b.m[service] = NewBudget()
 	}
 	return b.m[service]
 }
 
+// Spare takes out of each service's budget what this daemon does not need itself.
+func (b *Budgets) Spare(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]float64{}
+	for service, budget := range b.m {
+		if n := budget.Spare(now); n > 0 {
+			out[service] = n
+		}
+	}
+	return out
+}
+
 // Left returns what is left of each service's budget.
 func (b *Budgets) Left(rule BudgetRule, now time.Time) map[string]float64 {
 	b.mu.Lock()
--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -14,6 +14,10 @@
 	Busy
 	// Overload: all replicas have queues.
 	Overload
+	// Starting: this daemon has just started and does not know yet what to serve. Callers
+	// reach such a one while most of their zone's daemons start, or were stopped a moment
+	// ago: others are no better off.
+	Starting
 )
 
 // Times to come back. The one for overload is about the time in which a queue of a
@@ -22,12 +26,19 @@
 const (
 	comeBackSoon     = 100 * time.Millisecond
 	comeBackOverload = 400 * time.Millisecond
+	// comeBackStarting is about what a start takes until requests are served, after all
+	// machines lost power. Callers told to come back after 0.1 s were refused again: 4,870 of
+	// worth in the two seconds after it (2,000 requests a second, one repeat each).
+	comeBackStarting = time.Second
 )
 
 // ComeBack tells when the caller of a refused request should come back.
 func ComeBack(r Refusal) time.Duration {
-	if r == Overload {
+	switch r {
+	case Overload:
 		return comeBackOverload
+	case Starting:
+		return comeBackStarting
 	}
 	return comeBackSoon
 }
--- a/internal/dispatch/earned.go
+++ b/internal/dispatch/earned.go
@@ -23,17 +23,21 @@
 // its own, restarts would renew what all daemons may spend together. Not safe for
 // concurrent use; time is passed in.
 type earned struct {
+	lasts   time.Duration // time constant of what is beyond least
+	least   float64       // does not decay
 	repeats float64
 	at      time.Time // when repeats was right
 }
 
+func newEarned() earned { return earned{lasts: earnedFor, least: earnedLeast} }
+
 // now returns what is left at a time.
 func (e *earned) now(now time.Time) float64 {
-	over := e.repeats - earnedLeast
+	over := e.repeats - e.least
 	if over <= 0 || !now.After(e.at) {
 		return e.repeats
 	}
-	return earnedLeast + over*math.Exp(-float64(now.Sub(e.at))/float64(earnedFor))
+	return e.least + over*math.Exp(-float64(now.Sub(e.at))/float64(e.lasts))
 }
 
 // add takes in what a request earns, or takes out what a repeat spends.
@@ -41,3 +45,12 @@
 	e.repeats = e.now(now) + repeats
 	e.at = now
 }
+
+// spare takes out what is beyond the least and returns it.
+func (e *earned) spare(now time.Time) float64 {
+	over := max(e.now(now)-e.least, 0)
+	if over > 0 {
+		e.add(-over, now)
+	}
+	return over
+}
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -71,6 +71,8 @@
 	mu      sync.Mutex
 	records map[life]*record
 	floors  map[string]time.Duration // quickest first events of late, by model
+	others  map[string]int           // other daemons' requests in progress, by instance
+	toldAt  time.Time                // when others was told
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a number in
@@ -87,11 +89,7 @@
 	var best *Target
 	var bestScore float64
 	ties := 0
-	for i := range targets {
-		t := &targets[i]
-		if tried[t.Instance] {
-			continue
-		}
+	for _, t := range p.candidates(targets, tried, now) {
 		score := p.score(t, now)
 		switch {
 		case best == nil || score < bestScore:
@@ -112,9 +110,16 @@
 
 func (p *Picker) score(t *Target, now time.Time) float64 {
 	score := 0.0
-	if t.Zone != p.zone {
+	told := now.Sub(p.toldAt) < toldFor
+	switch {
+	case t.Zone != p.zone && told:
+		score += toldZonePenalty
+	case t.Zone != p.zone:
 		score += otherZonePenalty
 	}
+	if told {
+		score += float64(p.others[t.Instance])
+	}
 	r := p.records[t.life()]
 	if r == nil {
 		return score
--- a/internal/fleet/reachability.go
+++ b/internal/fleet/reachability.go
@@ -81,6 +81,14 @@
 	return !r.lost.IsZero()
 }
 
+// LostSince returns when the first call was sent that the store did not answer, if it has
+// answered none since.
+func (r *Reachability) LostSince() (since time.Time, lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost, !r.lost.IsZero()
+}
+
 // Back returns when the last absence ended, as far as any call showed it.
 func (r *Reachability) Back() time.Time {
 	r.mu.Lock()
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -18,18 +18,20 @@
 	"pearlanding/internal/pause"
 )
 
-// countedFeed counts the calls to the store by call, kind of object and outcome, and
-// tells reach how each ended.
+// countedFeed counts the calls to the store by call, kind of object and outcome, tells
+// reach how each ended, and holds calls back while the store does not answer.
 type countedFeed struct {
 	objectapi.Feed
-	set   *metrics.Set
-	reach *fleet.Reachability
-	mu    sync.Mutex
-	total map[string]uint64 // by call and kind
+	set    *metrics.Set
+	reach  *fleet.Reachability
+	outage outage
+	mu     sync.Mutex
+	total  map[string]uint64 // by call and kind
 }
 
 func newCountedFeed(feed objectapi.Feed, reach *fleet.Reachability, set *metrics.Set) *countedFeed {
-	return &countedFeed{Feed: feed, reach: reach, set: set, total: map[string]uint64{}}
+	return &countedFeed{Feed: feed, reach: reach, set: set, total: map[string]uint64{},
+		outage: outage{reach: reach, every: func() time.Duration { return probeAlone }}}
 }
 
 // note counts one call about an object or a kind of objects, sent at asked, and tells
@@ -65,6 +67,9 @@
 
 // Get implements objectapi.Feed.
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return objectapi.Object{}, errHeldBack
+	}
 	asked := time.Now()
 	o, err := c.Feed.Get(ctx, key)
 	c.note("get", key, asked, err)
@@ -73,6 +78,9 @@
 
 // GetStale implements objectapi.Feed.
 func (c *countedFeed) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return objectapi.Object{}, errHeldBack
+	}
 	o, err := c.Feed.GetStale(ctx, key)
 	c.count("get-stale", key, err)
 	return o, err
@@ -80,6 +88,9 @@
 
 // ListStale implements objectapi.Feed.
 func (c *countedFeed) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return objectapi.Listing{}, errHeldBack
+	}
 	l, err := c.Feed.ListStale(ctx, kind)
 	c.count("list-stale", kind, err)
 	return l, err
@@ -87,6 +98,9 @@
 
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return objectapi.Listing{}, errHeldBack
+	}
 	asked := time.Now()
 	l, err := c.Feed.ListKind(ctx, kind)
 	c.note("list", kind, asked, err)
@@ -95,6 +109,9 @@
 
 // Follow implements objectapi.Feed.
 func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return objectapi.Changes{}, errHeldBack
+	}
 	asked := time.Now()
 	changes, err := c.Feed.Follow(ctx, kind, after, wait)
 	c.note("follow", kind, asked, err)
@@ -103,6 +120,9 @@
 
 // Create implements objectapi.Feed.
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	if !c.outage.mayAsk(time.Now()) {
+		return 0, errHeldBack
+	}
 	asked := time.Now()
 	version, err := c.Feed.Create(ctx, key, value)
 	c.note("create", key, asked, err)
@@ -111,6 +131,9 @@
 
 // Update implements objectapi.Feed.
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+	if key != leaseKey && !c.outage.mayAsk(time.Now()) {
+		return 0, errHeldBack
+	}
 	asked := time.Now()
 	v, err := c.Feed.Update(ctx, key, version, value)
 	c.note("update", key, asked, err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,6 +96,7 @@
 	fleet    *fleet.Follower
 	pool     *upstream.Pool
 	picker   *dispatch.Picker
+	budgets  dispatch.Budgets
 	gateway  *gateway.Gateway
 	calls    *countedFeed
 	relay    *relay.Node // nil: this daemon has no address for peers
@@ -146,6 +147,7 @@
 func (d *Daemon) build(s Settings, holder string) {
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics)
+	d.calls.outage.every = d.probeEvery
 	d.Outside.Feed = d.calls
 	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
 		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
@@ -193,6 +195,7 @@
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
 	if d.survey != nil {
 		run(ctx, d.survey.Run)
+		run(work, d.exchange().Run)
 	}
 	run(ctx, manager.Run)
 	return group.Wait
@@ -229,7 +232,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Borrow: d.borrow, MayBorrow: d.mayBorrow, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"pearlanding/internal/dispatch"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/rpc"
 )
@@ -49,6 +50,19 @@
 	return followsAlone
 }
 
+// probeEvery is the time between two calls to a store that does not answer.
+func (d *Daemon) probeEvery() time.Duration {
+	switch {
+	case d.relay == nil || d.planning():
+		return probeAlone
+	case d.relay.Holding():
+		return probeRelay
+	case d.relay.Told():
+		return probeRelayed
+	}
+	return probeAlone
+}
+
 // listenForPeers opens the address for other daemons. One that can't be had costs
 // calls to the store, no service: the daemon then has none.
 func (d *Daemon) listenForPeers(s *Settings) net.Listener {
@@ -72,7 +86,8 @@
 		return relay.Addresses(l), err
 	}}
 	return relay.NewNode(relay.Options{
-		Store: d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
+		Traffic: relay.Traffic{Spare: d.budgets.Spare, InFlight: d.picker.InFlight, Loaded: d.picker.Loaded, Rule: d.poolRule},
+		Store:   d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
 		Standing:  d.picker.Stopped,
@@ -82,6 +97,30 @@
 	})
 }
 
+// exchange tells this daemon, while it relays, what other zones have in progress.
+func (d *Daemon) exchange() *relay.Exchange {
+	return &relay.Exchange{Node: d.relay, Relays: func(ctx context.Context) ([]string, error) {
+		l, err := d.Outside.Feed.ListStale(ctx, relayKind)
+		return relay.Addresses(l), err
+	}}
+}
+
+// poolRule is the rule of this zone's pool of repeats.
+func (d *Daemon) poolRule() dispatch.PoolRule {
+	s := d.Settings()
+	return dispatch.PoolRule{Extra: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow, Pools: s.Zones}
+}
+
+// borrow asks the zone's pool for a repeat of a service; mayBorrow tells whether it
+// probably has one.
+func (d *Daemon) borrow(ctx context.Context, service string) bool {
+	return d.relay != nil && d.relay.Repeat(ctx, service)
+}
+
+func (d *Daemon) mayBorrow(service string) bool {
+	return d.relay != nil && d.relay.MayRepeat(service)
+}
+
 // still lists the heads of groups that stand still, for this daemon or for others.
 func (d *Daemon) still(now time.Time) []string {
 	out := d.picker.Still(now)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -8,6 +8,7 @@
 type Settings struct {
 	Node      string
 	Zone      string
+	Zones     int // failure domains in which daemons run
 	IP        string
 	Bootstrap bool   // all daemons start for the first time, together
 	Callers   string // address that serves callers
@@ -38,6 +39,7 @@
 	Pass           time.Duration // until an event is passed on
 	RetryRatio     float64       // repeats allowed per request
 	RetryWindow    time.Duration
+	RetryExtra     float64       // repeats that all daemons may make in a window beside the ratio
 	CeilingWindow  time.Duration // of loads from the weight store
 	CeilingOverage float64
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -33,6 +33,8 @@
 // not run.
 func (x *exchange) giveUp(reason string) {
 	switch {
+	case !x.mayRun && x.gateway.View() == nil:
+		x.refuse(http.StatusServiceUnavailable, "instances_not_known", dispatch.ComeBack(dispatch.Starting))
 	case !x.mayRun:
 		x.refuse(http.StatusServiceUnavailable, reason, dispatch.ComeBack(dispatch.Busy))
 	case time.Now().Before(x.deadline):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,9 +42,13 @@
 	Picker   *dispatch.Picker
 	Metrics  *Metrics
 	Log      *zap.Logger
-	budgets  dispatch.Budgets
-	sampled  atomic.Uint64
-	any      atomic.Bool
+	Budgets  *dispatch.Budgets
+	// Borrow asks other daemons for a repeat of a service that this one's budget lacks;
+	// MayBorrow tells whether they probably have one. nil: there are no others.
+	Borrow    func(ctx context.Context, service string) bool
+	MayBorrow func(service string) bool
+	sampled   atomic.Uint64
+	any       atomic.Bool
 }
 
 // Idle tells whether no request came yet.
@@ -119,7 +123,7 @@
 func (x *exchange) admit() bool {
 	table, bounds := x.config.Table, x.gateway.Bounds()
 	if table == nil {
-		return x.refuse(http.StatusServiceUnavailable, "no_configuration", dispatch.ComeBack(dispatch.Elsewhere))
+		return x.refuse(http.StatusServiceUnavailable, "no_configuration", dispatch.ComeBack(dispatch.Starting))
 	}
 	age := x.now.Sub(x.config.Proved)
 	host, _, _ := strings.Cut(x.req.Host, ":")
@@ -233,7 +237,7 @@
 }
 
 // next chooses where to send the request, nil if it may go nowhere else.
-func (x *exchange) next() *dispatch.Target {
+func (x *exchange) next(ctx context.Context) *dispatch.Target {
 	if x.attempts.Spent(x.route.Attempts) {
 		x.note("attempts_spent")
 		return nil
@@ -241,18 +245,29 @@
 	now, rule := time.Now(), x.gateway.Bounds().Retry
 	repeat := x.attempts.Repeated()
 	// Taken before the choice: requests that fail together would all find it left.
-	if repeat && !x.budget().Repeat(rule, now) {
+	own := repeat && x.budget().Repeat(rule, now)
+	if repeat && !own && !x.borrow(ctx) {
 		x.note("retry_budget_spent")
 		return nil
 	}
 	t := x.gateway.Picker.Pick(x.targets(), x.tried, now)
-	if t == nil && repeat {
+	if t == nil && own {
 		x.budget().Return(rule, now)
 	}
 	return t
 }
 
-func (x *exchange) budget() *dispatch.Budget { return x.gateway.budgets.Of(x.service.Name) }
+func (x *exchange) budget() *dispatch.Budget { return x.gateway.Budgets.Of(x.service.Name) }
+
+// borrow takes a repeat that other daemons have to spare.
+func (x *exchange) borrow(ctx context.Context) bool {
+	return x.gateway.Borrow != nil && x.gateway.Borrow(ctx, x.service.Name)
+}
+
+// mayRepeat tells whether a repeat of a service could be made now.
+func (g *Gateway) mayRepeat(service string) bool {
+	return g.Budgets.Of(service).Left(g.Bounds().Retry, time.Now()) >= 1 || g.MayBorrow != nil && g.MayBorrow(service)
+}
 
 // send sends the request to a target once.
 func (x *exchange) send(ctx context.Context, t *dispatch.Target, lastEvent string) (*http.Response, error) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,7 +64,7 @@
 		metrics.WriteGaugeUint64(w, "pearlanding_target_in_flight"+labels, uint64(max(l.InFlight, 0)))
 		metrics.WriteGaugeFloat64(w, "pearlanding_target_expected_first_event_seconds"+labels, l.Expected.Seconds())
 	}
-	for service, left := range g.budgets.Left(g.Bounds().Retry, now) {
+	for service, left := range g.Budgets.Left(g.Bounds().Retry, now) {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("pearlanding_repeat_budget_left{service=%q}", service), left)
 	}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -20,7 +20,7 @@
 // plain sends a request and passes the whole answer on.
 func (x *exchange) plain(ctx context.Context) {
 	for {
-		t := x.next()
+		t := x.next(ctx)
 		if t == nil {
 			x.giveUp("no_target")
 			return
@@ -121,7 +121,7 @@
 
 // again tells whether another send could be made.
 func (x *exchange) again() bool {
-	if x.budget().Left(x.gateway.Bounds().Retry, time.Now()) < 1 {
+	if !x.gateway.mayRepeat(x.service.Name) {
 		return false
 	}
 	for _, t := range x.targets() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,7 +38,7 @@
 		return
 	}
 	for {
-		t := x.next()
+		t := x.next(ctx)
 		if t == nil {
 			x.giveUp("no_replica")
 			return
@@ -132,7 +132,7 @@
 	tried := maps.Clone(x.tried)
 	service, model, g := x.service, x.req.Model, x.gateway
 	return func() bool {
-		if g.budgets.Of(service.Name).Left(g.Bounds().Retry, time.Now()) < 1 {
+		if !g.mayRepeat(service.Name) {
 			return false
 		}
 		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o dispatch.Target) bool {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -55,7 +55,8 @@
 
 // Methods returns the calls that peers may make.
 func (n *Node) Methods() handler.Map {
-	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding)}
+	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding),
+		methodShare: handler.New(n.answerShare), methodRepeat: handler.New(n.answerRepeat), methodLoads: handler.New(n.answerLoads)}
 }
 
 // maxWait bounds how long a peer's call is held.
@@ -130,5 +131,26 @@
 	return out, err
 }
 
+// Share implements Transport.
+func (p *Peers) Share(ctx context.Context, address string, r ShareRequest) (ShareReply, error) {
+	var out ShareReply
+	err := p.rpc.Call(ctx, address, methodShare, r, &out)
+	return out, err
+}
+
+// Repeat implements Transport.
+func (p *Peers) Repeat(ctx context.Context, address string, r RepeatRequest) (RepeatReply, error) {
+	var out RepeatReply
+	err := p.rpc.Call(ctx, address, methodRepeat, r, &out)
+	return out, err
+}
+
+// Loads implements Transport.
+func (p *Peers) Loads(ctx context.Context, address string) (LoadsReply, error) {
+	var out LoadsReply
+	err := p.rpc.Call(ctx, address, methodLoads, nil, &out)
+	return out, err
+}
+
 // Close ends all connections.
 func (p *Peers) Close() { p.rpc.Close() }
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -34,6 +34,7 @@
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
 	n.suspect, n.peer, n.proved, n.failedAt = n.peer, "", time.Time{}, n.now()
 	n.aloneAt = time.Time{}
+	n.share.lost()
 	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,12 @@
 // Transport asks a relay at an address.
 type Transport interface {
 	News(ctx context.Context, address string, r NewsRequest) (NewsReply, error)
+	// Share tells a daemon's load and hands repeats over.
+	Share(ctx context.Context, address string, r ShareRequest) (ShareReply, error)
+	// Repeat asks for a repeat of the relay's pool.
+	Repeat(ctx context.Context, address string, r RepeatRequest) (RepeatReply, error)
+	// Loads asks what the daemons of the relay's zone have in progress.
+	Loads(ctx context.Context, address string) (LoadsReply, error)
 }
 
 // Options of a Node; all are needed.
@@ -80,6 +86,8 @@
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
 	Confirm func(version uint64, proved time.Time)
+	// Traffic is what this daemon's requests share with others.
+	Traffic Traffic
 	// Bootstrap: all daemons start together, and no relay can be known yet.
 	Bootstrap bool
 	// Standing lists the instances whose running streams stopped for this daemon lately.
@@ -99,11 +107,14 @@
 	o       Options
 	history *history
 	reports *reports
+	share   share
 	holding atomic.Bool // the record names this daemon, as far as it knows
 	reached atomic.Bool // the last call to the store for entries succeeded
 	closed  atomic.Bool // this daemon stops
 	askedAt steady.Time // when a peer asked last
-	via     atomic.Bool // the last call of Follow went through a relay
+	// answered is when a relay answered last, whatever it said.
+	answered steady.Time
+	via      atomic.Bool // the last call of Follow went through a relay
 
 	// State of the goroutine that calls Follow.
 	peer      string // the relay's address; empty: none that is known to work
@@ -155,6 +166,14 @@
 	return n.relaying() && n.now().Sub(n.askedAt.Load()) < servingFor
 }
 
+// Holding tells whether this daemon relays for its zone, as far as it knows, in touch
+// with the store or not.
+func (n *Node) Holding() bool { return n.holding.Load() && !n.closed.Load() }
+
+// Told tells whether a relay answered this daemon lately, if only that it is out of touch
+// with the store: it will tell when the store is back.
+func (n *Node) Told() bool { return n.now().Sub(n.answered.Load()) < servingFor }
+
 // Relayed tells whether this daemon follows through a relay.
 func (n *Node) Relayed() bool { return n.via.Load() }
 
@@ -250,6 +269,7 @@
 	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds(),
 		From: n.o.Holder, Standing: n.o.Standing(asked)})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
+		n.answered.Store(n.now())
 		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
 	}
 	if err != nil {
@@ -257,6 +277,8 @@
 	}
 	age := time.Duration(r.EntriesAge) * time.Millisecond
 	n.configSeq, n.proved = r.ConfigSeq, asked.Add(-age)
+	n.answered.Store(n.now())
+	n.share.found(address)
 	if r.ConfigVersion != 0 {
 		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
