--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -22,6 +22,9 @@
 // Belief turns what the store tells into views. It is not safe for concurrent
 // use: one goroutine owns it. Time is passed in.
 type Belief struct {
+	// LeadsFor is how long after the last proof that its entry stood a head may be sent
+	// requests whose entry went without a word; 0: not at all.
+	LeadsFor  time.Duration
 	size      SizeOf
 	reach     *Reachability
 	instances map[string]*Instance
@@ -49,8 +52,8 @@
 // Reached notes that the store answered at a time.
 func (b *Belief) Reached(at time.Time) { b.reach.Answered(at) }
 
-// Replace takes a whole listing.
-func (b *Belief) Replace(instances []*Instance, revision uint64, now time.Time) {
+// Replace takes a whole listing. stood is when the belief was last proved.
+func (b *Belief) Replace(instances []*Instance, revision uint64, stood, now time.Time) {
 	present := make(map[string]bool, len(instances))
 	for _, in := range instances {
 		present[in.ID] = true
@@ -58,7 +61,7 @@
 	}
 	for id := range b.instances {
 		if !present[id] {
-			b.Remove(id, now)
+			b.Remove(id, stood, now)
 		}
 	}
 	b.revision = max(b.revision, revision)
@@ -93,7 +96,9 @@
 // Remove takes the removal of an entry. Right after an outage the instance is
 // believed until the grace ends, unless it had said that it was leaving; the result
 // tells whether it is.
-func (b *Belief) Remove(id string, now time.Time) (believed bool) {
+//
+// stood is when the entry was last proved to stand.
+func (b *Belief) Remove(id string, stood, now time.Time) (believed bool) {
 	in := b.instances[id]
 	if in == nil {
 		return false
@@ -103,9 +108,23 @@
 		return true
 	}
 	b.forget(id, now)
+	b.lead(id, stood, now)
 	return false
 }
 
+// lead lets a head lead on for a while whose entry lapsed while it was open: an engine cut
+// off from the store goes on serving. Instances that leave may be sent requests for a few
+// seconds, and one that is dead is found out by its streams and by probes.
+func (b *Belief) lead(id string, stood, now time.Time) {
+	gone := b.removed[id]
+	in := gone.Instance
+	gone.LeadsUntil = stood.Add(b.LeadsFor)
+	if in.Group.Rank == 0 && in.Group.State == Open && !in.Draining && now.Before(gone.LeadsUntil) {
+		gone.Leads, gone.Lapsed = true, true
+		b.removed[id] = gone
+	}
+}
+
 // Discard takes an entry, as it is since a version, that names no instance: another
 // writer's, or one that can't be read. What it said before ends at once.
 func (b *Belief) Discard(id string, version uint64, now time.Time) {
@@ -125,8 +144,8 @@
 func (b *Belief) Expire(now time.Time) bool {
 	changed := false
 	for id, gone := range b.removed {
-		if gone.Lapsed && now.Sub(gone.At) > lapsedFor {
-			gone.Lapsed, changed = false, true
+		if gone.Lapsed && now.Sub(gone.At) > lapsedFor || gone.Leads && !now.Before(gone.LeadsUntil) {
+			gone.Lapsed, gone.Leads, changed = false, false, true
 			b.removed[id] = gone
 		}
 		if now.Sub(gone.At) > removedMemory {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,6 +116,9 @@
 	// Lapsed: it may still serve. It said nothing of leaving, was ready in its group, and
 	// nothing has shown since that it is dead.
 	Lapsed bool
+	// Leads: it is a lapsed head that may be sent requests, until LeadsUntil.
+	Leads      bool
+	LeadsUntil time.Time
 }
 
 // SizeOf tells how many instances a replica of a model takes; 0: unknown.
@@ -145,8 +148,13 @@
 		}
 	}
 	for _, gone := range removed {
-		if g := v.Groups[gone.Instance.Group.Key()]; gone.Lapsed && g != nil {
-			g.Lapsed = append(g.Lapsed, gone.Instance)
+		g := v.Groups[gone.Instance.Group.Key()]
+		if !gone.Lapsed || g == nil {
+			continue
+		}
+		g.Lapsed = append(g.Lapsed, gone.Instance)
+		if gone.Leads && g.Head == nil {
+			g.Head, g.Zone = gone.Instance, gone.Instance.Zone
 		}
 	}
 	for _, list := range v.Services {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -175,14 +175,14 @@
 			all = append(all, in)
 		}
 	}
-	f.belief.Replace(all, l.Revision, now)
+	f.belief.Replace(all, l.Revision, f.proved.Load(), now)
 	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision))
 }
 
 func (f *Follower) apply(e objectapi.Event, now time.Time) {
 	if e.Removed {
 		id := f.id(e.Object.Key)
-		believed := f.belief.Remove(id, now)
+		believed := f.belief.Remove(id, f.proved.Load(), now)
 		f.Log.Info("instance entry removed", zap.String("instance", id), zap.Uint64("version", e.Object.Version),
 			zap.Bool("believed", believed))
 		return
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -149,7 +149,7 @@
 	removed := make(map[string]fleet.Gone, len(v.Removed)+len(s.dead))
 	for id, gone := range v.Removed {
 		if _, ok := s.dead[lifeOf(gone.Instance)]; ok {
-			gone.Lapsed = false
+			gone.Lapsed, gone.Leads = false, false
 		}
 		removed[id] = gone
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -146,6 +146,7 @@
 
 func (d *Daemon) build(s Settings, holder string) {
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
+	belief.LeadsFor = d.drainPart(leadsPart, 0)
 	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics)
 	d.calls.outage.every = d.probeEvery
 	d.Outside.Feed = d.calls
