Test: peers hear soon that the store is back (red)

A peer draws up to 1.5 s between two questions to a relay that is out of touch. Red on the code before at the first length of the outage, and from 121 ticks on (beyond three times the proofs' age) also with shorter pauses: peers then looked at the record, in a store that is away.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -393,3 +393,37 @@
 		}
 	}
 }
+
+// What happened: the store was back at second 26.0, and daemons served again between 27.4 and
+// 28.5. Why: a peer asked a relay that was out of touch up to 1.5 s after its last question,
+// though its word is what ends the outage for the zone. What settled it: "relay used" that long
+// after the relay's own "store reached again".
+func TestPeersHearSoonThatTheStoreIsBack(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	for away := range 30 { // whenever in a peer's pause it is back
+		z := newZone(5)
+		z.rounds(t, 6)
+		relay := z.relays()[0]
+		z.unlucky, z.down = true, true
+		step := func() {
+			z.pass(tick)
+			for _, d := range z.daemons {
+				_ = d.step() // fails while the store is away
+			}
+		}
+		for range 100 + away {
+			step()
+		}
+		z.down = false
+		must.NoError(t, relay.step())
+		for _, d := range z.daemons {
+			d.cut = d != relay // they hear it from the relay alone
+		}
+		for range 600 * time.Millisecond / tick {
+			step()
+		}
+		for _, d := range z.daemons {
+			must.True(t, d == relay || d.Relayed(), must.Sprint("away for ", 100+away, " ticks"))
+		}
+	}
+}
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -28,6 +28,7 @@
 	config   []configChange
 	record   objectapi.Object
 	down     bool
+	unlucky  bool            // whatever is drawn by chance takes longest
 	behind   uint64          // revisions that an old read lags
 	follows  map[*daemon]int // calls of Follow that reached the store
 	lists    int             // listings of full price
@@ -103,8 +104,13 @@
 			Loaded:   func(others dispatch.Others, _ time.Time) { d.others, d.left = others.InFlight, others.Standing },
 			Rule:     func() dispatch.PoolRule { return dispatch.PoolRule{} },
 		},
-		Uniform: func(least, _ time.Duration) time.Duration { return least },
-		Now:     func() time.Time { return z.now }, Log: zap.NewNop()})
+		Uniform: func(least, most time.Duration) time.Duration {
+			if z.unlucky {
+				return most
+			}
+			return least
+		},
+		Now: func() time.Time { return z.now }, Log: zap.NewNop()})
 }
 
 // restart starts a daemon's process anew.
