--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -427,3 +427,29 @@
 		}
 	}
 }
+
+// What happened: the store dropped its history, and all of 290 daemons that follow through
+// relays listed it anew. Why: a relay that was told so counted as out of touch until it had
+// listed, though the store had answered and its proofs were young; its peers turned to the
+// store, and were told the same. What settled it: 290 times "history compacted" in one second.
+func TestLostHistoryCostsAZoneOneListing(t *testing.T) {
+	z := newZone(6)
+	z.change("a", false)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	z.change("b", false)
+	z.change("a", true)
+	z.floor = z.revision
+	must.NoError(t, relay.step()) // hears that the history is gone
+	for _, d := range z.daemons {
+		if d != relay {
+			must.NoError(t, d.step())
+		}
+	}
+	z.rounds(t, 2)
+	must.Eq(t, 1, z.lists)
+	for _, d := range z.daemons {
+		must.Eq(t, z.state(), d.state)
+		must.True(t, d == relay || d.Relayed())
+	}
+}
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -27,6 +27,7 @@
 	entries  []objectapi.Event // all changes, by revision
 	config   []configChange
 	record   objectapi.Object
+	floor    uint64 // changes up to it are forgotten
 	down     bool
 	unlucky  bool            // whatever is drawn by chance takes longest
 	behind   uint64          // revisions that an old read lags
@@ -308,6 +309,9 @@
 		return objectapi.Changes{}, errDown
 	}
 	s.z.follows[s.d]++
+	if after < s.z.floor {
+		return objectapi.Changes{}, objectapi.ErrCompacted
+	}
 	c := objectapi.Changes{Revision: s.z.revision}
 	for _, e := range s.z.entries {
 		if e.Object.Version > after {
