--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -246,11 +246,12 @@
 	}
 	asked := n.now()
 	changes, err := n.Feed.Follow(ctx, n.o.Kind, after, wait)
-	if err == nil || ctx.Err() == nil { // a call broken off shows nothing
-		n.reached.Store(err == nil)
+	answered := err == nil || errors.Is(err, objectapi.ErrCompacted)
+	if answered || ctx.Err() == nil { // a call broken off shows nothing
+		n.reached.Store(answered)
 	}
 	switch {
-	case err != nil:
+	case !answered:
 		n.aloneAt = time.Time{}
 	case n.aloneAt.IsZero():
 		n.aloneAt = n.now()
