--- a/internal/dispatch/candidates_test.go
+++ b/internal/dispatch/candidates_test.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// Load: seven daemons, each of which sees a seventh of what their twelve replicas do. What
+// they know by themselves is good; a few drawn by chance and compared by what is told did
+// worse (20 of 720 met a full replica), and worth per request owed fell by 0.010 +/- 0.004
+// (8 paired days).
+func TestFewDaemonsLoseNothingByWhatTheyAreTold(t *testing.T) {
+	load := choosers{daemons: 7, replicas: 12, zones: 3, perSecond: 120, lasts: time.Second, places: 14, told: 400 * time.Millisecond}
+	full, sent, _ := load.play()
+	must.LessEq(t, sent/100, full)
+}
+
 // A word that is old, or none, leaves the choice to the daemon's own streams.
 func TestOldWordsDoNotCount(t *testing.T) {
 	p := testPicker()
@@ -134,7 +144,7 @@
 
 // What others have in progress counts like own requests.
 func TestOthersRequestsCount(t *testing.T) {
-	p := NewPicker("z", func(int) int { return 0 })
+	p := NewPicker("z", func(n int) int { return n - 1 }) // draws the last, keeps the first of equals
 	p.Loaded(Others{InFlight: map[string]int{"here": 3}}, t0)
 	must.Eq(t, "there", pickOne(p, t0, here, there))
 	must.Eq(t, map[string]int{}, p.InFlight())
