--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -47,6 +47,7 @@
 	must.Eq(t, map[string]int{"x": 3, "y": 4}, a.others)
 	must.Eq(t, map[string]int{"x": 2, "y": 5}, b.others)
 	must.Eq(t, map[string]int{"x": 5, "y": 1}, relay.others)
+	must.Eq(t, []int{3, 3, 3}, []int{a.told, b.told, relay.told})
 	a.dead = true
 	z.pass(loadFor / 2)
 	z.exchange()
