Choice: what others have in progress counts from 17 daemons on

Each of seven daemons sees a seventh of its replicas' load as it is now; what is told is 0.4 s old. How many daemons there are is counted by their relays. What stands still for others counts at any number.

--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -16,8 +16,13 @@
 	toldZonePenalty = 1.5
 )
 
+// fewDaemons is up to how many daemons each knows its replicas' load best by its own
+// requests: simulated, seven do better with nothing told, 68 better with it.
+const fewDaemons = 16
+
 // Others is what all other daemons told.
 type Others struct {
+	Daemons  int                // that told, this one included
 	InFlight map[string]int     // their requests in progress, by instance
 	Standing map[fleet.Key]bool // groups that stand still for several, and bring nobody events
 }
@@ -94,13 +99,18 @@
 			well = append(well, t)
 		}
 	}
-	if len(well) == 0 || now.Sub(p.toldAt) >= toldFor {
+	if len(well) == 0 || !p.told(now) {
 		return all
 	}
 	own := p.least(well, func(t *Target) float64 { return p.ownScore(t, now) })
 	return []*Target{own, well[p.uniform(len(well))]}
 }
 
+// told tells whether others' requests in progress count. p.mu is held.
+func (p *Picker) told(now time.Time) bool {
+	return now.Sub(p.toldAt) < toldFor && p.others.Daemons > fewDaemons
+}
+
 // standsWell tells whether nothing is known against a target. p.mu is held.
 func (p *Picker) standsWell(t *Target, now time.Time) bool {
 	r := p.records[t.life()]
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -98,7 +98,7 @@
 // score is what speaks against a target, in requests in progress. p.mu is held.
 func (p *Picker) score(t *Target, now time.Time) float64 {
 	score := p.ownScore(t, now)
-	if now.Sub(p.toldAt) < toldFor {
+	if p.told(now) {
 		score += float64(p.others.InFlight[t.Instance])
 		if t.Zone != p.zone {
 			score += toldZonePenalty - otherZonePenalty
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -86,6 +86,7 @@
 	Repeats map[string]float64 `json:"repeats,omitempty"`
 	// Standing are the groups that stand still.
 	Standing []groupRef `json:"standing,omitempty"`
+	Daemons  int        `json:"daemons"` // that told their loads
 }
 
 // RepeatRequest asks for one repeat of a service.
@@ -103,6 +104,7 @@
 type LoadsReply struct {
 	Loads    map[string]int `json:"loads,omitempty"`
 	Standing []groupRef     `json:"standing,omitempty"`
+	Daemons  int            `json:"daemons"`
 }
 
 // Traffic is what a daemon's own requests give to the others and take from them.
@@ -168,6 +170,7 @@
 	by    map[string]daemonLoad // by daemon of this zone
 	far   map[string]int        // of other zones' daemons together
 	stand []groupRef            // groups that stand still for other zones
+	count int                   // of other zones' daemons
 	sum   map[string]int        // of all; never changed once made
 	sumAt time.Time
 }
@@ -190,10 +193,22 @@
 }
 
 // noteFar takes in what other zones' relays told.
-func (l *loads) noteFar(far map[string]int, standing []groupRef) {
+func (l *loads) noteFar(far map[string]int, standing []groupRef, daemons int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.far, l.stand = far, standing
+	l.far, l.stand, l.count = far, standing, daemons
+}
+
+// daemons returns how many daemons of this zone told lately, and of all.
+func (l *loads) daemons(now time.Time) (near, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, one := range l.by {
+		if now.Sub(one.at) <= loadFor {
+			near++
+		}
+	}
+	return near, near + l.count
 }
 
 // standingLeast is how many daemons must say that a group's streams stopped, while none
@@ -333,7 +348,8 @@
 func (n *Node) answerLoads(context.Context) (LoadsReply, error) {
 	now := n.now()
 	n.share.loads.note(n.word(now), now)
-	return LoadsReply{n.share.loads.zone(now), n.share.loads.standing(now)}, nil
+	near, _ := n.share.loads.daemons(now)
+	return LoadsReply{n.share.loads.zone(now), n.share.loads.standing(now), near}, nil
 }
 
 // word is what this daemon tells of its own requests.
@@ -353,7 +369,8 @@
 	now, rule := n.now(), n.o.Traffic.Rule()
 	n.share.loads.note(r, now)
 	n.share.pool.Put(r.Repeats, rule, now)
-	return ShareReply{n.share.loads.all(now), n.share.pool.Levels(rule, now), n.share.loads.allStanding(now)}, nil
+	_, daemons := n.share.loads.daemons(now)
+	return ShareReply{n.share.loads.all(now), n.share.pool.Levels(rule, now), n.share.loads.allStanding(now), daemons}, nil
 }
 
 // Exchange tells this daemon's load to the others and learns theirs: through its relay, or
@@ -407,7 +424,7 @@
 		return // the last word counts until it is old; who follows through this relay finds that it is gone
 	}
 	n.share.told(r.Repeats, n.now())
-	n.o.Traffic.Loaded(dispatch.Others{InFlight: without(r.Loads, word.Loads), Standing: toSet(r.Standing)}, n.now())
+	n.o.Traffic.Loaded(dispatch.Others{Daemons: r.Daemons, InFlight: without(r.Loads, word.Loads), Standing: toSet(r.Standing)}, n.now())
 }
 
 // list looks now and then who the relays are.
@@ -439,12 +456,15 @@
 	wait.Wait()
 	far := map[string]int{}
 	var standing []groupRef
+	daemons := 0
 	for _, r := range replies {
+		daemons += r.Daemons
 		addTo(far, r.Loads)
 		standing = append(standing, r.Standing...)
 	}
 	now := n.now()
-	n.share.loads.noteFar(far, standing)
+	n.share.loads.noteFar(far, standing, daemons)
 	n.share.loads.note(n.word(now), now)
-	n.o.Traffic.Loaded(dispatch.Others{InFlight: n.share.loads.others(n.o.Holder, now), Standing: toSet(n.share.loads.allStanding(now))}, now)
+	_, all := n.share.loads.daemons(now)
+	n.o.Traffic.Loaded(dispatch.Others{Daemons: all, InFlight: n.share.loads.others(n.o.Holder, now), Standing: toSet(n.share.loads.allStanding(now))}, now)
 }
