--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -41,7 +41,7 @@
 	// startPatience is how long a daemon that starts waits for a relay's word before its
 	// first read: with it the read may be an old one, at a tenth of the price. Where all
 	// start together for the first time, relays must be found first.
-	startPatience     = 400 * time.Millisecond
+	startPatience     = 150 * time.Millisecond
 	bootstrapPatience = 2 * time.Second
 )
 
