Relay: a first call is answered at once or given up after 0.2 s

Its own first listing is an old one and serves nothing without a proof. Tests: 0.7 s before, 0.2 s now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,11 @@
 	// begun to follow by then.
 	conflictLeast = 100 * time.Millisecond
 	conflictMost  = 300 * time.Millisecond
+	// firstMargin is how much longer than it may be held a daemon's first call to a relay
+	// may take: nothing is served before it. After a loss of power the record names a machine
+	// that may have none yet; with 0.6 s for it, 2,675 requests to 295 daemons were refused
+	// as instances were not known.
+	firstMargin = 200 * time.Millisecond
 	// recheckEvery is how often a relay looks whether the record still names it.
 	recheckEvery = 20 * time.Second
 )
@@ -266,9 +271,11 @@
 // daemon turns to the store before its last proof is stale.
 func (n *Node) ask(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	asked := n.now()
-	timeout := wait + n.part(answerMargin)
-	if !n.proved.IsZero() {
-		timeout = max(min(timeout, n.proved.Add(n.o.Stale()).Sub(asked)), n.part(leastAskPart))
+	timeout := firstMargin
+	if n.proved.IsZero() {
+		wait = 0
+	} else {
+		timeout = max(min(wait+n.part(answerMargin), n.proved.Add(n.o.Stale()).Sub(asked)), n.part(leastAskPart))
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
