--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/creachadair/jrpc2"
+
+	"pearlanding/internal/dispatch"
+)
+
+// answerLoads answers another zone's relay.
+func (n *Node) answerLoads(context.Context) (LoadsReply, error) {
+	now := n.now()
+	n.share.loads.note(n.word(now), now)
+	near, _ := n.share.loads.daemons(now)
+	return LoadsReply{n.share.loads.zone(now), n.share.loads.standing(now), near}, nil
+}
+
+// word is what this daemon tells of its own requests.
+func (n *Node) word(now time.Time) ShareRequest {
+	stopped, alive := n.o.Traffic.Progress(now)
+	if len(stopped) > reportMost {
+		stopped = nil // it is probably cut off itself
+	}
+	return ShareRequest{From: n.o.Holder, Loads: n.o.Traffic.InFlight(), Stopped: toRefs(stopped), Alive: toRefs(alive)}
+}
+
+// answerShare answers a peer.
+func (n *Node) answerShare(_ context.Context, r ShareRequest) (ShareReply, error) {
+	if !n.relaying() {
+		return ShareReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
+	}
+	now, rule := n.now(), n.o.Traffic.Rule()
+	n.share.loads.note(r, now)
+	n.share.pool.Put(r.Repeats, rule, now)
+	_, daemons := n.share.loads.daemons(now)
+	return ShareReply{n.share.loads.all(now), n.share.pool.Levels(rule, now), n.share.loads.allStanding(now), daemons}, nil
+}
+
+// Exchange tells this daemon's load to the others and learns theirs: through its relay, or
+// as a relay from those of the other zones.
+type Exchange struct {
+	Node   *Node
+	Relays func(ctx context.Context) ([]string, error) // all zones' addresses
+
+	relays []string
+	listed time.Time
+}
+
+// Run exchanges loads until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	tick := time.NewTicker(shareEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			x.once(ctx)
+		}
+	}
+}
+
+// once makes one exchange.
+func (x *Exchange) once(ctx context.Context) {
+	n := x.Node
+	now := n.now()
+	timed, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	if n.Serving() {
+		n.share.pool.Put(n.o.Traffic.Spare(now), n.o.Traffic.Rule(), now)
+		x.list(ctx, now)
+		x.ask(timed)
+		return
+	}
+	if relay, _ := n.share.current(now); relay != "" {
+		x.tell(timed, relay, now)
+	}
+}
+
+// tell tells the relay this daemon's load, and takes in that of the others.
+func (x *Exchange) tell(ctx context.Context, relay string, now time.Time) {
+	n := x.Node
+	word := n.word(now)
+	word.Repeats = n.o.Traffic.Spare(now)
+	r, err := n.o.Peers.Share(ctx, relay, word)
+	if err != nil {
+		return // the last word counts until it is old; who follows through this relay finds that it is gone
+	}
+	n.share.told(r.Repeats, n.now())
+	n.o.Traffic.Loaded(dispatch.Others{Daemons: r.Daemons, InFlight: without(r.Loads, word.Loads), Standing: toSet(r.Standing)}, n.now())
+}
+
+// list looks now and then who the relays are.
+func (x *Exchange) list(ctx context.Context, now time.Time) {
+	if now.Sub(x.listed) <= relayList {
+		return
+	}
+	if found, err := x.Relays(ctx); err == nil {
+		x.relays = found
+	}
+	x.listed = now // an error is counted with the store's calls; the old list stays
+}
+
+// ask asks all other relays at a time.
+func (x *Exchange) ask(ctx context.Context) {
+	n := x.Node
+	replies := make([]LoadsReply, len(x.relays))
+	var wait sync.WaitGroup
+	for i, address := range x.relays {
+		if address == n.o.Address {
+			continue
+		}
+		wait.Go(func() {
+			if r, err := n.o.Peers.Loads(ctx, address); err == nil {
+				replies[i] = r // a zone without a word counts as idle until its next one
+			}
+		})
+	}
+	wait.Wait()
+	far := map[string]int{}
+	var standing []groupRef
+	daemons := 0
+	for _, r := range replies {
+		daemons += r.Daemons
+		addTo(far, r.Loads)
+		standing = append(standing, r.Standing...)
+	}
+	now := n.now()
+	n.share.loads.noteFar(far, standing, daemons)
+	n.share.loads.note(n.word(now), now)
+	_, all := n.share.loads.daemons(now)
+	n.o.Traffic.Loaded(dispatch.Others{Daemons: all, InFlight: n.share.loads.others(n.o.Holder, now), Standing: toSet(n.share.loads.allStanding(now))}, now)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,11 @@
 // a relay that is dead, frozen, cut off or deaf costs calls, but breaks no bound.
 // The configuration itself is never relayed: keys stay between the store and each
 // daemon.
+//
+// Through the same daemons a zone shares what each of hundreds would know or have too
+// little of by itself: repeats (share.go), what is in progress where and which groups stand
+// still (loads.go, exchange.go). All of it is a hint but the repeats, which are earned once
+// and spent once.
 package relay
 
 import (
