Log: a daemon that stops may log on; what comes after the end is dropped

The channel stays open now; the end is told apart from the lines, and later lines are counted as dropped. Ruled out: waiting for all handlers (the grace is over then).

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,14 +18,16 @@
 
 // Writer is a zapcore.WriteSyncer that never blocks.
 type Writer struct {
-	lines   chan []byte
+	lines   chan []byte // never closed: handlers may outlive a stop's grace, and still log
 	dropped atomic.Uint64
+	ends    sync.Once
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewWriter starts writing to out in the background.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, bufferLines), done: make(chan struct{})}
+	w := &Writer{lines: make(chan []byte, bufferLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
@@ -34,22 +37,41 @@
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	for line := range w.lines {
-		batch := line
-		for more := true; more && len(batch) < maxBatch; {
-			select {
-			case next, ok := <-w.lines:
-				batch, more = append(batch, next...), ok
-			default:
-				more = false
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(out, line)
+		case <-w.closing:
+			for len(w.lines) > 0 {
+				w.write(out, <-w.lines)
 			}
+			return
 		}
-		_, _ = out.Write(batch) // there is nowhere to report a failed log write
 	}
 }
 
+// write writes a line, with those that wait behind it.
+func (w *Writer) write(out io.Writer, line []byte) {
+	batch := line
+	for more := true; more && len(batch) < maxBatch; {
+		select {
+		case next := <-w.lines:
+			batch = append(batch, next...)
+		default:
+			more = false
+		}
+	}
+	_, _ = out.Write(batch) // there is nowhere to report a failed log write
+}
+
 // Write implements io.Writer; it always reports success.
 func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case <-w.closing:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -64,10 +86,10 @@
 // Dropped returns how many lines were dropped.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes what waits, for at most the given time. Nothing may be logged
-// afterwards.
+// Close writes what waits, for at most the given time. What is logged afterwards is
+// dropped.
 func (w *Writer) Close(wait time.Duration) {
-	close(w.lines)
+	w.ends.Do(func() { close(w.closing) })
 	select {
 	case <-w.done:
 	case <-time.After(wait):
