--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -46,3 +46,5 @@
 type codec struct{ Codec }
 
 func (codec) Request(r *http.Request) *Request { return &Request{Host: r.Host, Path: r.URL.Path} }
+
+func (codec) RetryAfter(http.Header, time.Duration) {}
