--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/pause"
+	"pearlanding/internal/quarantine"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/upstream"
 )
@@ -104,6 +105,7 @@
 	sends     []sendLog
 	attempts  dispatch.Attempts
 	mayRun    bool // some instance may have run it
+	broken    int  // sends whose connection ended before a whole answer
 	status    int
 	reason    string // why it ended as it did; empty: served at the first try
 	begun     bool   // the answer's head went out
@@ -314,6 +316,11 @@
 	s.end, s.took = how, time.Since(x.now)-s.at
 }
 
+// digest is that of the request's content.
+func (x *exchange) digest() quarantine.Digest {
+	return quarantine.Content{Workspace: x.workspace, Method: x.req.Method, Target: x.req.Target, Model: x.req.Model, Body: x.req.Body}.Digest()
+}
+
 func (x *exchange) note(reason string) {
 	if x.reason == "" {
 		x.reason = reason
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_requests_total{route=%q,kind=%q,status=\"%d\",reason=%q}", m.label(route), kind, x.status, x.reason)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_sends_total{route=%q,sends=\"%d\"}", m.label(route), len(x.sends))).Inc()
+	if x.broken > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_sends_broken_total{route=%q}", m.label(route))).Add(x.broken)
+	}
 	if x.events > 1 {
 		m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_longest_gap_seconds{route=%q}", m.label(route))).Update(x.maxGap.Seconds())
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -67,6 +67,9 @@
 		return false
 	}
 	x.mayRun = true
+	if attempt.Err() == nil {
+		x.broken++
+	}
 	if x.route.Repeatable() {
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -244,4 +244,7 @@
 	if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrBusy) {
 		x.mayRun = true
 	}
+	if attempt.Err() == nil && errors.Is(err, upstream.ErrUnknown) {
+		x.broken++
+	}
 }
--- /dev/null
+++ b/internal/quarantine/digest_test.go
@@ -0,0 +1,52 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestDigestTellsContentsApart(t *testing.T) {
+	base := Content{Workspace: "w", Method: "POST", Target: "/a?q=1", Model: "m", Body: []byte("body")}
+	seen := map[Digest]bool{base.Digest(): true}
+	for _, change := range []func(*Content){
+		func(c *Content) { c.Workspace = "wP" },
+		func(c *Content) { c.Method = "PUT" },
+		func(c *Content) { c.Target = "/a?q=2" },
+		func(c *Content) { c.Model = "" },
+		func(c *Content) { c.Body = nil },
+		func(c *Content) { c.Workspace, c.Method = "wP", "OST" }, // runs together without lengths
+	} {
+		other := base
+		change(&other)
+		must.False(t, seen[other.Digest()])
+		seen[other.Digest()] = true
+	}
+	same := base
+	same.Body = bytes.Clone(base.Body)
+	must.Eq(t, base.Digest(), same.Digest())
+}
+
+func TestDigestReadsItsOwnText(t *testing.T) {
+	d := Content{Target: "/x"}.Digest()
+	text, err := d.MarshalText()
+	must.NoError(t, err)
+	var read Digest
+	must.NoError(t, read.UnmarshalText(text))
+	must.Eq(t, d, read)
+	must.Error(t, read.UnmarshalText(text[:30]))
+	must.Error(t, read.UnmarshalText([]byte("zz"+string(text[2:]))))
+}
+
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{0, 4 << 10, 64 << 10} {
+		c := Content{Workspace: "workspace", Method: "POST", Target: "/route/x", Model: "model", Body: make([]byte, size)}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				c.Digest()
+			}
+		})
+	}
+}
