Quarantine: a request that ended three instances is sent to none any more

Cause: what became of a request was kept by its exchange only. Each retry, of the daemon and of its caller, looked reasonable alone and carried the hazard to the next engine. Class: work that destroys whoever takes it, kept alive by retries without a memory of their own.

Now: a daemon that loses a send without an answer looks whether the address still listens. If not, the instance ended, and what was in progress there is marked by its digest; marks travel at once through the relays of all zones, and what must outlast all processes lies in one object beside the relays' records, which every start reads in a call that it made before too. After three ends that no refused request explains, at least a quarter of a second or one send apart, and without a good end since, the request is refused everywhere, and copies that wait are called back.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,6 +25,7 @@
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
+	"pearlanding/internal/quarantine"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/upstream"
@@ -47,8 +48,11 @@
 const (
 	// leaseKey holds the lease of the daemon that plans groups.
 	leaseKey = "pearlanding-leases/groups"
-	// relayKind holds the record of each zone's relay, by the zone's name.
+	// relayKind holds the record of each zone's relay, by the zone's name, and RefusedKey:
+	// who looks for its relay reads both in one call.
 	relayKind = "pearlanding-relays"
+	// RefusedKey holds the requests that are refused as they ended instances.
+	RefusedKey = relayKind + "/refused-requests"
 )
 
 // Figures of the daemon.
@@ -103,6 +107,8 @@
 	peers    *relay.Peers
 	survey   *relay.Survey
 	lease    *formation.Lease
+	watch    *quarantine.Watch
+	keeper   *quarantine.Keeper
 	stopping atomic.Bool
 	started  time.Time
 }
@@ -157,6 +163,8 @@
 	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
+	d.pool = upstream.NewPool(connectTimeout, idleConnection)
+	d.buildQuarantine(s)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
@@ -167,7 +175,6 @@
 	}
 	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
 	d.config.changed = d.fleet.SizesChanged
-	d.pool = upstream.NewPool(connectTimeout, idleConnection)
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
@@ -195,7 +202,10 @@
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
+	run(work, d.keeper.Run)
 	if d.survey != nil {
+		run(work, d.passOn)
+		run(work, d.spread().Run)
 		run(ctx, d.survey.Run)
 		run(work, d.exchange().Run)
 	}
@@ -228,13 +238,14 @@
 		now := time.Now()
 		d.pool.Sweep(now)
 		d.picker.Sweep(now)
+		d.watch.Sweep()
 	}
 }
 
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Watch: d.watch, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/rpc"
 )
@@ -95,17 +96,23 @@
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
 		Standing:  d.picker.Stopped,
-		Bootstrap: s.Bootstrap,
-		Uniform:   func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:       time.Now, Log: d.Log,
+		Bootstrap: s.Bootstrap, Quarantine: d.watch, Listed: d.listed,
+		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
+		Now:     time.Now, Log: d.Log,
 	})
 }
 
 // exchange tells this daemon, while it relays, what other zones have in progress.
 func (d *Daemon) exchange() *relay.Exchange {
-	return &relay.Exchange{Node: d.relay, Relays: func(ctx context.Context) ([]string, error) {
-		l, err := d.Outside.Feed.ListStale(ctx, relayKind)
-		return relay.Addresses(l), err
+	return &relay.Exchange{Node: d.relay, List: func(ctx context.Context) (objectapi.Listing, error) {
+		return d.Outside.Feed.ListStale(ctx, relayKind)
+	}}
+}
+
+// spread tells other daemons of requests that end instances.
+func (d *Daemon) spread() *relay.Spread {
+	return &relay.Spread{Node: d.relay, List: func(ctx context.Context) (objectapi.Listing, error) {
+		return d.Outside.Feed.ListKind(ctx, relayKind)
 	}}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,8 @@
 	Metrics  *Metrics
 	Log      *zap.Logger
 	Budgets  *dispatch.Budgets
+	// Watch knows the requests that end instances; they are refused.
+	Watch *quarantine.Watch
 	// Starting tells that this daemon has just started and will soon know whether it can
 	// serve; nil: it knows.
 	Starting func() bool
@@ -103,6 +106,7 @@
 	view      *fleet.View
 	tried     map[string]bool
 	sends     []sendLog
+	digest    func() quarantine.Digest // of the content, computed once; safe for concurrent use
 	attempts  dispatch.Attempts
 	mayRun    bool // some instance may have run it
 	broken    int  // sends whose connection ended before a whole answer
@@ -116,6 +120,7 @@
 	eventAt   time.Time     // when the last event was passed on
 	maxGap    time.Duration // longest pause between events
 	admission dispatch.Admission
+	sending   *quarantine.Send // the last one
 }
 
 // serve answers the request.
@@ -126,6 +131,10 @@
 	if !x.readBody(r) {
 		return
 	}
+	x.digest = sync.OnceValue(x.content().Digest)
+	if x.quarantined() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.budget().Request(x.gateway.Bounds().Retry, x.now)
@@ -286,8 +295,9 @@
 	return g.Budgets.Of(service).Left(g.Bounds().Retry, time.Now()) >= 1 || g.MayBorrow != nil && g.MayBorrow(service)
 }
 
-// send sends the request to a target once.
-func (x *exchange) send(ctx context.Context, t *dispatch.Target, lastEvent string) (*http.Response, error) {
+// send sends the request to a target once. callBack is called if it turns out to end
+// instances before it brings anything.
+func (x *exchange) send(ctx context.Context, t *dispatch.Target, lastEvent string, callBack func()) (*http.Response, error) {
 	if x.tried == nil {
 		x.tried = map[string]bool{}
 	}
@@ -302,6 +312,7 @@
 			Workspace: x.workspace, LastEvent: lastEvent}),
 		Own: func(status int, h http.Header) bool { return x.gateway.Codec.AnswersTo(x.req.ID, status, h) },
 	}
+	x.sending = x.gateway.Watch.Begin(quarantine.Life{Instance: t.Instance, Born: t.Born}, t.Address, x.workspace, x.digest, callBack)
 	resp, err := x.gateway.Pool.Do(ctx, call)
 	if err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy)) {
 		return nil, err
@@ -316,9 +327,32 @@
 	s.end, s.took = how, time.Since(x.now)-s.at
 }
 
-// digest is that of the request's content.
-func (x *exchange) digest() quarantine.Digest {
-	return quarantine.Content{Workspace: x.workspace, Method: x.req.Method, Target: x.req.Target, Model: x.req.Model, Body: x.req.Body}.Digest()
+// sendDone ends the last send.
+func (x *exchange) sendDone() { x.sending.Done() }
+
+// sendBroke notes that the last send's connection ended before a whole answer.
+func (x *exchange) sendBroke() {
+	x.broken++
+	x.sending.Broke()
+}
+
+// content is what makes the request the same as another one.
+func (x *exchange) content() quarantine.Content {
+	return quarantine.Content{Workspace: x.workspace, Method: x.req.Method, Target: x.req.Target, Model: x.req.Model, Body: x.req.Body}
+}
+
+// reasonEnded: the request ended the instances that ran it.
+const reasonEnded = "ended_instances"
+
+// quarantined answers a request that ended the instances that ran it; true: it was one. The
+// answer is final: no promise that it has not run, and no time to come back.
+func (x *exchange) quarantined() bool {
+	if !x.gateway.Watch.Refuses(x.digest) {
+		return false
+	}
+	x.reason = reasonEnded
+	x.refuse(http.StatusBadGateway, reasonEnded, 0)
+	return true
 }
 
 func (x *exchange) note(reason string) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/quarantine"
 	"pearlanding/internal/upstream"
 )
 
@@ -20,6 +21,9 @@
 // plain sends a request and passes the whole answer on.
 func (x *exchange) plain(ctx context.Context) {
 	for {
+		if x.quarantined() {
+			return
+		}
 		t := x.next(ctx)
 		if t == nil {
 			x.giveUp("no_target")
@@ -44,7 +48,8 @@
 		mover := time.AfterFunc(dispatch.PlainPatience(x.route.Objective), func() { cancel(errMoved) })
 		defer mover.Stop()
 	}
-	resp, err := x.send(attempt, t, x.req.LastEvent)
+	resp, err := x.send(attempt, t, x.req.LastEvent, func() { cancel(quarantine.ErrRefused) })
+	defer x.sendDone()
 	if err != nil {
 		return x.failed(attempt, t, err)
 	}
@@ -68,11 +73,15 @@
 	}
 	x.mayRun = true
 	if attempt.Err() == nil {
-		x.broken++
+		x.sendBroke()
 	}
 	if x.route.Repeatable() {
 		return false
 	}
+	if errors.Is(context.Cause(attempt), quarantine.ErrRefused) {
+		x.giveUp(reasonEnded)
+		return true
+	}
 	if attempt.Err() != nil {
 		return false
 	}
@@ -115,6 +124,7 @@
 	}
 	if x.sends[len(x.sends)-1].end == "" {
 		x.ended("answered")
+		x.gateway.Watch.Good(x.digest)
 	}
 	x.head(resp, len(body))
 	_, _ = x.w.Write(body) // a caller that left needs no answer
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -78,7 +78,7 @@
 			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int("replicas", x.admission.Replicas),
 			zap.Int64("expected_ms", x.admission.Expected.Milliseconds()), zap.Int64("floor_ms", x.admission.Floor.Milliseconds()), zap.Int64("limit_ms", x.admission.Limit.Milliseconds()))
 	}
-	if x.broken > 0 {
+	if x.digest != nil && (x.broken > 0 || !x.gateway.Watch.Evidence.Empty()) {
 		out = append(out, zap.String("content", x.digest().Short()))
 	}
 	if x.view != nil {
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -13,6 +13,7 @@
 
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/quarantine"
 	"pearlanding/internal/routes"
 )
 
@@ -28,6 +29,7 @@
 		Codec: codec{}, Picker: dispatch.NewPicker("", func(int) int { return 0 }), Budgets: &dispatch.Budgets{},
 		Bounds: func() Bounds { return Bounds{} }, Stopping: func() bool { return false }, View: func() *fleet.View { return nil },
 		Metrics: NewMetrics(metrics.NewSet()), Log: zap.NewNop(),
+		Watch:    quarantine.NewWatch(quarantine.NewEvidence(), nil, time.Now, zap.NewNop()),
 		Starting: func() bool { return !known.Load() },
 		Config: func() Config {
 			if known.Load() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/quarantine"
 	"pearlanding/internal/upstream"
 )
 
@@ -38,6 +39,9 @@
 		return
 	}
 	for {
+		if x.quarantined() {
+			return
+		}
 		t := x.next(ctx)
 		if t == nil {
 			x.giveUp("no_replica")
@@ -70,7 +74,8 @@
 	if x.hasLast {
 		last = strconv.FormatInt(x.lastEvent, 10)
 	}
-	resp, err := x.send(attempt, t, last)
+	resp, err := x.send(attempt, t, last, func() { cancel(quarantine.ErrRefused) })
+	defer x.sendDone()
 	if err != nil {
 		x.broke(attempt, t, err)
 		return false
@@ -101,6 +106,7 @@
 		return false
 	}
 	x.ended("answered")
+	x.gateway.Watch.Good(x.digest)
 	return true
 }
 
@@ -211,6 +217,7 @@
 		x.gateway.Picker.Progressed(t, now)
 		if !watch.begun.Swap(true) {
 			x.gateway.Picker.Runs(t, x.req.Model, sent, now)
+			x.sending.Ran()
 		}
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
@@ -245,6 +252,6 @@
 		x.mayRun = true
 	}
 	if attempt.Err() == nil && errors.Is(err, upstream.ErrUnknown) {
-		x.broken++
+		x.sendBroke()
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/creachadair/jrpc2"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/objectapi"
 )
 
 // answerLoads answers another zone's relay.
@@ -36,16 +37,15 @@
 	n.share.loads.note(r, now)
 	n.share.pool.Put(r.Repeats, rule, now)
 	_, daemons := n.share.loads.daemons(now)
-	return ShareReply{n.share.loads.all(now), n.share.pool.Levels(rule, now), n.share.loads.allStanding(now), daemons}, nil
+	return ShareReply{n.share.loads.all(now), n.share.pool.Levels(rule, now), n.share.loads.allStanding(now), daemons, n.hot()}, nil
 }
 
 // Exchange tells this daemon's load to the others and learns theirs: through its relay, or
 // as a relay from those of the other zones.
 type Exchange struct {
-	Node   *Node
-	Relays func(ctx context.Context) ([]string, error) // all zones' addresses
+	Node *Node
+	List func(ctx context.Context) (objectapi.Listing, error) // of all zones' records
 
-	relays []string
 	listed time.Time
 }
 
@@ -87,9 +87,13 @@
 	word.Repeats = n.o.Traffic.Spare(now)
 	r, err := n.o.Peers.Share(ctx, relay, word)
 	if err != nil {
+		if n.o.Direct() {
+			n.share.asked(relay, true) // whoever plans follows through no relay, and misses none otherwise
+		}
 		return // the last word counts until it is old; who follows through this relay finds that it is gone
 	}
 	n.share.told(r.Repeats, n.now())
+	n.hear(relay, r.Quarantine)
 	n.o.Traffic.Loaded(dispatch.Others{Daemons: r.Daemons, InFlight: without(r.Loads, word.Loads), Standing: toSet(r.Standing)}, n.now())
 }
 
@@ -98,8 +102,8 @@
 	if now.Sub(x.listed) <= relayList {
 		return
 	}
-	if found, err := x.Relays(ctx); err == nil {
-		x.relays = found
+	if l, err := x.List(ctx); err == nil {
+		x.Node.listed(l)
 	}
 	x.listed = now // an error is counted with the store's calls; the old list stays
 }
@@ -107,12 +111,10 @@
 // ask asks all other relays at a time.
 func (x *Exchange) ask(ctx context.Context) {
 	n := x.Node
-	replies := make([]LoadsReply, len(x.relays))
+	relays := n.relays()
+	replies := make([]LoadsReply, len(relays))
 	var wait sync.WaitGroup
-	for i, address := range x.relays {
-		if address == n.o.Address {
-			continue
-		}
+	for i, address := range relays {
 		wait.Go(func() {
 			if r, err := n.o.Peers.Loads(ctx, address); err == nil {
 				replies[i] = r // a zone without a word counts as idle until its next one
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -183,6 +183,13 @@
 	h.wakeAll()
 }
 
+// nudge lets everyone look again, though no entry changed.
+func (h *history) nudge() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakeAll()
+}
+
 func (h *history) wakeAll() {
 	close(h.news)
 	h.news = make(chan struct{})
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -33,6 +33,9 @@
 	// whose running streams stopped for it lately.
 	From     string   `json:"from"`
 	Standing []string `json:"standing,omitempty"`
+	// Quarantine is the last number told of requests that end instances; nil: the asker
+	// wants none.
+	Quarantine *uint64 `json:"quarantine,omitempty"`
 }
 
 // NewsReply is what a relay knows. Ages are in milliseconds before the reply was
@@ -46,6 +49,9 @@
 	ConfigVersion uint64 `json:"config_version"`
 	ConfigSeq     uint64 `json:"config_seq"`
 	ConfigAge     int64  `json:"config_age_ms"`
+	// Quarantine numbers what all daemons must know of requests that end instances: a daemon
+	// that was told another number asks.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // ageMS is the age of a proof in whole milliseconds, never too young.
@@ -56,7 +62,7 @@
 // Methods returns the calls that peers may make.
 func (n *Node) Methods() handler.Map {
 	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding),
-		methodShare: handler.New(n.answerShare), methodRepeat: handler.New(n.answerRepeat), methodLoads: handler.New(n.answerLoads)}
+		methodShare: handler.New(n.answerShare), methodRepeat: handler.New(n.answerRepeat), methodLoads: handler.New(n.answerLoads), methodWords: handler.New(n.answerWords)}
 }
 
 // maxWait bounds how long a peer's call is held.
@@ -84,7 +90,8 @@
 		if err != nil {
 			return NewsReply{}, errors.Trace(err)
 		}
-		if expired || news.gap || len(news.changes) > 0 || config.seq != r.ConfigSeq {
+		quarantined := r.Quarantine != nil && *r.Quarantine != n.hot()
+		if expired || news.gap || len(news.changes) > 0 || config.seq != r.ConfigSeq || quarantined {
 			return n.reply(entries, config, news), nil
 		}
 		stale := time.NewTimer(left)
@@ -104,13 +111,37 @@
 func (n *Node) reply(entries time.Time, config configProof, news told) NewsReply {
 	now := n.now()
 	out := NewsReply{Gap: news.gap, Changes: news.changes, Revision: news.end, EntriesAge: ageMS(now, entries),
-		ConfigSeq: config.seq, ConfigVersion: config.version}
+		ConfigSeq: config.seq, ConfigVersion: config.version, Quarantine: n.hot()}
 	if config.version != 0 {
 		out.ConfigAge = ageMS(now, config.proved)
 	}
 	return out
 }
 
+// hot numbers what all daemons must know of requests that end instances.
+func (n *Node) hot() uint64 {
+	if n.o.Quarantine == nil {
+		return 0
+	}
+	_, hot := n.o.Quarantine.Seq()
+	return hot
+}
+
+// hear takes in the number that a relay told; a new one is asked about at once.
+func (n *Node) hear(address string, hot uint64) {
+	if n.share.hear(address, hot) {
+		n.Kick()
+	}
+}
+
+// Kick lets this daemon tell and ask at once what is new of requests that end instances.
+func (n *Node) Kick() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Peers asks other daemons over JSON-RPC.
 type Peers struct{ rpc *rpc.Peers }
 
@@ -152,5 +183,12 @@
 	return out, err
 }
 
+// Words implements Transport.
+func (p *Peers) Words(ctx context.Context, address string, r WordsRequest) (WordsReply, error) {
+	var out WordsReply
+	err := p.rpc.Call(ctx, address, methodWords, r, &out)
+	return out, err
+}
+
 // Close ends all connections.
 func (p *Peers) Close() { p.rpc.Close() }
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,14 +24,57 @@
 func Addresses(l objectapi.Listing) []string {
 	var out []string
 	for _, o := range l.Objects {
-		var r record
-		if json.Unmarshal(o.Value, &r) == nil && r.Address != "" {
-			out = append(out, r.Address) // one that isn't understood is replaced by its zone
+		if address := addressOf(o); address != "" {
+			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// addressOf returns the relay that an object names; empty: none. One that isn't understood
+// is replaced by its zone.
+func addressOf(o objectapi.Object) string {
+	var r record
+	if json.Unmarshal(o.Value, &r) != nil {
+		return ""
+	}
+	return r.Address
+}
+
+// addresses are the relays as listed last. Safe for concurrent use.
+type addresses struct {
+	mu  sync.Mutex
+	all []string
+	own string // of this daemon's zone
+}
+
+// listed takes in a listing of the records.
+func (n *Node) listed(l objectapi.Listing) {
+	if n.o.Listed != nil {
+		n.o.Listed(l)
+	}
+	n.known.mu.Lock()
+	defer n.known.mu.Unlock()
+	n.known.all, n.known.own = Addresses(l), ""
+	if i := slices.IndexFunc(l.Objects, func(o objectapi.Object) bool { return o.Key == n.o.Key }); i >= 0 {
+		n.known.own = addressOf(l.Objects[i])
+	}
+}
+
+// relays returns the other zones' relays, and the own zone's if it is another daemon.
+func (n *Node) relays() []string {
+	n.known.mu.Lock()
+	defer n.known.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.known.all), func(a string) bool { return a == n.o.Address })
+}
+
+// ownRelay returns the relay of this daemon's zone as listed last.
+func (n *Node) ownRelay() string {
+	n.known.mu.Lock()
+	defer n.known.mu.Unlock()
+	return n.known.own
+}
+
 // lost gives a relay up for a while.
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
@@ -73,19 +119,24 @@
 	return !n.aloneAt.IsZero() && n.now().Sub(n.aloneAt) >= n.part(alonePatience)
 }
 
-// look reads the record. A record that names nobody, this daemon's own address or a
+// look reads the records of all zones, which costs one call like its own alone: they hold
+// what a daemon must know before it sends anything. A record that names nobody, this daemon's own address or a
 // relay that failed twice is taken over.
 func (n *Node) look(ctx context.Context) {
 	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
-	o, err := n.Feed.Get(ctx, n.o.Key)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		_, err = n.Feed.Create(ctx, n.o.Key, n.value())
-		n.wrote(err)
+	kind, _, _ := strings.Cut(n.o.Key, "/")
+	l, err := n.Feed.ListKind(ctx, kind)
+	if err != nil {
 		return
 	}
-	if err != nil {
+	n.listed(l)
+	i := slices.IndexFunc(l.Objects, func(o objectapi.Object) bool { return o.Key == n.o.Key })
+	if i < 0 {
+		_, err = n.Feed.Create(ctx, n.o.Key, n.value())
+		n.wrote(err)
 		return
 	}
+	o := l.Objects[i]
 	var r record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		n.o.Log.Error("relay's record not understood; replaced", zap.Error(err))
@@ -137,4 +188,5 @@
 	}
 	n.o.Log.Info("relay used", zap.String("relay", address))
 	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
+	n.share.found(address) // the daemon that plans asks it for no news, but shares with it
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,8 @@
 	Repeat(ctx context.Context, address string, r RepeatRequest) (RepeatReply, error)
 	// Loads asks what the daemons of the relay's zone have in progress.
 	Loads(ctx context.Context, address string) (LoadsReply, error)
+	// Words exchanges what two daemons know of requests that end instances.
+	Words(ctx context.Context, address string, r WordsRequest) (WordsReply, error)
 }
 
 // Options of a Node; all are needed.
@@ -103,6 +105,10 @@
 	Confirm func(version uint64, proved time.Time)
 	// Traffic is what this daemon's requests share with others.
 	Traffic Traffic
+	// Quarantine is what this daemon knows of requests that end instances; nil: nothing.
+	Quarantine Quarantine
+	// Listed, if set, is told of each listing of the kind of Key.
+	Listed func(l objectapi.Listing)
 	// Bootstrap: all daemons start together, and no relay can be known yet.
 	Bootstrap bool
 	// Standing lists the instances whose running streams stopped for this daemon lately.
@@ -131,6 +137,10 @@
 	answered steady.Time
 	via      atomic.Bool // the last call of Follow went through a relay
 
+	positions positions
+	known     addresses     // of all zones' relays, as listed last
+	kick      chan struct{} // there is something to tell, or to ask for
+
 	// State of the goroutine that calls Follow.
 	peer      string // the relay's address; empty: none that is known to work
 	suspect   string // a relay that failed
@@ -145,7 +155,7 @@
 // NewNode returns a node that first looks for its zone's relay. Where all daemons start
 // together, they look one after the other, so that most find a relay.
 func NewNode(o Options) *Node {
-	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now()}
+	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now(), kick: make(chan struct{}, 1)}
 	if o.Bootstrap {
 		n.lookAt = n.lookAt.Add(o.Uniform(0, settleMost))
 	}
@@ -284,8 +294,9 @@
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	heard := n.share.heard(address)
 	r, err := n.o.Peers.News(timed, address, NewsRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds(),
-		From: n.o.Holder, Standing: n.o.Standing(asked)})
+		From: n.o.Holder, Standing: n.o.Standing(asked), Quarantine: &heard})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		n.answered.Store(n.now())
 		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
@@ -297,6 +308,7 @@
 	n.configSeq, n.proved = r.ConfigSeq, asked.Add(-age)
 	n.answered.Store(n.now())
 	n.share.found(address)
+	n.hear(address, r.Quarantine)
 	if r.ConfigVersion != 0 {
 		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -33,6 +33,11 @@
 	levels map[string]float64 // of the relay's pool, as told last
 	toldAt time.Time
 	relay  string // the address that answered last; empty: none
+	// What is known of requests that end instances is asked of a relay as long as it
+	// answers, in touch with the store or not.
+	lastRelay string
+	hot       uint64 // the number that it told last
+	due       bool   // that number is news, and it was not asked since
 }
 
 // found notes the relay that answers this daemon.
@@ -40,6 +45,51 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relay = relay
+	s.remember(relay)
+}
+
+// remember notes a zone's relay for what is known of requests that end instances; s.mu is
+// held.
+func (s *share) remember(relay string) {
+	if s.lastRelay != relay {
+		s.lastRelay, s.hot = relay, 0
+	}
+}
+
+// last returns the relay that answered last, and whether it has news.
+func (s *share) last() (relay string, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastRelay, s.due
+}
+
+// asked notes that a relay is asked for its news now, or that this failed.
+func (s *share) asked(relay string, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastRelay == relay {
+		s.due = failed
+	}
+}
+
+// heard returns the number that a relay told last.
+func (s *share) heard(relay string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastRelay != relay {
+		return 0
+	}
+	return s.hot
+}
+
+// hear takes in the number that a relay told; false: it is no news.
+func (s *share) hear(relay string, hot uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remember(relay)
+	news := s.hot != hot
+	s.hot, s.due = hot, s.due || news
+	return news
 }
 
 // told takes in what a relay's pool holds.
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -79,6 +79,8 @@
 	// Standing are the groups that stand still.
 	Standing []groupRef `json:"standing,omitempty"`
 	Daemons  int        `json:"daemons"` // that told their loads
+	// Quarantine is as in NewsReply.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // RepeatRequest asks for one repeat of a service.
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/objectapi"
 )
 
 // settled returns a zone that has a relay, with the relay and two of its peers.
@@ -24,13 +26,22 @@
 	return z, relay, peers[0], peers[1]
 }
 
+// recordsOf answers with records that name relays.
+func recordsOf(relays ...string) func(context.Context) (objectapi.Listing, error) {
+	var l objectapi.Listing
+	for _, address := range relays {
+		l.Objects = append(l.Objects, objectapi.Object{Key: "relays/" + address, Value: fmt.Appendf(nil, `{"holder":%q,"address":%q}`, address, address)})
+	}
+	return func(context.Context) (objectapi.Listing, error) { return l, nil }
+}
+
 // exchange lets every daemon of the zone exchange loads once, the relay last.
 func (z *zone) exchange() {
 	z.pass(sumFor + 1)
 	for _, relays := range []bool{false, true} {
 		for _, d := range z.daemons {
 			if !d.dead && d.relaying() == relays {
-				x := &Exchange{Node: d.Node, Relays: func(context.Context) ([]string, error) { return nil, nil }}
+				x := &Exchange{Node: d.Node, List: recordsOf()}
 				x.once(context.Background())
 			}
 		}
@@ -65,7 +76,7 @@
 	other.exchange()
 	relay.o.Peers = other // both name their daemons alike
 	relay.o.Address = "here"
-	x := &Exchange{Node: relay.Node, Relays: func(context.Context) ([]string, error) { return []string{"here", far.name, "nobody"}, nil }}
+	x := &Exchange{Node: relay.Node, List: recordsOf("here", far.name, "nobody")}
 	x.once(context.Background())
 	must.Eq(t, map[string]int{"x": 8}, relay.others)
 	z.pass(sumFor + 1)
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -241,6 +241,16 @@
 	return LoadsReply{}, errors.New("refused")
 }
 
+// Words implements Transport between the zone's daemons.
+func (z *zone) Words(ctx context.Context, address string, r WordsRequest) (WordsReply, error) {
+	for _, d := range z.daemons {
+		if d.name == address && !d.dead {
+			return d.answerWords(ctx, r)
+		}
+	}
+	return WordsReply{}, errors.New("refused")
+}
+
 // storeOf is the store as one daemon reaches it.
 type storeOf struct {
 	z *zone
@@ -259,14 +269,26 @@
 	return s.z.record, nil
 }
 
+// records lists the zones' records: there is one at most.
+func (s *storeOf) records(ctx context.Context) (objectapi.Listing, error) {
+	o, err := s.Get(ctx, "")
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Listing{Revision: s.z.revision}, nil
+	}
+	return objectapi.Listing{Objects: []objectapi.Object{o}, Revision: s.z.revision}, err
+}
+
 func (s *storeOf) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
 	return s.Get(ctx, key)
 }
 
-func (s *storeOf) ListKind(_ context.Context, _ string) (objectapi.Listing, error) {
+func (s *storeOf) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
 	if !s.reached() {
 		return objectapi.Listing{}, errDown
 	}
+	if kind != entriesKind {
+		return s.records(ctx)
+	}
 	s.z.lists++
 	return s.z.listing(s.z.revision), nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -135,6 +135,21 @@
 	return c, nil
 }
 
+// Probe opens a connection to an address and keeps it for the next request. Its error is
+// ErrNotSent, and the dialer's own: syscall.ECONNREFUSED where nothing listens.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	if !p.reserve(address) {
+		return errors.WithType(errors.Errorf("connections to %s", address), ErrBusy)
+	}
+	conn, err := link.Dialer(p.Connect).DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.release(address)
+		return errors.WithType(err, ErrNotSent)
+	}
+	p.put(&kept{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBuffer)}, p.MaxIdle)
+	return nil
+}
+
 // settleFor is how long a new connection is watched before a request that must not
 // be repeated goes out: some round trips within a region.
 const settleFor = 4 * time.Millisecond
