Refused requests: operators' list and release, story in trace, metrics

pearlanding refused list|release work on the store's record. trace tells the lines of all requests of the same content, the ends under it and its refusal, however long before.

--- /dev/null
+++ b/cmd/pearlanding/refused.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"pearlanding/internal/front"
+	"pearlanding/internal/objectapi"
+	"pearlanding/internal/quarantine"
+	"pearlanding/platform"
+)
+
+// addRefused adds the commands about requests that are refused as they ended the instances
+// that ran them. They work on the platform's store: no daemon need run.
+func addRefused(app *kingpin.Application, run action) {
+	cmd := app.Command("refused", "Requests that daemons send to no instance, as they ended those that ran them.")
+	store := cmd.Flag("store", "Address of the platform's store, IP:port.").Envar("PEARLANDING_STORE").Required().String()
+	list := cmd.Command("list", "List them, and those that one more end would add.")
+	asJSON := list.Flag("json", "Print the store's record as it is.").Bool()
+	list.Action(run(func(ctx context.Context) int { return listRefused(ctx, *store, *asJSON) }))
+	release := cmd.Command("release", "Let one be sent again, such as after instances have a version that can run it.")
+	digest := release.Arg("digest", "Its digest, or the beginning of it.").Required().String()
+	release.Action(run(func(ctx context.Context) int { return releaseRefused(ctx, *store, *digest) }))
+}
+
+func listRefused(ctx context.Context, store string, asJSON bool) int {
+	s, err := quarantine.List(ctx, platform.NewStore(store), front.RefusedKey)
+	if err != nil {
+		return fail(err)
+	}
+	if asJSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(s); err != nil {
+			return fail(err)
+		}
+		return exitOK
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DIGEST\tWORKSPACE\tSTATE\tENDED\tCHANGED")
+	for i := range s.Contents {
+		c := &s.Contents[i]
+		state := "marked"
+		switch {
+		case c.Refuses():
+			state = "refused"
+		case c.Released > 0:
+			state = "released"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", c.Digest, c.Workspace, state, len(c.Ends), c.Changed.UTC().Format(time.RFC3339))
+	}
+	if err := w.Flush(); err != nil {
+		return fail(err)
+	}
+	return exitOK
+}
+
+func releaseRefused(ctx context.Context, store, prefix string) int {
+	d, err := quarantine.Release(ctx, platform.NewStore(store), front.RefusedKey, prefix, time.Now())
+	switch {
+	case errors.Is(err, objectapi.ErrConflict):
+		fmt.Fprintln(os.Stderr, "daemons keep writing; nothing was changed, try again")
+		return exitConflict
+	case errors.Is(err, objectapi.ErrUnknownOutcome):
+		fmt.Fprintln(os.Stderr, "the store gave no answer; see with \"refused list\" whether it was released")
+		return exitUnknown
+	case err != nil:
+		return fail(err)
+	}
+	fmt.Println("released", d)
+	return exitOK
+}
--- a/internal/decisionlog/story.go
+++ b/internal/decisionlog/story.go
@@ -95,7 +95,8 @@
 
 // Story tells one request in order: its own lines, and, of the daemons that
 // logged them, what they believed then and what happened to the groups and
-// instances that it was sent to.
+// instances that it was sent to. Of a request that ended instances, or shared one
+// with such, it tells what became of requests of the same content at all daemons.
 func Story(lines []Line, id string) []Line {
 	var own []Line
 	for _, l := range lines {
@@ -106,11 +107,14 @@
 	if len(own) == 0 {
 		return nil
 	}
-	sources, names := map[string]bool{}, map[string]bool{}
+	sources, names, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	for _, l := range own {
 		sources[l.Source] = true
 		collectNames(l, names)
+		if content, ok := l.Fields["content"].(string); ok {
+			contents[content] = true
+		}
 		if first.IsZero() || l.Time.Before(first) {
 			first = l.Time
 		}
@@ -124,6 +128,8 @@
 		switch {
 		case l.Fields["id"] == id:
 			out = append(out, l)
+		case tellsOf(l, contents):
+			out = append(out, l)
 		case near && sources[l.Source] && beliefs[l.Text], near && l.Text != "request" && mentions(l, names):
 			out = append(out, l)
 		}
@@ -145,6 +151,18 @@
 	}
 }
 
+// tellsOf tells whether a line is about one of some contents.
+func tellsOf(l Line, contents map[string]bool) bool {
+	if content, ok := l.Fields["content"].(string); ok && contents[content] {
+		return true
+	}
+	several, _ := l.Fields["contents"].([]any)
+	return slices.ContainsFunc(several, func(v any) bool {
+		content, ok := v.(string)
+		return ok && contents[content]
+	})
+}
+
 func mentions(l Line, names map[string]bool) bool {
 	for _, key := range []string{"instance", "group"} {
 		if name, ok := l.Fields[key].(string); ok && names[name] {
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -22,8 +22,9 @@
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
 		Wall:    time.Now, Log: d.Log,
 	}
-	d.Metrics.GetOrCreateGauge("pearlanding_requests_marked", func() float64 { marked, _ := evidence.Counts(); return float64(marked) })
-	d.Metrics.GetOrCreateGauge("pearlanding_requests_refused", func() float64 { _, refused := evidence.Counts(); return float64(refused) })
+	d.Metrics.GetOrCreateGauge("pearlanding_instances_ended", func() float64 { return float64(d.watch.Ends()) })
+	d.Metrics.GetOrCreateGauge("pearlanding_contents_marked", func() float64 { marked, _ := evidence.Counts(); return float64(marked) })
+	d.Metrics.GetOrCreateGauge("pearlanding_contents_refused", func() float64 { _, refused := evidence.Counts(); return float64(refused) })
 }
 
 // listed takes in what the relays' kind holds beside them.
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,7 @@
 	Now      func() time.Time
 	Log      *zap.Logger
 
+	ends  atomic.Uint64 // seen by this daemon
 	mu    sync.Mutex
 	sends map[*Send]struct{}
 	lives map[Life]*broken
@@ -166,6 +168,7 @@
 		return
 	}
 	b.ended = true
+	w.ends.Add(1)
 	at, suspects := b.at, b.suspects
 	b.suspects = nil
 	w.mu.Unlock()
@@ -201,6 +204,9 @@
 	return false
 }
 
+// Ends is how many instances this daemon saw end under requests.
+func (w *Watch) Ends() uint64 { return w.ends.Load() }
+
 // Since is Evidence.Since as of now.
 func (w *Watch) Since(seq uint64, hot bool) (words []Word, upTo uint64) {
 	return w.Evidence.Since(seq, hot, w.Now())
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -176,8 +176,10 @@
 // far exchanges with the relays of all zones.
 func (s *Spread) far(ctx context.Context) {
 	n := s.Node
-	all, _ := n.o.Quarantine.Seq()
-	if all > s.told {
+	all, hot := n.o.Quarantine.Seq()
+	// One that peers ask lists the records regularly anyway, and hears of releases by that.
+	alone := hot > 0 && !n.Serving() && n.now().Sub(s.listed) > relayList
+	if all > s.told || alone {
 		s.list(ctx, all)
 	}
 	var wait sync.WaitGroup
