Test: decisions count the time for which a machine was suspended (red)

A clock that counts suspensions (CLOCK_BOOTTIME, looked at only when the time of day moved against the steady clock: 0 system calls a request), not used yet. On the code as it is a daemon that was suspended for ten seconds goes on with a proof that is ten seconds older than it says.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 	"pearlanding/internal/quarantine"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/steady"
 	"pearlanding/internal/upstream"
 )
 
@@ -93,6 +94,8 @@
 	Outside  Outside
 	Log      *zap.Logger
 	Metrics  *metrics.Set
+	// Clock tells the time; nil: a new clock of this machine.
+	Clock *steady.Clock
 	// MetricsAddress serves the metrics at /metrics; empty: not served.
 	MetricsAddress string
 
@@ -120,6 +123,9 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	}
+	if d.Clock == nil {
+		d.Clock = steady.NewClock()
+	}
 	holder := s.Node + "/" + uuid.NewString()
 	d.started = time.Now()
 	peers := d.listenForPeers(&s)
--- /dev/null
+++ b/internal/steady/clock_test.go
@@ -0,0 +1,79 @@
+package steady
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// machine is a machine whose clocks a test moves.
+type machine struct {
+	start     time.Time
+	steady    time.Duration
+	suspended time.Duration
+	step      time.Duration // of the time of day, as somebody sets it
+	looks     int
+}
+
+func (m *machine) read() (time.Time, time.Duration) {
+	return m.start.Add(m.steady + m.suspended + m.step), m.steady
+}
+
+func (m *machine) boot() time.Duration {
+	m.looks++
+	return time.Hour + m.steady + m.suspended
+}
+
+func TestClockCountsSuspensions(t *testing.T) {
+	m := &machine{start: time.Unix(1e9, 0)}
+	c := NewClockOf(m.read, m.boot)
+	began := c.Now()
+	m.steady = 2 * time.Second
+	must.Eq(t, 2*time.Second, c.Since(began))
+	must.Eq(t, 1, m.looks) // none but that of the start
+	resumed := c.Resumed()
+	m.suspended = 10 * time.Second
+	must.Eq(t, 12*time.Second, c.Since(began))
+	must.Eq(t, 10*time.Second, c.Suspended())
+	select {
+	case <-resumed:
+	default:
+		t.Fatal("not told")
+	}
+	m.suspended, m.steady = 13*time.Second, 3*time.Second
+	must.Eq(t, 16*time.Second, c.Since(began))
+	must.Eq(t, 3, m.looks)
+}
+
+// Somebody sets the time of day, ahead and back: nothing of that is a suspension, nor hides
+// one.
+func TestClockLeavesTheTimeOfDayOut(t *testing.T) {
+	m := &machine{start: time.Unix(1e9, 0)}
+	c := NewClockOf(m.read, m.boot)
+	began := c.Now()
+	for i, step := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second, 0} {
+		m.step = step
+		m.steady += time.Second
+		must.Eq(t, time.Duration(i+1)*time.Second, c.Since(began))
+	}
+	must.Zero(t, c.Suspended())
+	m.step, m.suspended = -2*time.Second, 5*time.Second
+	must.Eq(t, 9*time.Second, c.Since(began))
+}
+
+func TestClockOfThisMachineRuns(t *testing.T) {
+	c := NewClock()
+	a := c.Now()
+	time.Sleep(3 * time.Millisecond)
+	must.Less(t, time.Second, c.Since(a))
+	must.Greater(t, 2*time.Millisecond, c.Since(a))
+	must.StrNotContains(t, a.String(), "m=")
+}
+
+func BenchmarkNow(b *testing.B) {
+	c := NewClock()
+	for b.Loop() {
+		c.Now()
+	}
+}
--- a/internal/steady/steady_test.go
+++ b/internal/steady/steady_test.go
@@ -20,7 +20,7 @@
 }
 
 // deciders are the packages whose decisions rest on ages.
-var deciders = []string{"dispatch", "fleet", "formation", "front", "gateway", "relay", "upstream"}
+var deciders = []string{"dispatch", "fleet", "formation", "front", "gateway", "quarantine", "relay", "upstream"}
 
 // timeOfDay are the methods and functions that leave the steady clock's reading out.
 var timeOfDay = map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true, "Round": true, "Truncate": true}
@@ -48,3 +48,33 @@
 		}
 	}
 }
+
+// standsStill are the library's functions whose clock does not count a suspension; deadlines
+// of contexts mix with no time of another clock.
+var standsStill = map[string]bool{"Now": true, "Since": true, "Until": true, "WithDeadline": true, "WithDeadlineCause": true}
+
+// A machine may be suspended for seconds, which the library's clock does not count: a proof, a
+// lease or an entry would be taken for younger than it is. What decides tells the time by Clock.
+func TestNoDecisionRestsOnAClockThatStandsStill(t *testing.T) {
+	for _, name := range deciders {
+		files, err := filepath.Glob("../" + name + "/*.go")
+		must.NoError(t, err)
+		for _, path := range files {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			must.NoError(t, err)
+			ast.Inspect(file, func(n ast.Node) bool {
+				sel, ok := n.(*ast.SelectorExpr)
+				if !ok || !standsStill[sel.Sel.Name] {
+					return true
+				}
+				if of, ok := sel.X.(*ast.Ident); ok && (of.Name == "time" || of.Name == "context") {
+					t.Errorf("%s uses %s.%s", path, of.Name, sel.Sel.Name)
+				}
+				return true
+			})
+		}
+	}
+}
