Clocks: what decides counts the time for which its machine was suspended

Cause: ages of proofs, entries, relays' words, leases, budgets and deadlines were taken by the library's clock, which is CLOCK_MONOTONIC and stands still while a machine is suspended. Now one clock per daemon, injected, adds suspensions by CLOCK_BOOTTIME; it makes a system call only when the time of day moved by more than 1 ms against the steady clock. Timers that stood still are late: a return that is noticed renews the proof of the configuration at once, and a request whose time passed meanwhile is sent nowhere.

Before: a keyed request was served on a proof 10 s too old; a request was sent on with 2.8 s that its caller no longer had.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -42,6 +42,7 @@
 // Follower keeps the view of instances current. Run owns its state; View and
 // Changed may be used from anywhere.
 type Follower struct {
+	Clock  *steady.Clock // nil: this machine's
 	Feed   objectapi.Feed
 	Kind   string // of the instances' entries
 	Decode Decode
@@ -117,7 +118,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := f.Clock.Now()
 			if f.belief.Expire(now) {
 				f.publish(now)
 			}
@@ -126,7 +128,7 @@
 				f.publish(v.Seen)
 			}
 		case r := <-results:
-			f.take(r, time.Now())
+			f.take(r, f.Clock.Now())
 			select {
 			case resume <- f.belief.Revision():
 			case <-ctx.Done():
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -97,7 +97,7 @@
 
 // once makes one call, unless it is broken off.
 func (f *Follower) once(ctx context.Context, call kindOfCall, revision uint64) (result, broken) {
-	r := result{proved: time.Now()}
+	r := result{proved: f.Clock.Now()}
 	if call != follow {
 		var l objectapi.Listing
 		if call == firstListing {
--- a/internal/formation/lease.go
+++ b/internal/formation/lease.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/steady"
 )
 
 // Times of the lease.
@@ -47,7 +48,8 @@
 type Lease struct {
 	Feed    objectapi.Feed
 	Key     string
-	Holder  string // unique for each life of a process
+	Holder  string        // unique for each life of a process
+	Clock   *steady.Clock // nil: this machine's
 	Log     *zap.Logger
 	held    atomic.Pointer[holding]
 	term    uint64 // version at which this holder took the lease; 0: not held
@@ -146,18 +148,18 @@
 		l.renew(ctx)
 		return
 	}
-	asked := time.Now()
+	asked := l.Clock.Now()
 	o, err := l.Feed.Get(ctx, l.Key)
 	switch {
 	case errors.Is(err, objectapi.ErrNotFound):
 		l.create(ctx)
 		return
 	case err != nil:
-		l.seen = time.Now() // what was not seen can't be called unchanged
+		l.seen = l.Clock.Now() // what was not seen can't be called unchanged
 		return
 	}
 	l.look(o, asked)
-	if l.record.Holder == "" || time.Since(l.seen) >= takeoverAfter {
+	if l.record.Holder == "" || l.Clock.Since(l.seen) >= takeoverAfter {
 		l.take(ctx)
 	}
 }
@@ -183,14 +185,14 @@
 }
 
 func (l *Lease) create(ctx context.Context) {
-	asked := time.Now()
+	asked := l.Clock.Now()
 	l.record = leaseRecord{Holder: l.Holder, Count: 1}
 	version, err := l.Feed.Create(ctx, l.Key, l.value())
 	l.taken(version, asked, err)
 }
 
 func (l *Lease) take(ctx context.Context) {
-	asked := time.Now()
+	asked := l.Clock.Now()
 	l.inherited = setOf(l.record.Doubled)
 	for instance := range l.inherited {
 		l.Note(instance, asked)
@@ -222,7 +224,7 @@
 }
 
 func (l *Lease) renew(ctx context.Context) {
-	asked := time.Now()
+	asked := l.Clock.Now()
 	before := l.record
 	l.record.Count++
 	l.record.Doubled = l.list(asked)
@@ -236,7 +238,7 @@
 		l.drop("lease lost", err)
 	case errors.Is(err, objectapi.ErrUnknownOutcome):
 		l.readBack(ctx, asked)
-	case time.Since(l.proved) >= leaseFor:
+	case l.Clock.Since(l.proved) >= leaseFor:
 		l.drop("lease not renewed in time", err)
 	default:
 		l.record = before // refused: the store still holds the record before
@@ -255,14 +257,14 @@
 		l.drop("lease lost", nil)
 		return
 	}
-	if time.Since(l.proved) >= leaseFor {
+	if l.Clock.Since(l.proved) >= leaseFor {
 		l.drop("lease not renewed in time", err)
 	}
 }
 
 func (l *Lease) drop(why string, err error) {
-	l.Log.Info(why, zap.Uint64("term", l.term), zap.Duration("proof_age", time.Since(l.proved)), zap.Error(err))
-	l.term, l.version, l.record, l.seen = 0, 0, leaseRecord{}, time.Now()
+	l.Log.Info(why, zap.Uint64("term", l.term), zap.Duration("proof_age", l.Clock.Since(l.proved)), zap.Error(err))
+	l.term, l.version, l.record, l.seen = 0, 0, leaseRecord{}, l.Clock.Now()
 }
 
 // Release gives the lease up so that another daemon takes it at once.
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -11,6 +11,7 @@
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/steady"
 )
 
 // Orders sends orders to instances.
@@ -21,6 +22,7 @@
 
 // Manager forms groups while this daemon holds the lease.
 type Manager struct {
+	Clock   *steady.Clock // nil: this machine's
 	Lease   *Lease
 	Orders  Orders
 	View    func() *fleet.View
@@ -82,6 +84,7 @@
 // Run plans until ctx ends; then the lease is released.
 func (m *Manager) Run(ctx context.Context) {
 	m.ended, m.search, m.counts = make(chan endedOrder), newSearch(m.Prober, m.Log), newPlanMetrics(m.Metrics)
+	m.search.clock = m.Clock
 	stopped := make(chan struct{})
 	taken := make(chan struct{}, 1)
 	go m.keepLease(ctx, taken, stopped)
@@ -94,11 +97,11 @@
 			return
 		case <-taken:
 		case e := <-m.ended:
-			m.take(e, time.Now())
+			m.take(e, m.Clock.Now())
 		case <-m.Changed:
 		case <-tick.C:
 		}
-		m.plan(ctx, time.Now())
+		m.plan(ctx, m.Clock.Now())
 	}
 }
 
@@ -108,14 +111,14 @@
 func (m *Manager) keepLease(ctx context.Context, taken chan<- struct{}, stopped chan<- struct{}) {
 	defer close(stopped)
 	pause.For(ctx, m.FirstLook)
-	looked := time.Now()
+	looked := m.Clock.Now()
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := m.Clock.Now()
 		held := m.Lease.Held(now) != 0
 		if held || m.looks(looked, now) {
 			looked = now
 			m.Lease.Step(ctx)
-			if !held && m.Lease.Held(time.Now()) != 0 {
+			if !held && m.Lease.Held(m.Clock.Now()) != 0 {
 				taken <- struct{}{}
 			}
 		}
@@ -281,8 +284,8 @@
 func (m *Manager) order(ctx context.Context, service string, term uint64, o Order, revision uint64) {
 	fields := []zap.Field{zap.String("op", string(o.Op)), zap.String("instance", o.Instance), zap.String("group", o.Group.Name),
 		zap.Uint64("epoch", o.Group.Epoch), zap.Strings("members", o.Members), zap.String("reason", o.Reason),
-		zap.Uint64("term", m.Lease.Held(time.Now())), zap.Uint64("view_revision", revision)}
-	if m.Lease.Held(time.Now()) == 0 {
+		zap.Uint64("term", m.Lease.Held(m.Clock.Now())), zap.Uint64("view_revision", revision)}
+	if m.Lease.Held(m.Clock.Now()) == 0 {
 		m.Log.Info("order not sent: lease not held", fields...)
 		return
 	}
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/steady"
 )
 
 // ErrAnotherLife: the instance that answers has the id, but started after the one asked
@@ -39,6 +40,7 @@
 // lapses. Only groups whose running streams stand still are looked at.
 type search struct {
 	prober Prober
+	clock  *steady.Clock
 	log    *zap.Logger
 	mu     sync.Mutex
 	asked  map[fleet.Key]time.Time
@@ -105,7 +107,7 @@
 		s.log.Info("instance taken for dead", zap.String("instance", in.ID), zap.String("group", in.Group.Name),
 			zap.Uint64("epoch", in.Group.Epoch), zap.Int("probes", probesToDie), zap.String("error", err.Error()))
 	}
-	s.dead[lifeOf(in)] = time.Now()
+	s.dead[lifeOf(in)] = s.clock.Now()
 }
 
 func (s *search) try(ctx context.Context, in *fleet.Instance) error {
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -16,6 +16,7 @@
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
+	"pearlanding/internal/steady"
 )
 
 // countedFeed counts the calls to the store by call, kind of object and outcome, tells
@@ -24,6 +25,7 @@
 	objectapi.Feed
 	set    *metrics.Set
 	reach  *fleet.Reachability
+	clock  *steady.Clock // nil: this machine's
 	outage outage
 	mu     sync.Mutex
 	total  map[string]uint64 // by call and kind
@@ -37,7 +39,7 @@
 // note counts one call about an object or a kind of objects, sent at asked, and tells
 // reach of it.
 func (c *countedFeed) note(call, key string, asked time.Time, err error) {
-	c.reach.Note(asked, time.Now(), err)
+	c.reach.Note(asked, c.clock.Now(), err)
 	c.count(call, key, err)
 }
 
@@ -67,10 +69,10 @@
 
 // Get implements objectapi.Feed.
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return objectapi.Object{}, errHeldBack
 	}
-	asked := time.Now()
+	asked := c.clock.Now()
 	o, err := c.Feed.Get(ctx, key)
 	c.note("get", key, asked, err)
 	return o, err
@@ -78,7 +80,7 @@
 
 // GetStale implements objectapi.Feed.
 func (c *countedFeed) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return objectapi.Object{}, errHeldBack
 	}
 	o, err := c.Feed.GetStale(ctx, key)
@@ -88,7 +90,7 @@
 
 // ListStale implements objectapi.Feed.
 func (c *countedFeed) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return objectapi.Listing{}, errHeldBack
 	}
 	l, err := c.Feed.ListStale(ctx, kind)
@@ -98,10 +100,10 @@
 
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return objectapi.Listing{}, errHeldBack
 	}
-	asked := time.Now()
+	asked := c.clock.Now()
 	l, err := c.Feed.ListKind(ctx, kind)
 	c.note("list", kind, asked, err)
 	return l, err
@@ -109,10 +111,10 @@
 
 // Follow implements objectapi.Feed.
 func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return objectapi.Changes{}, errHeldBack
 	}
-	asked := time.Now()
+	asked := c.clock.Now()
 	changes, err := c.Feed.Follow(ctx, kind, after, wait)
 	c.note("follow", kind, asked, err)
 	return changes, err
@@ -120,10 +122,10 @@
 
 // Create implements objectapi.Feed.
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
-	if !c.outage.mayAsk(time.Now()) {
+	if !c.outage.mayAsk(c.clock.Now()) {
 		return 0, errHeldBack
 	}
-	asked := time.Now()
+	asked := c.clock.Now()
 	version, err := c.Feed.Create(ctx, key, value)
 	c.note("create", key, asked, err)
 	return version, err
@@ -131,10 +133,10 @@
 
 // Update implements objectapi.Feed.
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
-	if key != leaseKey && !c.outage.mayAsk(time.Now()) {
+	if key != leaseKey && !c.outage.mayAsk(c.clock.Now()) {
 		return 0, errHeldBack
 	}
-	asked := time.Now()
+	asked := c.clock.Now()
 	v, err := c.Feed.Update(ctx, key, version, value)
 	c.note("update", key, asked, err)
 	return v, err
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -12,6 +12,7 @@
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/steady"
 )
 
 // Periods of following the configuration. Every call has its price, and there may
@@ -61,6 +62,7 @@
 // configFollower keeps the configuration in force. Within its life it never goes
 // back to an older version, whatever order answers arrive in. Run owns its state.
 type configFollower struct {
+	clock   *steady.Clock // nil: this machine's
 	feed    objectapi.Feed
 	key     string
 	decode  func(value []byte) (*routes.Config, error)
@@ -124,9 +126,9 @@
 		case err == nil:
 			retry = retryPause
 		case errors.Is(err, objectapi.ErrNotFound):
-			next = time.Now().Add(f.untilFirst())
+			next = f.clock.Now().Add(f.untilFirst())
 		default:
-			next, retry = time.Now().Add(retry), min(2*retry, retryMost)
+			next, retry = f.clock.Now().Add(retry), min(2*retry, retryMost)
 		}
 		pause.For(ctx, leastPause)
 		hint = f.rest(ctx, next, err == nil || errors.Is(err, objectapi.ErrNotFound))
@@ -135,7 +137,7 @@
 
 // awaitHint waits at the start for another daemon's word, as long as none counts on this one.
 func (f *configFollower) awaitHint(ctx context.Context) *confirmation {
-	for end := time.Now().Add(f.startPatience); ctx.Err() == nil && time.Now().Before(end); {
+	for end := f.clock.Now().Add(f.startPatience); ctx.Err() == nil && f.clock.Now().Before(end); {
 		if f.serving != nil && f.serving() {
 			return nil
 		}
@@ -156,15 +158,15 @@
 	if hint != nil {
 		o, err := f.feed.GetStale(ctx, f.key)
 		if errors.Is(err, objectapi.ErrUnavailable) {
-			f.take(o, err, time.Now())
-			return time.Now(), err
+			f.take(o, err, f.clock.Now())
+			return f.clock.Now(), err
 		}
 		if err == nil && o.Version >= hint.version {
 			f.take(o, nil, hint.proved)
 			return hint.proved, nil
 		}
 	}
-	asked := time.Now()
+	asked := f.clock.Now()
 	o, err := f.feed.Get(ctx, f.key)
 	f.take(o, err, asked)
 	return asked, err
@@ -194,20 +196,23 @@
 // rest waits until it is time to read: when the proof gets old, or when another
 // daemon has seen a newer version, its hint, and the store answered lately.
 func (f *configFollower) rest(ctx context.Context, next time.Time, reached bool) (hint *confirmation) {
-	timer := time.NewTimer(time.Until(next))
+	timer := time.NewTimer(f.clock.Until(next))
 	defer timer.Stop()
+	resumed := f.clock.Resumed()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 			return nil
+		case <-resumed:
+			return nil // the timer stood still
 		case c := <-f.heard:
 			if c.version > f.version && reached {
 				return &c
 			}
 			if f.confirmed(c) {
-				timer.Reset(time.Until(c.proved.Add(f.interval())))
+				timer.Reset(f.clock.Until(c.proved.Add(f.interval())))
 			}
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -127,7 +127,7 @@
 		d.Clock = steady.NewClock()
 	}
 	holder := s.Node + "/" + uuid.NewString()
-	d.started = time.Now()
+	d.started = d.Clock.Now()
 	peers := d.listenForPeers(&s)
 	d.build(s, holder)
 	callers, err := net.Listen("tcp", s.Callers)
@@ -162,14 +162,16 @@
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	belief.LeadsFor = d.drainPart(leadsPart, 0)
 	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics)
+	d.calls.clock = d.Clock
 	d.calls.outage.every = d.probeEvery
 	d.Outside.Feed = d.calls
-	d.config = &configFollower{feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
+	d.config = &configFollower{clock: d.Clock, feed: d.Outside.Feed, key: d.Outside.ConfigKey, decode: d.Outside.DecodeConfig, log: d.Log,
 		bounds: func() Bounds { return d.Settings().Bounds }, heard: make(chan confirmation, 1)}
-	d.lease = &formation.Lease{Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
+	d.lease = &formation.Lease{Clock: d.Clock, Feed: d.Outside.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
+	d.pool.Clock = d.Clock
 	d.buildQuarantine(s)
 	entries := d.Outside.Feed
 	if s.Peers != "" {
@@ -180,8 +182,10 @@
 		}
 	}
 	d.fleet = fleet.NewFollower(entries, d.Outside.InstancesKind, d.Outside.DecodeInstance, belief, d.Log)
+	d.fleet.Clock = d.Clock
 	d.config.changed = d.fleet.SizesChanged
-	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return time.Since(d.config.Current().Proved).Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return d.Clock.Since(d.config.Current().Proved).Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_suspended_seconds", func() float64 { return d.Clock.Suspended().Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
 }
@@ -209,6 +213,7 @@
 	run(work, d.sweep)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
 	run(work, d.keeper.Run)
+	run(work, d.tellSuspensions)
 	if d.survey != nil {
 		run(work, d.passOn)
 		run(work, d.spread().Run)
@@ -221,6 +226,7 @@
 
 func (d *Daemon) manager() *formation.Manager {
 	return &formation.Manager{
+		Clock: d.Clock,
 		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.still,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
@@ -241,7 +247,7 @@
 func (d *Daemon) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepEvery)
-		now := time.Now()
+		now := d.Clock.Now()
 		d.pool.Sweep(now)
 		d.picker.Sweep(now)
 		d.watch.Sweep()
@@ -251,7 +257,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Watch: d.watch, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Watch: d.watch, Clock: d.Clock, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
@@ -275,7 +281,7 @@
 const startHold = 500 * time.Millisecond
 
 // starting tells whether this daemon will soon know whether it can serve.
-func (d *Daemon) starting() bool { return time.Since(d.started) < startHold && !d.ready() }
+func (d *Daemon) starting() bool { return d.Clock.Since(d.started) < startHold && !d.ready() }
 
 // ready tells whether this daemon can serve what comes.
 func (d *Daemon) ready() bool {
@@ -284,7 +290,7 @@
 		return false
 	}
 	revoke := d.bounds().Revoke
-	return revoke == 0 || time.Since(c.Proved) < revoke
+	return revoke == 0 || d.Clock.Since(c.Proved) < revoke
 }
 
 func (d *Daemon) readinessServer() *http.Server {
@@ -323,7 +329,7 @@
 
 // stop ends the service in order.
 func (d *Daemon) stop(server *http.Server) {
-	begun := time.Now()
+	begun := d.Clock.Now()
 	d.stopping.Store(true)
 	if d.relay != nil {
 		d.relay.Close()
@@ -335,8 +341,8 @@
 	}
 	listen := min(listenOn, grace/2)
 	time.Sleep(listen)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), d.Clock.Until(begun.Add(grace-stopMargin)))
 	defer cancel()
 	err := server.Shutdown(ctx)
-	d.Log.Info("stopped", zap.Duration("took", time.Since(begun)), zap.Error(err))
+	d.Log.Info("stopped", zap.Duration("took", d.Clock.Since(begun)), zap.Error(err))
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -86,7 +86,7 @@
 // newRelay joins the relays of this daemon's zone.
 func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
 	d.peers = relay.NewPeers()
-	d.survey = &relay.Survey{Ask: d.peers.Standing, Active: d.planning, Now: time.Now, Relays: func(ctx context.Context) ([]string, error) {
+	d.survey = &relay.Survey{Ask: d.peers.Standing, Active: d.planning, Now: d.Clock.Now, Relays: func(ctx context.Context) ([]string, error) {
 		l, err := d.Outside.Feed.ListKind(ctx, relayKind)
 		return relay.Addresses(l), err
 	}}
@@ -98,7 +98,7 @@
 		Standing:  d.picker.Stopped,
 		Bootstrap: s.Bootstrap, Quarantine: d.watch, Listed: d.listed,
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:     time.Now, Log: d.Log,
+		Now:     d.Clock.Now, Log: d.Log,
 	})
 }
 
@@ -155,7 +155,7 @@
 }
 
 // planning tells whether this daemon forms the groups.
-func (d *Daemon) planning() bool { return d.lease.Held(time.Now()) != 0 }
+func (d *Daemon) planning() bool { return d.lease.Held(d.Clock.Now()) != 0 }
 
 // pace is how long this daemon rests after news of instances.
 func (d *Daemon) pace() time.Duration {
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -15,12 +15,12 @@
 // buildQuarantine makes what keeps requests that end instances from being sent on.
 func (d *Daemon) buildQuarantine(s Settings) {
 	evidence := quarantine.NewEvidence()
-	d.watch = quarantine.NewWatch(evidence, d.pool.Probe, time.Now, d.Log)
+	d.watch = quarantine.NewWatch(evidence, d.pool.Probe, d.Clock.Now, d.Log)
 	d.keeper = &quarantine.Keeper{
 		Feed: d.Outside.Feed, Key: RefusedKey, Watch: d.watch, Alone: s.Peers == "",
 		Writes:  func() bool { return d.relay == nil || d.relay.Holding() },
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Wall:    time.Now, Log: d.Log,
+		Wall:    d.Clock.Now, Log: d.Log,
 	}
 	d.Metrics.GetOrCreateGauge("pearlanding_instances_ended", func() float64 { return float64(d.watch.Ends()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_contents_marked", func() float64 { marked, _ := evidence.Counts(); return float64(marked) })
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -37,7 +37,7 @@
 		x.refuse(http.StatusServiceUnavailable, "instances_not_known", dispatch.ComeBack(dispatch.Starting))
 	case !x.mayRun:
 		x.refuse(http.StatusServiceUnavailable, reason, dispatch.ComeBack(dispatch.Busy))
-	case time.Now().Before(x.deadline):
+	case x.gateway.Clock.Now().Before(x.deadline):
 		x.refuse(http.StatusBadGateway, reason, 0)
 	default:
 		x.refuse(http.StatusGatewayTimeout, reason, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"pearlanding/internal/pause"
 	"pearlanding/internal/quarantine"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/steady"
 	"pearlanding/internal/upstream"
 )
 
@@ -48,6 +49,8 @@
 	Budgets  *dispatch.Budgets
 	// Watch knows the requests that end instances; they are refused.
 	Watch *quarantine.Watch
+	// Clock tells the time; nil: this machine's.
+	Clock *steady.Clock
 	// Starting tells that this daemon has just started and will soon know whether it can
 	// serve; nil: it knows.
 	Starting func() bool
@@ -67,7 +70,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), now: time.Now()}
+	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), now: g.Clock.Now()}
 	x.req.Arrived = x.now
 	g.any.Store(true)
 	if g.Stopping() {
@@ -135,7 +138,7 @@
 	if x.quarantined() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), x.gateway.Clock.Until(x.deadline))
 	defer cancel()
 	x.budget().Request(x.gateway.Bounds().Retry, x.now)
 	if x.route.Kind == routes.Stream {
@@ -268,7 +271,11 @@
 		x.note("attempts_spent")
 		return nil
 	}
-	now, rule := time.Now(), x.gateway.Bounds().Retry
+	now, rule := x.gateway.Clock.Now(), x.gateway.Bounds().Retry
+	if !now.Before(x.deadline) { // timers stand still while the machine is suspended
+		x.note("deadline")
+		return nil
+	}
 	repeat := x.attempts.Repeated()
 	// Taken before the choice: requests that fail together would all find it left.
 	own := repeat && x.budget().Repeat(rule, now)
@@ -292,7 +299,7 @@
 
 // mayRepeat tells whether a repeat of a service could be made now.
 func (g *Gateway) mayRepeat(service string) bool {
-	return g.Budgets.Of(service).Left(g.Bounds().Retry, time.Now()) >= 1 || g.MayBorrow != nil && g.MayBorrow(service)
+	return g.Budgets.Of(service).Left(g.Bounds().Retry, g.Clock.Now()) >= 1 || g.MayBorrow != nil && g.MayBorrow(service)
 }
 
 // send sends the request to a target once. callBack is called if it turns out to end
@@ -302,7 +309,7 @@
 		x.tried = map[string]bool{}
 	}
 	x.tried[t.Instance] = true
-	now := time.Now()
+	now := x.gateway.Clock.Now()
 	x.attempts.Try()
 	x.sends = append(x.sends, sendLog{target: t, at: now.Sub(x.now)})
 	call := &upstream.Call{
@@ -324,7 +331,7 @@
 // ended notes how a send ended.
 func (x *exchange) ended(how string) {
 	s := &x.sends[len(x.sends)-1]
-	s.end, s.took = how, time.Since(x.now)-s.at
+	s.end, s.took = how, x.gateway.Clock.Since(x.now)-s.at
 }
 
 // sendDone ends the last send.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,7 +61,7 @@
 // used lately, and what is left of the repeat budgets. Targets come and go, so their
 // series are written from what there is now and not kept.
 func (g *Gateway) WriteLoad(w io.Writer) {
-	now := time.Now()
+	now := g.Clock.Now()
 	for _, l := range g.Picker.Loads(now) {
 		labels := fmt.Sprintf("{instance=%q}", l.Instance)
 		metrics.WriteGaugeUint64(w, "pearlanding_target_in_flight"+labels, uint64(max(l.InFlight, 0)))
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -64,7 +64,7 @@
 // failed judges a send without a whole answer; true: the request is answered.
 func (x *exchange) failed(attempt context.Context, t *dispatch.Target, err error) bool {
 	x.ended(cause(attempt, err))
-	now := time.Now()
+	now := x.gateway.Clock.Now()
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errMoved) {
 		x.gateway.Picker.Suspect(t, now)
 	}
@@ -103,10 +103,10 @@
 	codec := x.gateway.Codec
 	if codec.NotRun(resp.StatusCode, resp.Header) {
 		x.ended("refused " + resp.Status)
-		x.gateway.Picker.Suspect(t, time.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 		return false
 	}
-	x.gateway.Picker.Progressed(t, time.Now())
+	x.gateway.Picker.Progressed(t, x.gateway.Clock.Now())
 	if resp.StatusCode/100 == 2 && !codec.Signed(resp.Header) {
 		x.ended("answer without signature")
 		x.mayRun = true
@@ -115,7 +115,7 @@
 	if resp.StatusCode/100 == 5 {
 		x.ended("failed " + resp.Status)
 		x.mayRun = true
-		x.gateway.Picker.Suspect(t, time.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 		if x.route.Repeatable() && !x.attempts.Spent(x.route.Attempts) {
 			if x.again() {
 				return false
@@ -128,7 +128,7 @@
 	}
 	x.head(resp, len(body))
 	_, _ = x.w.Write(body) // a caller that left needs no answer
-	x.firstAt = time.Since(x.now)
+	x.firstAt = x.gateway.Clock.Since(x.now)
 	return true
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -50,7 +50,7 @@
 
 // finish logs and counts a request, and cuts its connection if need be.
 func (g *Gateway) finish(x *exchange) {
-	took := time.Since(x.now)
+	took := g.Clock.Since(x.now)
 	g.Metrics.observe(x, took)
 	smooth := x.status/100 == 2 && len(x.sends) == 1
 	if !smooth || g.sampled.Add(1)%sampleServed == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,7 +63,7 @@
 
 // run makes one send; true: the request is answered, or cut for good.
 func (x *exchange) run(ctx context.Context, t *dispatch.Target) bool {
-	before, sent := x.events, time.Now()
+	before, sent := x.events, x.gateway.Clock.Now()
 	x.gateway.Picker.Waits(t, sent)
 	defer func() { x.gateway.Picker.Ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -92,7 +92,7 @@
 			if x.gateway.Codec.NotRun(resp.StatusCode, resp.Header) {
 				x.attempts.NotRun()
 			}
-			x.gateway.Picker.Suspect(t, time.Now())
+			x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 			return false
 		}
 		return x.answered(t, resp, body)
@@ -118,10 +118,10 @@
 		w.timer = time.AfterFunc(time.Hour, func() {})
 		return w
 	}
-	sent, elsewhere, picker := time.Now(), x.elsewhere(t), x.gateway.Picker
+	sent, elsewhere, picker := x.gateway.Clock.Now(), x.elsewhere(t), x.gateway.Picker
 	objective := x.route.Objective
 	w.arm(t.FirstLook(), func() bool {
-		now := time.Now()
+		now := x.gateway.Clock.Now()
 		silence := dispatch.Silence{Begun: w.begun.Load(), Waited: now.Sub(sent), Objective: objective, Replica: picker.Health(t, now)}
 		if !silence.Move() || !elsewhere() {
 			return true
@@ -142,7 +142,7 @@
 			return false
 		}
 		return slices.ContainsFunc(listTargets(g.View(), service, model), func(o dispatch.Target) bool {
-			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, time.Now()) != dispatch.Still
+			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, x.gateway.Clock.Now()) != dispatch.Still
 		})
 	}
 }
@@ -213,7 +213,7 @@
 			continue // passed on before
 		}
 		watch.Reset(x.gap())
-		now := time.Now()
+		now := x.gateway.Clock.Now()
 		x.gateway.Picker.Progressed(t, now)
 		x.sending.Event(now)
 		if !watch.begun.Swap(true) {
@@ -243,10 +243,10 @@
 func (x *exchange) broke(attempt context.Context, t *dispatch.Target, err error) {
 	x.ended(cause(attempt, err))
 	if errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.NoteStopped(t, time.Now())
+		x.gateway.Picker.NoteStopped(t, x.gateway.Clock.Now())
 	}
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.Suspect(t, time.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 	}
 	if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrBusy) {
 		x.mayRun = true
--- a/internal/steady/clock.go
+++ b/internal/steady/clock.go
@@ -58,8 +58,14 @@
 	return time.Duration(t.Nano())
 }
 
-// Now returns the time.
+// machine is the clock of this machine, for whom none is given.
+var machine = sync.OnceValue(NewClock)
+
+// Now returns the time. A nil clock is that of this machine.
 func (c *Clock) Now() time.Time {
+	if c == nil {
+		c = machine()
+	}
 	day, steady := c.read()
 	drift := day.Sub(c.start) - steady
 	c.mu.Lock()
@@ -93,6 +99,9 @@
 // Resumed returns a channel that is closed when it is noticed that the machine was suspended.
 // Timers that ran then are late.
 func (c *Clock) Resumed() <-chan struct{} {
+	if c == nil {
+		c = machine()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.resumed
@@ -100,6 +109,9 @@
 
 // Suspended returns for how long the machine was suspended since the clock's start.
 func (c *Clock) Suspended() time.Duration {
+	if c == nil {
+		c = machine()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.suspended
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"pearlanding/internal/link"
+	"pearlanding/internal/steady"
 )
 
 // Pool sends requests over kept HTTP/1.1 connections of its own. Unlike the
@@ -30,10 +31,12 @@
 	MaxIdle time.Duration
 	// MaxOpen bounds the connections to one address; 0: no bound. Set before use.
 	MaxOpen int
-	mu      sync.Mutex
-	idle    map[string][]*kept
-	open    map[string]int
-	opened  uint64 // connections ever opened
+	// Clock tells the time; nil: this machine's.
+	Clock  *steady.Clock
+	mu     sync.Mutex
+	idle   map[string][]*kept
+	open   map[string]int
+	opened uint64 // connections ever opened
 }
 
 // kept is one connection and what may still arrive on it.
@@ -114,7 +117,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.deadline) && alive(c.Conn) {
+		if p.Clock.Now().Before(c.deadline) && alive(c.Conn) {
 			return c, nil
 		}
 		p.drop(c)
@@ -210,7 +213,7 @@
 		p.drop(c)
 		return
 	}
-	c.deadline = time.Now().Add(keepFor)
+	c.deadline = p.Clock.Now().Add(keepFor)
 	p.mu.Lock()
 	full := len(p.idle[c.address]) >= idlePerAddress
 	if !full {
