--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -15,6 +15,22 @@
 	handOver time.Duration // between two times that a daemon hands over what it has to spare
 	fails    int           // of a daemon's requests from failFrom on one in so many fails at first
 	poolEnds []time.Duration
+	// failUntil, if set, is when requests stop to fail; percent, if set, is how many of a
+	// hundred fail; spared is one in so many daemons that a restart leaves alone.
+	failUntil time.Duration
+	percent   int
+	spared    int
+}
+
+// failed tells whether a request at a time fails at first.
+func (l pooledLoad) failed(at time.Duration, chance *rand.Rand) bool {
+	switch {
+	case at < l.failFrom, l.failUntil > 0 && at >= l.failUntil:
+		return false
+	case l.percent > 0:
+		return chance.IntN(100) < l.percent
+	}
+	return chance.IntN(l.fails) == 0
 }
 
 // pooledDaemon is one daemon of it.
@@ -37,6 +53,9 @@
 	}
 	for i := range daemons {
 		daemons[i] = &pooledDaemon{budget: NewBudget(), restarts: l.restarts}
+		if l.spared > 0 && i%l.spared == 0 {
+			daemons[i].restarts = nil
+		}
 	}
 	poolEnds := l.poolEnds
 	chance := rand.New(rand.NewPCG(1, 2))
@@ -59,7 +78,7 @@
 			d.handed = at
 			pool.Put(map[string]float64{"s": d.budget.Spare(now)}, rule, now)
 		}
-		if at < l.failFrom || chance.IntN(l.fails) != 0 {
+		if !l.failed(at, chance) {
 			continue
 		}
 		if d.budget.Repeat(testRule, now) || pooled && pool.Take("s", rule, now) {
@@ -130,6 +149,32 @@
 	}
 }
 
+// Load of two days that were handed over: engines turn 45 of 100 requests away for eleven
+// seconds, and four seconds in nine tenths of the daemons are killed, their pools with them;
+// and 40 of 100 streams break off for five seconds. At any size and moment, no window has more
+// repeats than the rule allows.
+func TestRefusalsAndBrokenStreamsKeepTheSharedRule(t *testing.T) {
+	sizes := map[string]func(*pooledLoad){
+		"large":    func(*pooledLoad) {},
+		"smaller":  func(l *pooledLoad) { l.daemons, l.every, l.extra, l.zones = 61, 61*time.Second/483, 222, 3 },
+		"smallest": func(l *pooledLoad) { l.daemons, l.every, l.extra, l.zones = 9, 9*time.Second/162, 109, 3 },
+	}
+	for size, change := range sizes {
+		for _, from := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 17 * time.Second} {
+			load := large
+			change(&load)
+			load.failFrom, load.failUntil, load.percent, load.spared = from, from+11*time.Second, 45, 10
+			load.restarts = []time.Duration{from + 4*time.Second}
+			load.poolEnds = load.restarts
+			respent, _ := load.play(true)
+			must.LessEq(t, 0, load.excess(respent), must.Sprint("turned away, ", size, from))
+			load.failUntil, load.percent, load.restarts, load.poolEnds = from+5*time.Second, 40, nil, nil
+			broken, _ := load.play(true)
+			must.LessEq(t, 0, load.excess(broken), must.Sprint("broken off, ", size, from))
+		}
+	}
+}
+
 func TestPoolStartsEmptyAndForgets(t *testing.T) {
 	p, rule := &Pool{}, PoolRule{}
 	must.False(t, p.Take("s", rule, t0))
