--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,12 +232,12 @@
 // targets lists where the request may go now.
 func (x *exchange) targets() []dispatch.Target {
 	x.view = x.gateway.View()
-	return listTargets(x.view, x.service, x.req.Model)
+	return listTargets(x.view, x.service, x.req.Model, x.gateway.Clock.Now())
 }
 
 // listTargets lists the instances of a plain service, or the groups that serve a
 // model.
-func listTargets(v *fleet.View, service *routes.Service, model string) []dispatch.Target {
+func listTargets(v *fleet.View, service *routes.Service, model string, now time.Time) []dispatch.Target {
 	if v == nil {
 		return nil
 	}
@@ -248,7 +248,7 @@
 	m, _ := service.Engine.Model(model)
 	quiet := dispatch.QuietFor(service.Engine, m)
 	for _, g := range v.Groups {
-		if g.Service == service.Name && g.Model == model && g.Serving() {
+		if g.Service == service.Name && g.Model == model && g.Serving() && !v.PastLead(g.Head, now) {
 			out = append(out, dispatch.Target{Instance: g.Head.ID, Born: g.Head.Born, Address: g.Head.Address, Zone: g.Zone, Group: g.Key, Quiet: quiet})
 		}
 	}
