Relay: marks meet at another zone's relay while the own one does not answer

Seen in a soak: the relay stood still for two seconds, each of four daemons counted its own ends, and seven engines ended. Now a daemon whose relay does not answer tells another zone's relay, and saves what must last itself; those that look for a relay read it with the records.

--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -18,7 +18,7 @@
 	d.watch = quarantine.NewWatch(evidence, d.pool.Probe, d.Clock.Now, d.Log)
 	d.keeper = &quarantine.Keeper{
 		Feed: d.Outside.Feed, Key: RefusedKey, Watch: d.watch, Alone: s.Peers == "",
-		Writes:  func() bool { return d.relay == nil || d.relay.Holding() },
+		Writes:  func() bool { return d.relay == nil || d.relay.Holding() || d.relay.Unheard() },
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
 		Wall:    d.Clock.Now, Log: d.Log,
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -163,16 +163,34 @@
 	if relay != "" {
 		n.share.asked(relay, false)
 		if s.converse(ctx, relay, true) {
+			n.unheard.Store(false)
 			return
 		}
 		n.share.asked(relay, true)
 	}
+	n.unheard.Store(true)
 	s.list(ctx, all)
 	if own := n.ownRelay(); own != "" && own != n.o.Address {
 		n.share.found(own)
 	}
+	s.abroad(ctx, relay, all)
 }
 
+// abroad tells another zone's relay what the own one does not hear. The others of this zone do
+// the same, so that their marks add up there.
+func (s *Spread) abroad(ctx context.Context, own string, all uint64) {
+	n := s.Node
+	for _, address := range n.relays() {
+		if address != own && n.positions.at(address).ours < all && s.converse(ctx, address, true) {
+			return
+		}
+	}
+}
+
+// Unheard tells whether this daemon's relay does not answer: what must last is then for
+// this daemon to save.
+func (n *Node) Unheard() bool { return n.unheard.Load() }
+
 // far exchanges with the relays of all zones.
 func (s *Spread) far(ctx context.Context) {
 	n := s.Node
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -137,6 +137,7 @@
 	answered steady.Time
 	via      atomic.Bool // the last call of Follow went through a relay
 
+	unheard   atomic.Bool // its relay did not answer about requests that end instances
 	positions positions
 	known     addresses     // of all zones' relays, as listed last
 	kick      chan struct{} // there is something to tell, or to ask for
