--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,42 +229,6 @@
 	return true
 }
 
-// targets lists where the request may go now.
-func (x *exchange) targets() []dispatch.Target {
-	x.view = x.gateway.View()
-	return listTargets(x.view, x.service, x.req.Model, x.gateway.Clock.Now())
-}
-
-// listTargets lists the instances of a plain service, or the groups that serve a
-// model.
-func listTargets(v *fleet.View, service *routes.Service, model string, now time.Time) []dispatch.Target {
-	if v == nil {
-		return nil
-	}
-	if service.Engine == nil {
-		return plainTargets(v, service.Name)
-	}
-	var out []dispatch.Target
-	m, _ := service.Engine.Model(model)
-	quiet := dispatch.QuietFor(service.Engine, m)
-	for _, g := range v.Groups {
-		if g.Service == service.Name && g.Model == model && g.Serving() && !v.PastLead(g.Head, now) {
-			out = append(out, dispatch.Target{Instance: g.Head.ID, Born: g.Head.Born, Address: g.Head.Address, Zone: g.Zone, Group: g.Key, Quiet: quiet})
-		}
-	}
-	return out
-}
-
-func plainTargets(v *fleet.View, service string) []dispatch.Target {
-	var out []dispatch.Target
-	for _, in := range v.Services[service] {
-		if !in.Draining {
-			out = append(out, dispatch.Target{Instance: in.ID, Born: in.Born, Address: in.Address, Zone: in.Zone})
-		}
-	}
-	return out
-}
-
 // next chooses where to send the request, nil if it may go nowhere else.
 func (x *exchange) next(ctx context.Context) *dispatch.Target {
 	if x.attempts.Spent(x.route.Attempts) {
@@ -334,34 +298,6 @@
 	s.end, s.took = how, x.gateway.Clock.Since(x.now)-s.at
 }
 
-// sendDone ends the last send.
-func (x *exchange) sendDone() { x.sending.Done() }
-
-// sendBroke notes that the last send's connection ended before a whole answer.
-func (x *exchange) sendBroke() {
-	x.broken++
-	x.sending.Broke()
-}
-
-// content is what makes the request the same as another one.
-func (x *exchange) content() quarantine.Content {
-	return quarantine.Content{Workspace: x.workspace, Method: x.req.Method, Target: x.req.Target, Model: x.req.Model, Body: x.req.Body}
-}
-
-// reasonEnded: the request ended the instances that ran it.
-const reasonEnded = "ended_instances"
-
-// quarantined answers a request that ended the instances that ran it; true: it was one. The
-// answer is final: no promise that it has not run, and no time to come back.
-func (x *exchange) quarantined() bool {
-	if !x.gateway.Watch.Refuses(x.digest) {
-		return false
-	}
-	x.reason = reasonEnded
-	x.refuse(http.StatusBadGateway, reasonEnded, 0)
-	return true
-}
-
 func (x *exchange) note(reason string) {
 	if x.reason == "" {
 		x.reason = reason
