--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -21,9 +21,9 @@
 	// one's send left after the first end: many instances that crash at one moment say
 	// nothing of a request that is in progress at all of them.
 	apart = 250 * time.Millisecond
-	// keptEnds bounds the ends kept of one request, the latest ones: those that it still
-	// explains when copies of it were in progress.
-	keptEnds = 16
+	// keptEnds bounds the ends kept of one request, the first ones. Daemons that dropped the
+	// oldest would tell them one another anew for ever, as their times differ by some ms.
+	keptEnds = 32
 	// sameTime is within what one moment may be told differently by two daemons: messages
 	// take some ms, and ages are whole milliseconds.
 	sameTime = 50 * time.Millisecond
@@ -168,13 +168,12 @@
 // add notes an end; e.mu is held. One that a good end followed is none.
 func (e *Evidence) add(r *record, end End, now time.Time) {
 	known := func(o End) bool { return o.Life == end.Life }
-	if !end.At.After(r.good) || slices.ContainsFunc(r.ends, known) {
+	if !end.At.After(r.good) || len(r.ends) >= keptEnds || slices.ContainsFunc(r.ends, known) {
 		return
 	}
 	hot := r.hot()
 	r.ends = append(r.ends, end)
 	slices.SortFunc(r.ends, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Life.Instance, b.Life.Instance)) })
-	r.ends = r.ends[max(len(r.ends)-keptEnds, 0):]
 	e.touch(r, hot, now)
 }
 
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -166,6 +166,38 @@
 	must.False(t, e.Empty())
 }
 
+// Copies of a refused content that were in progress at many instances: more ends than are
+// kept, which two daemons know in part. They stop to tell one another, and what the store holds
+// changes nothing.
+func TestManyEndsAreToldOnce(t *testing.T) {
+	a, b := NewEvidence(), NewEvidence()
+	for i := range 3 * keptEnds {
+		when := at(float64(i))
+		if i > 2 {
+			when = at(10 + float64(i)/10000)
+		}
+		[]*Evidence{a, b}[i%2].Ended(lifeOf(i), when, under(when, poison))
+	}
+	var seenA, seenB uint64
+	for round := range 5 {
+		now := at(1000 + float64(round)/3)
+		toB, upToB := a.Since(seenA, false, now)
+		toA, upToA := b.Since(seenB, false, now.Add(3*time.Millisecond))
+		seenA, seenB = upToB, upToA
+		a.Merge(toA, now.Add(5*time.Millisecond))
+		b.Merge(toB, now.Add(7*time.Millisecond))
+	}
+	words, _ := a.Since(seenA, false, at(1002))
+	must.SliceEmpty(t, words)
+	words, _ = b.Since(seenB, false, at(1002))
+	must.SliceEmpty(t, words)
+	seq, _ := a.Seq()
+	a.Load(b.Store(at(1002)), at(1003))
+	after, _ := a.Seq()
+	must.Eq(t, seq, after)
+	must.True(t, a.Refuses(poison))
+}
+
 // Whatever daemons tell one another in whatever order, once all know all they refuse the
 // same, and have nothing more to tell.
 func TestDaemonsAgreeOnceTheyToldAll(t *testing.T) {
--- a/internal/quarantine/stored.go
+++ b/internal/quarantine/stored.go
@@ -66,7 +66,7 @@
 func (e *Evidence) load(c StoredContent, now time.Time) (refused bool) {
 	known := e.records[c.Digest]
 	w := Word{Digest: c.Digest, Workspace: c.Workspace, state: c.state}
-	if known == nil || known.good.IsZero() {
+	if known == nil || known.good.IsZero() && !known.refuses() {
 		for i, life := range c.Ends {
 			age := int64(len(c.Ends)-i) * apart.Milliseconds()
 			w.Ends = append(w.Ends, EndWord{life, age, age})
