Planner: hears of heads that other daemons saw end

Now an end that a daemon confirmed (the address refuses connections) is reported for a second like a stand-still; the planner probes before it believes.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -95,13 +95,21 @@
 		Store:   d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm,
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
-		Standing:  d.picker.Stopped,
+		Standing:  d.standing,
 		Bootstrap: s.Bootstrap, Quarantine: d.watch, Listed: d.listed,
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
 		Now:     d.Clock.Now, Log: d.Log,
 	})
 }
 
+// standing lists the heads that this daemon's streams show to stand still, or to have ended: a
+// process that ends breaks its streams off, and none stands still.
+func (d *Daemon) standing(now time.Time) []string {
+	out := append(d.picker.Stopped(now), d.watch.EndedLately()...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // exchange tells this daemon, while it relays, what other zones have in progress.
 func (d *Daemon) exchange() *relay.Exchange {
 	return &relay.Exchange{Node: d.relay, List: func(ctx context.Context) (objectapi.Listing, error) {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -207,6 +207,23 @@
 // Ends is how many instances this daemon saw end under requests.
 func (w *Watch) Ends() uint64 { return w.ends.Load() }
 
+// reportFor is how long an end counts as news for the daemon that plans.
+const reportFor = time.Second
+
+// EndedLately lists the instances that this daemon saw end a moment ago, in order.
+func (w *Watch) EndedLately() (ids []string) {
+	now := w.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for life, b := range w.lives {
+		if b.ended && now.Sub(b.at) < reportFor {
+			ids = append(ids, life.Instance)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Since is Evidence.Since as of now.
 func (w *Watch) Since(seq uint64, hot bool) (words []Word, upTo uint64) {
 	return w.Evidence.Since(seq, hot, w.Now())
