Start: what comes is held until the record of refused requests was looked for

A daemon whose first look at the records failed served without them until its next look, up to 1.5 s later; one that starts holds what comes for half a second at most anyway.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -114,6 +114,8 @@
 	keeper   *quarantine.Keeper
 	stopping atomic.Bool
 	started  time.Time
+	// refusedKnown: the store's record of refused requests was looked for in this life.
+	refusedKnown atomic.Bool
 }
 
 // Run serves until ctx ends, then stops in order: not ready at once, no new
@@ -281,7 +283,10 @@
 const startHold = 500 * time.Millisecond
 
 // starting tells whether this daemon will soon know whether it can serve.
-func (d *Daemon) starting() bool { return d.Clock.Since(d.started) < startHold && !d.ready() }
+func (d *Daemon) starting() bool {
+	known := d.ready() && (d.relay == nil || d.refusedKnown.Load())
+	return !known && d.Clock.Since(d.started) < startHold
+}
 
 // ready tells whether this daemon can serve what comes.
 func (d *Daemon) ready() bool {
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -29,6 +29,7 @@
 
 // listed takes in what the relays' kind holds beside them.
 func (d *Daemon) listed(l objectapi.Listing) {
+	d.refusedKnown.Store(true)
 	i := slices.IndexFunc(l.Objects, func(o objectapi.Object) bool { return o.Key == RefusedKey })
 	if i < 0 {
 		return
