--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -215,9 +215,9 @@
 	run(work, d.sweep)
 	run(work, func(ctx context.Context) { d.calls.tell(ctx, d.Log) })
 	run(work, d.keeper.Run)
+	run(work, d.passOn)
 	run(work, d.tellSuspensions)
 	if d.survey != nil {
-		run(work, d.passOn)
 		run(work, d.spread().Run)
 		run(ctx, d.survey.Run)
 		run(work, d.exchange().Run)
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -20,7 +20,7 @@
 		Feed: d.Outside.Feed, Key: RefusedKey, Watch: d.watch, Alone: s.Peers == "",
 		Writes:  func() bool { return d.relay == nil || d.relay.Holding() || d.relay.Unheard() },
 		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Wall:    d.Clock.Now, Log: d.Log,
+		Wall:    d.Clock.Now, Log: d.Log, Kick: make(chan struct{}, 1),
 	}
 	d.Metrics.GetOrCreateGauge("pearlanding_instances_ended", func() float64 { return float64(d.watch.Ends()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_contents_marked", func() float64 { marked, _ := evidence.Counts(); return float64(marked) })
@@ -39,14 +39,21 @@
 	}
 }
 
-// passOn lets the relay pass on at once what is new of requests that end instances.
+// passOn lets the relay pass on at once what is new of requests that end instances, and the
+// keeper save it.
 func (d *Daemon) passOn(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.watch.Evidence.Changed():
-			d.relay.Kick()
+			if d.relay != nil {
+				d.relay.Kick()
+			}
+			select {
+			case d.keeper.Kick <- struct{}{}:
+			default:
+			}
 		}
 	}
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -14,8 +14,9 @@
 
 // Times of the keeper.
 const (
-	// keepEvery is how often a daemon looks whether something must be saved.
-	keepEvery = 100 * time.Millisecond
+	// keepEvery is how often a daemon looks at least whether something must be saved: that it
+	// is for this one to save may begin without a change of what is known.
+	keepEvery = 2 * time.Second
 	// keepSpread is within what time the daemons that could save the same do so, by chance:
 	// the others hear from the first one in between.
 	keepSpread = 300 * time.Millisecond
@@ -38,13 +39,15 @@
 	Uniform func(least, most time.Duration) time.Duration
 	Wall    func() time.Time // time of day, for operators
 	Log     *zap.Logger
+	// Kick is signalled when something changed.
+	Kick chan struct{}
 }
 
 // Run keeps until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	pauseFor := keepEvery
 	for ctx.Err() == nil {
-		pause.For(ctx, pauseFor)
+		k.rest(ctx, pauseFor)
 		pauseFor = keepEvery
 		if k.Alone {
 			pauseFor = aloneEvery
@@ -64,6 +67,22 @@
 	}
 }
 
+// rest waits until something changed, at most for d. After a save that failed or for a daemon
+// that reads by itself, d is short.
+func (k *Keeper) rest(ctx context.Context, d time.Duration) {
+	if d < keepEvery {
+		pause.For(ctx, d)
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-k.Kick:
+	case <-ctx.Done():
+	}
+}
+
 // Take takes in the record as somebody read it.
 func (k *Keeper) Take(value []byte) error {
 	s, err := ReadStored(value)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,8 +111,10 @@
 const (
 	// spreadTimeout bounds one exchange.
 	spreadTimeout = 300 * time.Millisecond
-	// spreadEvery is how often one that failed is tried again.
+	// spreadEvery is how often one that failed is tried again; spreadIdle how often it is
+	// looked whether there is one, while nothing is known.
 	spreadEvery = 250 * time.Millisecond
+	spreadIdle  = 2 * time.Second
 	// spreadList is how often a relay that has news looks who the others are now: their
 	// records may have changed since its last listing.
 	spreadList = time.Second
@@ -130,20 +133,43 @@
 
 // Run spreads until ctx ends.
 func (s *Spread) Run(ctx context.Context) {
-	tick := time.NewTicker(spreadEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(spreadEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-timer.C:
 		case <-s.Node.kick:
 			s.Node.history.nudge()
 		}
 		s.once(ctx)
+		timer.Reset(s.pace())
 	}
 }
 
+// pace is how long to wait without news.
+func (s *Spread) pace() time.Duration {
+	if s.behind() {
+		return spreadEvery
+	}
+	return spreadIdle
+}
+
+// behind tells whether somebody lacks this daemon's news, or it somebody's.
+func (s *Spread) behind() bool {
+	n := s.Node
+	all, _ := n.o.Quarantine.Seq()
+	if !n.Holding() {
+		relay, due := n.share.last()
+		return due || n.positions.at(relay).ours < all
+	}
+	return slices.ContainsFunc(n.relays(), func(address string) bool {
+		at := n.positions.at(address)
+		return at.of == "" || at.ours < all
+	})
+}
+
 func (s *Spread) once(ctx context.Context) {
 	if s.Node.Holding() {
 		s.far(ctx)
@@ -155,11 +181,11 @@
 // near exchanges with the zone's relay.
 func (s *Spread) near(ctx context.Context) {
 	n := s.Node
-	relay, due := n.share.last()
-	all, _ := n.o.Quarantine.Seq()
-	if !due && n.positions.at(relay).ours >= all {
+	if !s.behind() {
 		return
 	}
+	relay, _ := n.share.last()
+	all, _ := n.o.Quarantine.Seq()
 	if relay != "" {
 		n.share.asked(relay, false)
 		if s.converse(ctx, relay, true) {
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -179,6 +179,7 @@
 	}
 	n.suspect = ""
 	n.lookAt = n.now().Add(recheckEvery)
+	n.Kick() // the relays of other zones may know what this one must
 }
 
 // use makes another daemon this one's relay.
