--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -128,7 +128,8 @@
 	List func(ctx context.Context) (objectapi.Listing, error) // of all zones' records
 
 	listed time.Time
-	told   uint64 // this daemon's last news as it listed the relays
+	told   uint64               // this daemon's last news as it listed the relays
+	tried  map[string]time.Time // when a relay that never answered was asked last, by address
 }
 
 // Run spreads until ctx ends.
@@ -164,10 +165,14 @@
 		relay, due := n.share.last()
 		return due || n.positions.at(relay).ours < all
 	}
-	return slices.ContainsFunc(n.relays(), func(address string) bool {
-		at := n.positions.at(address)
-		return at.of == "" || at.ours < all
-	})
+	return slices.ContainsFunc(n.relays(), func(address string) bool { return s.due(address, all) })
+}
+
+// due tells whether a relay is to be asked: it lacks news, or was never asked. One that does
+// not answer is then asked again with the next news, or after a while.
+func (s *Spread) due(address string, all uint64) bool {
+	at := s.Node.positions.at(address)
+	return at.ours < all || at.of == "" && s.Node.now().Sub(s.tried[address]) > relayList
 }
 
 func (s *Spread) once(ctx context.Context) {
@@ -227,8 +232,12 @@
 		s.list(ctx, all)
 	}
 	var wait sync.WaitGroup
+	if s.tried == nil {
+		s.tried = map[string]time.Time{}
+	}
 	for _, address := range n.relays() {
-		if at := n.positions.at(address); at.of == "" || at.ours < all {
+		if s.due(address, all) {
+			s.tried[address] = n.now()
 			wait.Go(func() { s.converse(ctx, address, false) })
 		}
 	}
