--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	k.Watch.refused(k.Watch.Evidence.Load(s, k.Watch.Now()))
+	k.Watch.enforce(k.Watch.Evidence.Load(s, k.Watch.Now()))
 	return nil
 }
 
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -151,7 +151,7 @@
 	w.mu.Unlock()
 	switch {
 	case ended:
-		w.refused(w.Evidence.Ended(s.life, at, []Suspect{suspect}))
+		w.enforce(w.Evidence.Ended(s.life, at, []Suspect{suspect}))
 	case first:
 		go w.verify(s.life, s.address)
 	}
@@ -159,7 +159,7 @@
 
 // verify looks whether an instance ended, and if so marks what was in progress there.
 func (w *Watch) verify(life Life, address string) {
-	ended := w.refuses(address)
+	ended := w.closed(address)
 	w.mu.Lock()
 	b := w.lives[life]
 	if b == nil || !ended {
@@ -174,7 +174,7 @@
 	w.mu.Unlock()
 	w.Log.Info("instance ended under requests", zap.String("instance", life.Instance), zap.Int64("born", life.Born),
 		zap.Int("suspects", len(suspects)), zap.Strings("contents", shorts(suspects)))
-	w.refused(w.Evidence.Ended(life, at, suspects))
+	w.enforce(w.Evidence.Ended(life, at, suspects))
 }
 
 // shortsMost bounds the contents named in a line.
@@ -187,8 +187,8 @@
 	return out
 }
 
-// refuses tells whether an address refuses connections.
-func (w *Watch) refuses(address string) bool {
+// closed tells whether an address refuses connections.
+func (w *Watch) closed(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	for _, p := range probePauses {
@@ -235,12 +235,12 @@
 // Merge takes in another daemon's words.
 func (w *Watch) Merge(words []Word) {
 	if len(words) > 0 {
-		w.refused(w.Evidence.Merge(words, w.Now()))
+		w.enforce(w.Evidence.Merge(words, w.Now()))
 	}
 }
 
-// refused logs what is refused from now on, and calls back what was sent of it.
-func (w *Watch) refused(digests []Digest) {
+// enforce logs what is refused from now on, and calls back what was sent of it.
+func (w *Watch) enforce(digests []Digest) {
 	for _, d := range digests {
 		w.Log.Warn("request refused from now on", zap.String("decision", "send_it_to_no_instance"), zap.String("content", d.Short()),
 			zap.String("digest", d.String()), zap.Object("evidence", w.Evidence.view(d)))
