Connections: given up by how long others take to come up

Cause: a fixed 400 ms for a connection, with first events due in 200 to 400 ms and round trips of 2 to 7 ms: every stream sent to a dark host was late. Change: four times the usual time, learned from the connections that came up, at least 80 ms (a process on a fifth of a core may stand still for nearly 100 ms), at most as before. Test: TestConnectionsToADarkHostAreGivenUpSoon.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,7 +24,8 @@
 // the request may have left, and passes over surplus answers that an upstream
 // left on a connection. Safe for concurrent use.
 type Pool struct {
-	// Connect bounds how long a connection may take to come up.
+	// Connect bounds how long a connection may take to come up; those that came up bound
+	// it further.
 	Connect time.Duration
 	// MaxIdle is how long an idle connection is kept when the upstream names no
 	// time of its own.
@@ -37,6 +38,7 @@
 	idle   map[string][]*kept
 	open   map[string]int
 	opened uint64 // connections ever opened
+	timer  connectTimer
 }
 
 // kept is one connection and what may still arrive on it.
@@ -125,10 +127,9 @@
 	if !p.reserve(call.Address) {
 		return nil, errors.WithType(errors.Errorf("connections to %s", call.Address), ErrBusy)
 	}
-	conn, err := link.Dialer(p.Connect).DialContext(ctx, "tcp", call.Address)
+	conn, err := p.dial(ctx, call.Address)
 	if err != nil {
-		p.release(call.Address)
-		return nil, errors.WithType(err, ErrNotSent)
+		return nil, err
 	}
 	c := &kept{Conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBuffer)}
 	if call.Fresh && !settled(ctx, conn) {
@@ -144,15 +145,26 @@
 	if !p.reserve(address) {
 		return errors.WithType(errors.Errorf("connections to %s", address), ErrBusy)
 	}
-	conn, err := link.Dialer(p.Connect).DialContext(ctx, "tcp", address)
+	conn, err := p.dial(ctx, address)
 	if err != nil {
-		p.release(address)
-		return errors.WithType(err, ErrNotSent)
+		return err
 	}
 	p.put(&kept{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBuffer)}, p.MaxIdle)
 	return nil
 }
 
+// dial opens a connection that was reserved, or releases it.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	begun := p.Clock.Now()
+	conn, err := link.Dialer(p.timer.limit(p.Connect)).DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.release(address)
+		return nil, errors.WithType(err, ErrNotSent)
+	}
+	p.timer.note(p.Clock.Since(begun))
+	return conn, nil
+}
+
 // settleFor is how long a new connection is watched before a request that must not
 // be repeated goes out: some round trips within a region.
 const settleFor = 4 * time.Millisecond
