No stream is given up without a repeat for its successor

Change: the repeat is taken before the send is given up, and given back if an event comes meanwhile. A replica's word that it has not run a request that another one may have run takes its attempt back also before the first event: such a request can't be refused as not run. Ruled out: the same where no other may have run it (its caller can be told so, and more sends add to an overload).

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -17,8 +17,8 @@
 func (a *Attempts) Reached() { a.reached++ }
 
 // NotRun takes back the last instance reached, which has said that it did not run the
-// request. It serves streams that have begun: their callers hold a part of the answer,
-// and would lose it where two replicas end one after the other.
+// request. It serves requests that an instance before may have run: they can't be refused as
+// not run, and would be lost where two replicas end one after the other.
 func (a *Attempts) NotRun() { a.reached-- }
 
 // Repeated tells whether another send would be a repeat.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,8 +111,9 @@
 	sends     []sendLog
 	digest    func() quarantine.Digest // of the content, computed once; safe for concurrent use
 	attempts  dispatch.Attempts
-	mayRun    bool // some instance may have run it
-	broken    int  // sends whose connection ended before a whole answer
+	reserved  atomic.Pointer[reservation] // a repeat for the next send
+	mayRun    bool                        // some instance may have run it
+	broken    int                         // sends whose connection ended before a whole answer
 	status    int
 	reason    string // why it ended as it did; empty: served at the first try
 	begun     bool   // the answer's head went out
@@ -235,25 +236,47 @@
 		x.note("attempts_spent")
 		return nil
 	}
-	now, rule := x.gateway.Clock.Now(), x.gateway.Bounds().Retry
+	now := x.gateway.Clock.Now()
 	if !now.Before(x.deadline) { // timers stand still while the machine is suspended
 		x.note("deadline")
 		return nil
 	}
-	repeat := x.attempts.Repeated()
-	// Taken before the choice: requests that fail together would all find it left.
-	own := repeat && x.budget().Repeat(rule, now)
-	if repeat && !own && !x.borrow(ctx) {
-		x.note("retry_budget_spent")
-		return nil
+	own := false
+	if x.attempts.Repeated() {
+		// Taken before the choice: requests that fail together would all find it left.
+		r := x.repeat(ctx)
+		if r == nil {
+			x.note("retry_budget_spent")
+			return nil
+		}
+		own = r.own
 	}
 	t := x.gateway.Picker.Pick(x.targets(), x.tried, now)
 	if t == nil && own {
-		x.budget().Return(rule, now)
+		x.budget().Return(x.gateway.Bounds().Retry, now)
 	}
 	return t
 }
 
+// repeat takes the repeat that was reserved, or one of the budgets; nil: there is none.
+func (x *exchange) repeat(ctx context.Context) *reservation {
+	if r := x.reserved.Swap(nil); r != nil {
+		return r
+	}
+	return x.takeRepeat(ctx)
+}
+
+// takeRepeat takes a repeat of this daemon's budget or of others'; nil: there is none.
+func (x *exchange) takeRepeat(ctx context.Context) *reservation {
+	switch {
+	case x.budget().Repeat(x.gateway.Bounds().Retry, x.gateway.Clock.Now()):
+		return &reservation{own: true}
+	case x.borrow(ctx):
+		return &reservation{}
+	}
+	return nil
+}
+
 func (x *exchange) budget() *dispatch.Budget { return x.gateway.Budgets.Of(x.service.Name) }
 
 // borrow takes a repeat that other daemons have to spare.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -103,6 +103,7 @@
 	codec := x.gateway.Codec
 	if codec.NotRun(resp.StatusCode, resp.Header) {
 		x.ended("refused " + resp.Status)
+		x.notRun(resp)
 		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 		return false
 	}
@@ -132,6 +133,15 @@
 	return true
 }
 
+// notRun takes the last attempt back if its instance has not run the request, where the
+// caller could not be told to come back: it holds a part of the answer, or an instance before
+// may have run the request.
+func (x *exchange) notRun(resp *http.Response) {
+	if (x.begun || x.mayRun) && x.gateway.Codec.NotRun(resp.StatusCode, resp.Header) {
+		x.attempts.NotRun()
+	}
+}
+
 // again tells whether another send could be made.
 func (x *exchange) again() bool {
 	if !x.gateway.mayRepeat(x.service.Name) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,7 @@
 // stream passes events on as they come. A stream that stands still or breaks
 // goes on at another replica after the last event passed on.
 func (x *exchange) stream(ctx context.Context) {
+	defer x.release()
 	if id, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
 		x.lastEvent, x.hasLast = id, true
 	}
@@ -66,7 +67,7 @@
 	defer func() { x.gateway.Picker.Ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.watch(t, patience, cancel)
+	watch := x.watch(attempt, t, patience, cancel)
 	defer watch.Stop()
 	last := x.req.LastEvent
 	if x.hasLast {
@@ -87,9 +88,7 @@
 		}
 		if x.begun {
 			x.ended("refused " + resp.Status)
-			if x.gateway.Codec.NotRun(resp.StatusCode, resp.Header) {
-				x.attempts.NotRun()
-			}
+			x.notRun(resp)
 			x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
 			return false
 		}
@@ -110,7 +109,7 @@
 
 // watch ends the send when its stream stands still and may go on elsewhere. It
 // is reset with each event.
-func (x *exchange) watch(t *dispatch.Target, patience dispatch.Patience, cancel context.CancelCauseFunc) *watcher {
+func (x *exchange) watch(ctx context.Context, t *dispatch.Target, patience dispatch.Patience, cancel context.CancelCauseFunc) *watcher {
 	w := &watcher{}
 	if !x.route.Repeatable() || x.attempts.Last(x.route.Attempts) {
 		w.timer = time.AfterFunc(time.Hour, func() {})
@@ -120,7 +119,11 @@
 	w.arm(patience.FirstLook(), func() bool {
 		now, events := x.gateway.Clock.Now(), w.events.Load()
 		silence := dispatch.Silence{Begun: events > 0, Waited: now.Sub(sent), Patience: patience.First, Replica: picker.Health(t, now)}
-		if !silence.Move() || !elsewhere() {
+		if !silence.Move() || !elsewhere() || !x.reserve(ctx) {
+			return true
+		}
+		if w.events.Load() != events {
+			x.release() // it came while the repeat was asked for
 			return true
 		}
 		cancel(errSilent)
@@ -144,6 +147,28 @@
 	}
 }
 
+// reserve takes the repeat that the next send needs before the one under way is given up:
+// without it the stream would end there. Safe for any goroutine; false: there is none.
+func (x *exchange) reserve(ctx context.Context) bool {
+	r := x.takeRepeat(ctx)
+	if r != nil {
+		x.reserved.Store(r)
+	}
+	return r != nil
+}
+
+// reservation is a repeat that was taken and not used yet.
+type reservation struct {
+	own bool // of this daemon's budget, to which it can be given back
+}
+
+// release gives back a repeat that was reserved and not needed.
+func (x *exchange) release() {
+	if r := x.reserved.Swap(nil); r != nil && r.own {
+		x.budget().Return(x.gateway.Bounds().Retry, x.gateway.Clock.Now())
+	}
+}
+
 // watcher is a timer that asks again as long as its function returns true.
 type watcher struct {
 	events  atomic.Int64 // that came
