Callers that are late already wait behind those that may be in time

Change: a caller that has clearly less time left than the longest wait seen on its route has asked before; once its objective has passed its request waits behind others at the replica. A stream in its middle that lost its replica goes before them. Ruled out: refusing them (a refusal costs their callers more than a late answer).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	// MayBorrow tells whether they probably have one. nil: there are no others.
 	Borrow    func(ctx context.Context, service string) bool
 	MayBorrow func(service string) bool
+	waits     dispatch.Waits // of callers
 	sampled   atomic.Uint64
 	any       atomic.Bool
 }
@@ -100,7 +101,8 @@
 	gateway   *Gateway
 	w         http.ResponseWriter
 	req       *Request
-	now       time.Time // arrival
+	now       time.Time     // arrival
+	before    time.Duration // for which the caller had waited then
 	config    Config
 	route     *routes.Route
 	service   *routes.Service
@@ -142,6 +144,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.gateway.Clock.Until(x.deadline))
 	defer cancel()
 	x.budget().Request(x.gateway.Bounds().Retry, x.now)
+	x.before = x.gateway.waits.Elapsed(x.route.Name, x.req.Wait)
 	if x.route.Kind == routes.Stream {
 		x.stream(ctx)
 	} else {
@@ -303,7 +306,7 @@
 		Address: t.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Body: x.req.Body,
 		Fresh: !x.route.Repeatable(),
 		Header: x.gateway.Codec.Header(x.req, Send{Instance: t.Instance, Remaining: x.deadline.Sub(now),
-			Workspace: x.workspace, LastEvent: lastEvent}),
+			Workspace: x.workspace, LastEvent: lastEvent, Urgency: x.urgency(now)}),
 		Own: func(status int, h http.Header) bool { return x.gateway.Codec.AnswersTo(x.req.ID, status, h) },
 	}
 	x.sending = x.gateway.Watch.Begin(quarantine.Life{Instance: t.Instance, Born: t.Born}, t.Address, x.workspace, x.digest, callBack)
@@ -315,6 +318,19 @@
 	return resp, err
 }
 
+// urgency is that of a send now. What is no stream does not wait behind others.
+func (x *exchange) urgency(now time.Time) dispatch.Urgency {
+	if x.route.Kind != routes.Stream {
+		return dispatch.InTime
+	}
+	longest := x.maxGap
+	if x.events > 0 {
+		longest = max(longest, now.Sub(x.eventAt))
+	}
+	return dispatch.Progress{Waited: x.before + now.Sub(x.now), Objective: x.route.Objective, Gap: x.route.Gap,
+		Begun: x.events > 0, First: x.before + x.firstAt, Longest: longest}.Urgency()
+}
+
 // ended notes how a send ended.
 func (x *exchange) ended(how string) {
 	s := &x.sends[len(x.sends)-1]
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,8 @@
 import (
 	"net/http"
 	"time"
+
+	"pearlanding/internal/dispatch"
 )
 
 // Request is what the gateway looks at of a caller's request.
@@ -34,6 +36,7 @@
 	Remaining time.Duration
 	Workspace string
 	LastEvent string
+	Urgency   dispatch.Urgency // among the requests that wait there
 }
 
 // Codec translates between HTTP headers on the wire and the gateway's types.
