pearlanding account: what made requests late or lost, from saved logs

By cause, kind and second, as text or JSON; sampled lines count for those they stand for. The request line tells what was missing for it: the caller's time before (before_ms), both objectives (objective_ms, gap_ms), and how many requests a line stands for. time_ms of a request refused before its time was known is 0 and no longer the least number. Test: TestAccountOfSavedLines.

--- a/cmd/pearlanding/main.go
+++ b/cmd/pearlanding/main.go
@@ -45,6 +45,7 @@
 	addServe(app, run)
 	addFront(app, run)
 	addTrace(app, run)
+	addAccount(app, run)
 	addRefused(app, run)
 	addCheck(app, run)
 	addOperator(app, run)
--- a/cmd/pearlanding/trace.go
+++ b/cmd/pearlanding/trace.go
@@ -18,25 +18,34 @@
 }
 
 func trace(id string, files []string) int {
+	all, err := readLogs(files)
+	if err != nil {
+		return fail(err)
+	}
+	story := decisionlog.Story(all, id)
+	if len(story) == 0 {
+		return fail(fmt.Errorf("no line of request %s in these files: it was served at the first try and not sampled, or it reached none of these daemons", id))
+	}
+	for _, l := range story {
+		fmt.Println(l)
+	}
+	return exitOK
+}
+
+// readLogs reads the lines of several log files.
+func readLogs(files []string) ([]decisionlog.Line, error) {
 	var all []decisionlog.Line
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
-			return fail(err)
+			return nil, err
 		}
 		lines, err := decisionlog.ReadLines(name, f)
 		f.Close()
 		if err != nil {
-			return fail(fmt.Errorf("%s: %w", name, err))
+			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 		all = append(all, lines...)
 	}
-	story := decisionlog.Story(all, id)
-	if len(story) == 0 {
-		return fail(fmt.Errorf("no line of request %s in these files: it was served at the first try and not sampled, or it reached none of these daemons", id))
-	}
-	for _, l := range story {
-		fmt.Println(l)
-	}
-	return exitOK
+	return all, nil
 }
--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,34 @@
+package account
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/decisionlog"
+)
+
+// Saved lines of two daemons: one in time that stands for 16, one of each of six causes, and one
+// that nothing allows.
+func TestAccountOfSavedLines(t *testing.T) {
+	f, err := os.Open("testdata/saved.log")
+	must.NoError(t, err)
+	defer f.Close()
+	lines, err := decisionlog.ReadLines("saved.log", f)
+	must.NoError(t, err)
+	report := Of(lines)
+	must.Eq(t, 22, report.Requests)
+	var out bytes.Buffer
+	must.NoError(t, report.Write(&out))
+	want, err := os.ReadFile("testdata/account.txt")
+	must.NoError(t, err)
+	must.Eq(t, string(want), out.String())
+}
+
+func TestAccountOfNothing(t *testing.T) {
+	var out bytes.Buffer
+	must.NoError(t, Of(nil).Write(&out))
+	must.StrContains(t, out.String(), "0 requests")
+}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -53,8 +53,11 @@
 	took := g.Clock.Since(x.now)
 	g.Metrics.observe(x, took)
 	smooth := x.status/100 == 2 && len(x.sends) == 1
-	if !smooth || g.sampled.Add(1)%sampleServed == 0 {
+	switch {
+	case !smooth:
 		g.Log.Info("request", x.fields(took)...)
+	case g.sampled.Add(1)%sampleServed == 0:
+		g.Log.Info("request", append(x.fields(took), zap.Int("stands_for", sampleServed))...)
 	}
 	if x.status == statusAborted {
 		panic(http.ErrAbortHandler)
@@ -71,11 +74,12 @@
 	}
 	if x.route != nil {
 		out = append(out, zap.String("route", x.route.Name), zap.String("kind", string(x.route.Kind)),
-			zap.Int64("time_ms", x.deadline.Sub(x.now).Milliseconds()))
+			zap.Int64("time_ms", x.time().Milliseconds()), zap.Int64("before_ms", x.before.Milliseconds()),
+			zap.Int64("objective_ms", x.route.Objective.Milliseconds()))
 	}
 	if x.req.Model != "" {
 		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()),
-			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int("replicas", x.admission.Replicas),
+			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int64("gap_ms", x.objectiveForPauses().Milliseconds()), zap.Int("replicas", x.admission.Replicas),
 			zap.Int64("expected_ms", x.admission.Expected.Milliseconds()), zap.Int64("floor_ms", x.admission.Floor.Milliseconds()), zap.Int64("limit_ms", x.admission.Limit.Milliseconds()))
 	}
 	if x.digest != nil && (x.broken > 0 || !x.gateway.Watch.Evidence.Empty()) {
@@ -86,3 +90,19 @@
 	}
 	return append(out, zap.Array("sends", sendLogs(x.sends)), zap.Bool("may_have_run", x.mayRun))
 }
+
+// time is how much the request had from its arrival on; 0: it was refused before that was known.
+func (x *exchange) time() time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return x.deadline.Sub(x.now)
+}
+
+// objectiveForPauses is that of the route; 0: none, or no route.
+func (x *exchange) objectiveForPauses() time.Duration {
+	if x.route == nil {
+		return 0
+	}
+	return x.route.Gap
+}
