--- a/internal/dispatch/patience_test.go
+++ b/internal/dispatch/patience_test.go
@@ -64,7 +64,7 @@
 	for name, by := range generations() {
 		t.Run(name, func(t *testing.T) {
 			chance, w, p := rand.New(rand.NewPCG(1, 2)), wantedOf(by), testPicker()
-			draw := func() time.Duration { return pauses(chance, 40*time.Millisecond) }
+			draw := func() time.Duration { return pauses(chance, 60*time.Millisecond) }
 			seen(p, w, by, 20, draw)
 			patience := p.Patience(w).Pause
 			early := 0
