--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -17,22 +17,22 @@
 
 // Causes, by what the request's line shows. A request counts for the first that applies.
 const (
-	InTime       Cause = "in time"
-	NotProved    Cause = "configuration not proved" // refused: out of touch with the store
-	Starting     Cause = "daemon starting"          // refused: nothing known yet
-	Refused      Cause = "refused"                  // for another reason, before any send
-	CallerLeft   Cause = "caller left"
-	NoBudget     Cause = "repeat budget spent"
-	NoAttempts   Cause = "attempts spent"
-	Failed       Cause = "failed otherwise"
-	Came         Cause = "came late already" // the caller had waited past its objective before
-	Connect      Cause = "connect"           // a connection did not come up
-	NoticedFirst Cause = "silence before the first event"
-	NoticedPause Cause = "silence between events"
-	Broke        Cause = "send broke off"
-	NotRun       Cause = "replica full or gone" // it said that it had not run the request
-	Queue        Cause = "first event late"     // of a single send: queue, and reading
-	Pause        Cause = "pause of its replica" // of a single send
+	InTime      Cause = "in time"
+	NotProved   Cause = "configuration not proved" // refused: out of touch with the store
+	Starting    Cause = "daemon starting"          // refused: nothing known yet
+	Refused     Cause = "refused"                  // for another reason, before any send
+	CallerLeft  Cause = "caller left"
+	NoBudget    Cause = "repeat budget spent"
+	NoAttempts  Cause = "attempts spent"
+	Failed      Cause = "failed otherwise"
+	LateBefore  Cause = "came late already" // the caller had waited past its objective before
+	Connect     Cause = "connect"           // a connection did not come up
+	SilentFirst Cause = "silence before the first event"
+	SilentPause Cause = "silence between events"
+	Broke       Cause = "send broke off"
+	NotRun      Cause = "replica full or gone" // it said that it had not run the request
+	Queue       Cause = "first event late"     // of a single send: queue, and reading
+	Pause       Cause = "pause of its replica" // of a single send
 )
 
 // Row is one kind of requests and what became of them.
@@ -170,12 +170,12 @@
 	switch {
 	case !lateFirst && !latePause:
 		return InTime, q.first
-	case lateFirst && q.objective > 0 && q.before > q.objective:
-		return Came, q.before + q.first
+	case lateFirst && q.before > q.objective:
+		return LateBefore, q.before + q.first
 	case latePause:
-		return q.delay(Pause, NoticedPause), q.pause
+		return q.delay(Pause, SilentPause), q.pause
 	}
-	return q.delay(Queue, NoticedFirst), q.first
+	return q.delay(Queue, SilentFirst), q.first
 }
 
 // failure is the cause of a request that was not answered.
@@ -200,7 +200,7 @@
 
 // delay is the cause of a late answer: alone if there was a single send, otherwise what ended
 // the first send.
-func (q *request) delay(alone, noticed Cause) Cause {
+func (q *request) delay(alone, silent Cause) Cause {
 	if len(q.ends) < 2 {
 		return alone
 	}
@@ -210,7 +210,7 @@
 	case strings.HasPrefix(end, "refused "):
 		return NotRun
 	case strings.Contains(end, "stands still"):
-		return noticed
+		return silent
 	}
 	return Broke
 }
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -8,8 +8,8 @@
 	Pause time.Duration // between two events
 }
 
-// Wanted is what a stream's route and its replica tell of its pauses.
-type Wanted struct {
+// StreamLimits are the limits on a stream's silence that its route and the published costs set.
+type StreamLimits struct {
 	Model     string
 	Objective time.Duration // for the first event; 0: none
 	Gap       time.Duration // for pauses; 0: none
@@ -22,7 +22,7 @@
 // again. Where too few pauses were seen to tell, the objective itself bounds them: moved by
 // the published costs alone, streams of a large model were late by their moves (of 617
 // requests 175, and 90 without).
-func (p *Picker) Patience(w Wanted) Patience {
+func (p *Picker) Patience(w StreamLimits) Patience {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.usualOf(w.Model)
@@ -51,8 +51,8 @@
 	// 1.15 times the longest of 1,500, streams of replicas that read long prompts were moved
 	// too often: worth per request owed -0.025 (6 days of 7 daemons and 48 engines).
 	unusualTimes = 1.5
-	// pausesKept is of how many pauses the longest one is kept; at least as many before them
-	// count too. One pause of some thousands is then longer.
+	// pausesKept is how many pauses a window holds; the one before it counts too, so that the
+	// longest of 5,000 to 10,000 is known.
 	pausesKept = 5000
 	// pausesLeast is how many must be seen before they tell what is usual.
 	pausesLeast = 300
@@ -63,28 +63,28 @@
 // usual is what the streams of a model showed of late at this daemon.
 type usual struct {
 	first time.Duration // mean wait for a first event; 0: none was seen
-	// The longest pauses between events, of the last ones and of those before.
-	last, before maximum
+	// The longest pauses between events: of the window that fills now, and of the one before.
+	filling, full pauseWindow
 }
 
-// maximum is the longest of some pauses.
-type maximum struct {
+// pauseWindow keeps the longest of some pauses.
+type pauseWindow struct {
 	seen    int
 	longest time.Duration
 }
 
 // longest returns the longest pause of late; false: too few were seen.
 func (u *usual) longest() (time.Duration, bool) {
-	return max(u.last.longest, u.before.longest), u.last.seen+u.before.seen >= pausesLeast
+	return max(u.filling.longest, u.full.longest), u.filling.seen+u.full.seen >= pausesLeast
 }
 
 // paused takes in a pause.
 func (u *usual) paused(pause time.Duration) {
-	if u.last.seen == pausesKept {
-		u.before, u.last = u.last, maximum{}
+	if u.filling.seen == pausesKept {
+		u.full, u.filling = u.filling, pauseWindow{}
 	}
-	u.last.seen++
-	u.last.longest = max(u.last.longest, pause)
+	u.filling.seen++
+	u.filling.longest = max(u.filling.longest, pause)
 }
 
 // usualOf returns what is usual for a model; p.mu is held.
--- a/internal/dispatch/patience_test.go
+++ b/internal/dispatch/patience_test.go
@@ -16,10 +16,10 @@
 
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-// wantedOf is a stream of a replica whose longest pass takes 434 ms, with 300 ms for a pause,
+// limitsOf is a stream of a replica whose longest pass takes 434 ms, with 300 ms for a pause,
 // all scaled.
-func wantedOf(by float64) Wanted {
-	return Wanted{Model: "m", Objective: scaled(300*time.Millisecond, by), Gap: scaled(300*time.Millisecond, by), Longest: scaled(434*time.Millisecond, by)}
+func limitsOf(by float64) StreamLimits {
+	return StreamLimits{Model: "m", Objective: scaled(300*time.Millisecond, by), Gap: scaled(300*time.Millisecond, by), Longest: scaled(434*time.Millisecond, by)}
 }
 
 // pauses draws the pauses of a replica that reads a prompt with each third pass, which takes
@@ -33,7 +33,7 @@
 }
 
 // seen lets a picker see streams of a replica, whose first events take 70 ms.
-func seen(p *Picker, w Wanted, by float64, streams int, pause func() time.Duration) {
+func seen(p *Picker, w StreamLimits, by float64, streams int, pause func() time.Duration) {
 	target, now := Target{Instance: "here"}, time.Unix(1000, 0)
 	for range streams {
 		p.Waits(&target, time.Hour, now)
@@ -50,7 +50,7 @@
 func TestStreamOfADeadReplicaGoesOnInTime(t *testing.T) {
 	for name, by := range generations() {
 		t.Run(name, func(t *testing.T) {
-			chance, w, p := rand.New(rand.NewPCG(1, 2)), wantedOf(by), testPicker()
+			chance, w, p := rand.New(rand.NewPCG(1, 2)), limitsOf(by), testPicker()
 			seen(p, w, by, 50, func() time.Duration { return pauses(chance, 14*time.Millisecond) })
 			must.LessEq(t, w.Gap, p.Patience(w).Pause+scaled(70*time.Millisecond, by), must.Sprint("late by a pause"))
 		})
@@ -63,7 +63,7 @@
 func TestStreamsOfReplicasThatReadStay(t *testing.T) {
 	for name, by := range generations() {
 		t.Run(name, func(t *testing.T) {
-			chance, w, p := rand.New(rand.NewPCG(1, 2)), wantedOf(by), testPicker()
+			chance, w, p := rand.New(rand.NewPCG(1, 2)), limitsOf(by), testPicker()
 			draw := func() time.Duration { return pauses(chance, 60*time.Millisecond) }
 			seen(p, w, by, 20, draw)
 			patience := p.Patience(w).Pause
@@ -83,7 +83,7 @@
 func TestPatienceGrowsWithTheReadingSeen(t *testing.T) {
 	for name, by := range generations() {
 		t.Run(name, func(t *testing.T) {
-			w, p := wantedOf(by), testPicker()
+			w, p := limitsOf(by), testPicker()
 			must.Eq(t, w.Gap, p.Patience(w).Pause, must.Sprint("nothing is known"))
 			for range pausesLeast {
 				p.Paused(w.Model, scaled(50*time.Millisecond, by))
@@ -105,6 +105,6 @@
 // Nothing told of costs: the objective for pauses holds, or a second.
 func TestPatienceWithoutCosts(t *testing.T) {
 	p, objective := testPicker(), 300*time.Millisecond
-	must.Eq(t, Patience{First: 450 * time.Millisecond, Pause: time.Minute}, p.Patience(Wanted{Objective: objective, Gap: time.Minute}))
-	must.Eq(t, Patience{First: defaultFirstEvent, Pause: defaultGap}, p.Patience(Wanted{}))
+	must.Eq(t, Patience{First: 450 * time.Millisecond, Pause: time.Minute}, p.Patience(StreamLimits{Objective: objective, Gap: time.Minute}))
+	must.Eq(t, Patience{First: defaultFirstEvent, Pause: defaultGap}, p.Patience(StreamLimits{}))
 }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -85,8 +85,8 @@
 // nothing shows that it lives go on elsewhere, those at a replica with a queue stay.
 func TestOnlyStreamsWithoutASignOfLifeAreMoved(t *testing.T) {
 	p := NewPicker("z", first)
-	patience := p.Patience(Wanted{Model: "m", Objective: objective}).First
-	unbounded := p.Patience(Wanted{Model: "m"}).First
+	patience := p.Patience(StreamLimits{Model: "m", Objective: objective}).First
+	unbounded := p.Patience(StreamLimits{Model: "m"}).First
 	must.Eq(t, defaultFirstEvent, unbounded)
 	for name, c := range map[string]struct {
 		silence Silence
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -18,22 +18,22 @@
 	Late
 )
 
-// Progress is how far a stream has come.
-type Progress struct {
+// StreamProgress is how far a stream has come.
+type StreamProgress struct {
 	Waited    time.Duration // by the caller, earlier attempts of its own included
 	Objective time.Duration // for the first event; 0: none
 	Gap       time.Duration // for pauses; 0: none
 	Begun     bool          // an event went out
 	First     time.Duration // when the first one did
-	Longest   time.Duration // pause until now
+	Pause     time.Duration // the longest until now
 }
 
 // Urgency tells how urgent a stream's next send is. After an outage two seconds of callers
 // come at once, most of them late already: served in the order of their coming, they make
 // all who come after them late too.
-func (p Progress) Urgency() Urgency {
+func (p StreamProgress) Urgency() Urgency {
 	missed := p.Objective > 0 && (p.Begun && p.First > p.Objective || !p.Begun && p.Waited > p.Objective) ||
-		p.Gap > 0 && p.Longest > p.Gap
+		p.Gap > 0 && p.Pause > p.Gap
 	switch {
 	case missed:
 		return Late
@@ -43,23 +43,23 @@
 	return InTime
 }
 
-// maxWaits bounds the routes whose callers' waits are kept.
-const maxWaits = 4096
+// maxRoutes bounds the routes whose callers' waits are kept.
+const maxRoutes = 4096
 
-// firstPart of the longest wait seen on a route is what a caller that asks first has left at
+// firstAskPart of the longest wait seen on a route is what a caller that asks first has left at
 // least: callers' own limits were seen to differ by 0.15 of it.
-const firstPart = 0.8
+const firstAskPart = 0.8
 
-// Waits knows for how long the callers of each route wait when they ask first: one that has
+// CallerWaits knows for how long the callers of each route wait when they ask first: one that has
 // much less time left has asked before. Safe for concurrent use.
-type Waits struct {
+type CallerWaits struct {
 	mu      sync.Mutex
 	longest map[string]time.Duration // by route
 }
 
 // Elapsed returns for how long a caller has waited at least that has so much time left; 0: not
 // told, or not known.
-func (w *Waits) Elapsed(route string, left time.Duration) time.Duration {
+func (w *CallerWaits) Elapsed(route string, left time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	longest, known := w.longest[route]
@@ -67,12 +67,12 @@
 		return 0
 	}
 	if left <= longest {
-		return max(time.Duration(firstPart*float64(longest))-left, 0)
+		return max(time.Duration(firstAskPart*float64(longest))-left, 0)
 	}
 	if w.longest == nil {
 		w.longest = map[string]time.Duration{}
 	}
-	if known || len(w.longest) < maxWaits {
+	if known || len(w.longest) < maxRoutes {
 		w.longest[route] = left
 	}
 	return 0
--- a/internal/dispatch/urgency_test.go
+++ b/internal/dispatch/urgency_test.go
@@ -12,24 +12,24 @@
 // time; a stream that a dead replica left goes before both.
 func TestCallersOfAnOutageWaitBehindThoseInTime(t *testing.T) {
 	const aim, gap = 200 * time.Millisecond, 250 * time.Millisecond
-	var w Waits
+	var w CallerWaits
 	must.Eq(t, 0, w.Elapsed("r", 5*time.Second))
 	must.Eq(t, 0, w.Elapsed("r", 4300*time.Millisecond), must.Sprint("callers' limits differ"))
 	must.Eq(t, 500*time.Millisecond, w.Elapsed("r", 3500*time.Millisecond))
 	must.Eq(t, 0, w.Elapsed("other", time.Second), must.Sprint("each route has its own"))
 	must.Eq(t, 0, w.Elapsed("r", 0), must.Sprint("no time told"))
 	for name, c := range map[string]struct {
-		progress Progress
+		progress StreamProgress
 		want     Urgency
 	}{
-		"new":                      {Progress{Objective: aim, Gap: gap}, InTime},
-		"back after the outage":    {Progress{Waited: 1500 * time.Millisecond, Objective: aim, Gap: gap}, Late},
-		"moved before its first":   {Progress{Waited: 150 * time.Millisecond, Objective: aim, Gap: gap}, InTime},
-		"moved in mid-stream":      {Progress{Waited: time.Second, Objective: aim, Gap: gap, Begun: true, First: 100 * time.Millisecond}, Resumed},
-		"moved, first came late":   {Progress{Waited: time.Second, Objective: aim, Gap: gap, Begun: true, First: 300 * time.Millisecond}, Late},
-		"moved, paused too long":   {Progress{Objective: aim, Gap: gap, Begun: true, Longest: 300 * time.Millisecond}, Late},
-		"no objective":             {Progress{Waited: time.Hour}, InTime},
-		"no objective, mid-stream": {Progress{Waited: time.Hour, Begun: true, Longest: time.Minute}, Resumed},
+		"new":                      {StreamProgress{Objective: aim, Gap: gap}, InTime},
+		"back after the outage":    {StreamProgress{Waited: 1500 * time.Millisecond, Objective: aim, Gap: gap}, Late},
+		"moved before its first":   {StreamProgress{Waited: 150 * time.Millisecond, Objective: aim, Gap: gap}, InTime},
+		"moved in mid-stream":      {StreamProgress{Waited: time.Second, Objective: aim, Gap: gap, Begun: true, First: 100 * time.Millisecond}, Resumed},
+		"moved, first came late":   {StreamProgress{Waited: time.Second, Objective: aim, Gap: gap, Begun: true, First: 300 * time.Millisecond}, Late},
+		"moved, paused too long":   {StreamProgress{Objective: aim, Gap: gap, Begun: true, Pause: 300 * time.Millisecond}, Late},
+		"no objective":             {StreamProgress{Waited: time.Hour}, InTime},
+		"no objective, mid-stream": {StreamProgress{Waited: time.Hour, Begun: true, Pause: time.Minute}, Resumed},
 	} {
 		t.Run(name, func(t *testing.T) { must.Eq(t, c.want, c.progress.Urgency()) })
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 	// MayBorrow tells whether they probably have one. nil: there are no others.
 	Borrow    func(ctx context.Context, service string) bool
 	MayBorrow func(service string) bool
-	waits     dispatch.Waits // of callers
+	waits     dispatch.CallerWaits // of callers
 	sampled   atomic.Uint64
 	any       atomic.Bool
 }
@@ -98,35 +98,35 @@
 
 // exchange is one request in progress.
 type exchange struct {
-	gateway   *Gateway
-	w         http.ResponseWriter
-	req       *Request
-	now       time.Time     // arrival
-	before    time.Duration // for which the caller had waited then
-	config    Config
-	route     *routes.Route
-	service   *routes.Service
-	workspace string
-	deadline  time.Time
-	view      *fleet.View
-	tried     map[string]bool
-	sends     []sendLog
-	digest    func() quarantine.Digest // of the content, computed once; safe for concurrent use
-	attempts  dispatch.Attempts
-	reserved  atomic.Pointer[reservation] // a repeat for the next send
-	mayRun    bool                        // some instance may have run it
-	broken    int                         // sends whose connection ended before a whole answer
-	status    int
-	reason    string // why it ended as it did; empty: served at the first try
-	begun     bool   // the answer's head went out
-	firstAt   time.Duration
-	lastEvent int64
-	hasLast   bool
-	events    int
-	eventAt   time.Time     // when the last event was passed on
-	maxGap    time.Duration // longest pause between events
-	admission dispatch.Admission
-	sending   *quarantine.Send // the last one
+	gateway      *Gateway
+	w            http.ResponseWriter
+	req          *Request
+	now          time.Time     // arrival
+	waitedBefore time.Duration // by the caller, at least, when it came
+	config       Config
+	route        *routes.Route
+	service      *routes.Service
+	workspace    string
+	deadline     time.Time
+	view         *fleet.View
+	tried        map[string]bool
+	sends        []sendLog
+	digest       func() quarantine.Digest // of the content, computed once; safe for concurrent use
+	attempts     dispatch.Attempts
+	reserved     atomic.Pointer[reservation] // a repeat for the next send
+	mayRun       bool                        // some instance may have run it
+	broken       int                         // sends whose connection ended before a whole answer
+	status       int
+	reason       string // why it ended as it did; empty: served at the first try
+	begun        bool   // the answer's head went out
+	firstAt      time.Duration
+	lastEvent    int64
+	hasLast      bool
+	events       int
+	eventAt      time.Time     // when the last event was passed on
+	maxGap       time.Duration // longest pause between events
+	admission    dispatch.Admission
+	sending      *quarantine.Send // the last one
 }
 
 // serve answers the request.
@@ -144,7 +144,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.gateway.Clock.Until(x.deadline))
 	defer cancel()
 	x.budget().Request(x.gateway.Bounds().Retry, x.now)
-	x.before = x.gateway.waits.Elapsed(x.route.Name, x.req.Wait)
+	x.waitedBefore = x.gateway.waits.Elapsed(x.route.Name, x.req.Wait)
 	if x.route.Kind == routes.Stream {
 		x.stream(ctx)
 	} else {
@@ -327,8 +327,8 @@
 	if x.events > 0 {
 		longest = max(longest, now.Sub(x.eventAt))
 	}
-	return dispatch.Progress{Waited: x.before + now.Sub(x.now), Objective: x.route.Objective, Gap: x.route.Gap,
-		Begun: x.events > 0, First: x.before + x.firstAt, Longest: longest}.Urgency()
+	return dispatch.StreamProgress{Waited: x.waitedBefore + now.Sub(x.now), Objective: x.route.Objective, Gap: x.route.Gap,
+		Begun: x.events > 0, First: x.waitedBefore + x.firstAt, Pause: longest}.Urgency()
 }
 
 // ended notes how a send ended.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -74,12 +74,12 @@
 	}
 	if x.route != nil {
 		out = append(out, zap.String("route", x.route.Name), zap.String("kind", string(x.route.Kind)),
-			zap.Int64("time_ms", x.time().Milliseconds()), zap.Int64("before_ms", x.before.Milliseconds()),
+			zap.Int64("time_ms", x.time().Milliseconds()), zap.Int64("before_ms", x.waitedBefore.Milliseconds()),
 			zap.Int64("objective_ms", x.route.Objective.Milliseconds()))
 	}
 	if x.req.Model != "" {
 		out = append(out, zap.String("model", x.req.Model), zap.Int("events", x.events), zap.Int64("first_ms", x.firstAt.Milliseconds()),
-			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int64("gap_ms", x.objectiveForPauses().Milliseconds()), zap.Int("replicas", x.admission.Replicas),
+			zap.Int64("max_gap_ms", x.maxGap.Milliseconds()), zap.Int64("gap_ms", x.pauseObjective().Milliseconds()), zap.Int("replicas", x.admission.Replicas),
 			zap.Int64("expected_ms", x.admission.Expected.Milliseconds()), zap.Int64("floor_ms", x.admission.Floor.Milliseconds()), zap.Int64("limit_ms", x.admission.Limit.Milliseconds()))
 	}
 	if x.digest != nil && (x.broken > 0 || !x.gateway.Watch.Evidence.Empty()) {
@@ -99,8 +99,8 @@
 	return x.deadline.Sub(x.now)
 }
 
-// objectiveForPauses is that of the route; 0: none, or no route.
-func (x *exchange) objectiveForPauses() time.Duration {
+// pauseObjective is that of the route; 0: none, or no route.
+func (x *exchange) pauseObjective() time.Duration {
 	if x.route == nil {
 		return 0
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,7 +62,7 @@
 // run makes one send; true: the request is answered, or cut for good.
 func (x *exchange) run(ctx context.Context, t *dispatch.Target) bool {
 	before, sent := x.events, x.gateway.Clock.Now()
-	patience := x.gateway.Picker.Patience(dispatch.Wanted{Model: x.req.Model, Objective: x.route.Objective, Gap: x.route.Gap, Longest: t.Quiet})
+	patience := x.gateway.Picker.Patience(dispatch.StreamLimits{Model: x.req.Model, Objective: x.route.Objective, Gap: x.route.Gap, Longest: t.Quiet})
 	x.gateway.Picker.Waits(t, patience.Pause, sent)
 	defer func() { x.gateway.Picker.Ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
@@ -98,7 +98,7 @@
 		x.broke(attempt, t, errors.New("answer without signature"))
 		return false
 	}
-	if err := x.relay(t, patience, sent, resp, watch); err != nil {
+	if err := x.relay(t, resp, passing{sent, patience.Pause, watch}); err != nil {
 		x.broke(attempt, t, err)
 		return false
 	}
@@ -202,8 +202,15 @@
 	w.timer.Stop()
 }
 
+// passing is how the events of one send are passed on.
+type passing struct {
+	sent  time.Time
+	pause time.Duration // silence after which the watch looks at the replica
+	watch *watcher
+}
+
 // relay passes the events of one answer on. nil: the stream is whole.
-func (x *exchange) relay(t *dispatch.Target, patience dispatch.Patience, sent time.Time, resp *http.Response, watch *watcher) error {
+func (x *exchange) relay(t *dispatch.Target, resp *http.Response, p passing) error {
 	reader := newEventReader(resp.Body)
 	flusher, ok := x.w.(http.Flusher)
 	if !ok {
@@ -230,13 +237,13 @@
 		now := x.gateway.Clock.Now()
 		x.gateway.Picker.Progressed(t, now)
 		x.sending.Event(now)
-		if watch.events.Add(1) == 1 {
-			x.gateway.Picker.Runs(t, x.req.Model, sent, now)
+		if p.watch.events.Add(1) == 1 {
+			x.gateway.Picker.Runs(t, x.req.Model, p.sent, now)
 		} else {
 			x.gateway.Picker.Paused(x.req.Model, now.Sub(lastEvent))
 		}
 		lastEvent = now
-		watch.Reset(patience.Pause)
+		p.watch.Reset(p.pause)
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
 		} else {
