Sight: which call ended an absence of the store, and by which configuration requests were handled

The lines could not tell which call of a daemon showed that the store was back, when it was sent, nor what its relay said meanwhile. Now 'store does not answer' and 'store answers again' name the call, its key, its age, the absence and the calls held back; 'configuration in force' names its source, the age of its proof and what was in force before; 'relay out of touch' is told once. Gauges of the version and the absence, a counter of calls held back. trace tells the lines with a request; account lists the versions with the oldest proof on which a request was handled.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -48,6 +48,7 @@
 	Causes   []CauseLine `json:"causes"`   // most first
 	Kinds    []Row       `json:"kinds"`    // by model, or route of a plain service
 	Seconds  []Second    `json:"seconds"`
+	Versions []Version   `json:"versions"` // of the configuration, oldest proof first
 }
 
 // CauseLine is one cause with how long its requests took.
@@ -85,7 +86,7 @@
 // route or key, are passed over.
 func Of(lines []decisionlog.Line) Report {
 	kinds, causes, seconds := map[string]*Row{}, map[Cause][]int{}, map[int64]*Second{}
-	var r Report
+	r := Report{Versions: versions(lines)}
 	for _, l := range lines {
 		q, ok := read(l)
 		if !ok {
--- a/internal/account/write.go
+++ b/internal/account/write.go
@@ -13,6 +13,10 @@
 // worstSeconds is how many seconds the text shows, those with most requests not in time.
 const worstSeconds = 12
 
+// oldestProofs is how many versions of the configuration the text shows, those with the
+// oldest proof.
+const oldestProofs = 6
+
 // Write renders the account for a reader.
 func (r Report) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -28,6 +32,10 @@
 	for _, s := range r.worst() {
 		fmt.Fprintf(t, "%s\t%d\t%.3f\t%s\n", s.At.Format("15:04:05"), s.Total, float64(s.Counts[InTime])/float64(max(s.Total, 1)), others(s.Counts))
 	}
+	fmt.Fprint(t, "\nconfiguration\trequests\tdaemons\toldest proof ms\tat\n")
+	for _, v := range r.Versions[:min(len(r.Versions), oldestProofs)] {
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%s %s\n", v.Version, v.Requests, v.Daemons, v.OldestProofMS, v.At.Format("15:04:05.000"), v.Daemon)
+	}
 	return t.Flush()
 }
 
--- a/internal/decisionlog/story.go
+++ b/internal/decisionlog/story.go
@@ -91,6 +91,7 @@
 	"configuration in force": true, "store not reached": true, "store reached again": true, "instances not followed": true,
 	"lease taken": true, "lease lost": true, "lease not renewed in time": true, "lease released": true, "stopping": true, "started": true,
 	"settings reloaded": true, "machine was suspended": true,
+	"store does not answer": true, "store answers again": true, "relay lost": true, "relay used": true, "relay out of touch": true,
 }
 
 // Story tells one request in order: its own lines, and, of the daemons that
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -26,21 +26,59 @@
 	set    *metrics.Set
 	reach  *fleet.Reachability
 	clock  *steady.Clock // nil: this machine's
+	log    *zap.Logger
 	outage outage
 	mu     sync.Mutex
 	total  map[string]uint64 // by call and kind
+	lost   time.Time         // since when calls get no answer, as logged; zero: they do
+	held   uint64            // calls held back since
 }
 
-func newCountedFeed(feed objectapi.Feed, reach *fleet.Reachability, set *metrics.Set) *countedFeed {
-	return &countedFeed{Feed: feed, reach: reach, set: set, total: map[string]uint64{},
+func newCountedFeed(feed objectapi.Feed, reach *fleet.Reachability, set *metrics.Set, log *zap.Logger) *countedFeed {
+	return &countedFeed{Feed: feed, reach: reach, set: set, log: log, total: map[string]uint64{},
 		outage: outage{reach: reach, every: func() time.Duration { return probeAlone }}}
 }
 
 // note counts one call about an object or a kind of objects, sent at asked, and tells
 // reach of it.
 func (c *countedFeed) note(call, key string, asked time.Time, err error) {
-	c.reach.Note(asked, c.clock.Now(), err)
+	now := c.clock.Now()
+	c.reach.Note(asked, now, err)
 	c.count(call, key, err)
+	c.tellAbsence(call, key, asked, now, err)
+}
+
+// tellAbsence logs the call that showed that the store does not answer, and the one that
+// showed that it does again.
+func (c *countedFeed) tellAbsence(call, key string, asked, now time.Time, err error) {
+	since, lost := c.reach.LostSince()
+	c.mu.Lock()
+	before, held := c.lost, c.held
+	if lost == !before.IsZero() {
+		c.mu.Unlock()
+		return
+	}
+	c.lost, c.held = since, 0
+	c.mu.Unlock()
+	fields := []zap.Field{zap.String("call", call), zap.String("key", key), zap.Int64("asked_ms_ago", now.Sub(asked).Milliseconds())}
+	if lost {
+		c.log.Info("store does not answer", append(fields, zap.Error(err))...)
+		return
+	}
+	c.log.Info("store answers again", append(fields, zap.Int64("absent_ms", now.Sub(before).Milliseconds()), zap.Uint64("held_back", held))...)
+}
+
+// mayAsk tells whether a call may be made now, and counts one that is held back.
+func (c *countedFeed) mayAsk(call, key string) bool {
+	if c.outage.mayAsk(c.clock.Now()) {
+		return true
+	}
+	c.mu.Lock()
+	c.held++
+	c.mu.Unlock()
+	kind, _, _ := strings.Cut(key, "/")
+	c.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_store_calls_held_back_total{call=%q,kind=%q}", call, kind)).Inc()
+	return false
 }
 
 // count counts one call. One that may be answered from an old copy shows nothing of
@@ -69,7 +107,7 @@
 
 // Get implements objectapi.Feed.
 func (c *countedFeed) Get(ctx context.Context, key string) (objectapi.Object, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("get", key) {
 		return objectapi.Object{}, errHeldBack
 	}
 	asked := c.clock.Now()
@@ -80,7 +118,7 @@
 
 // GetStale implements objectapi.Feed.
 func (c *countedFeed) GetStale(ctx context.Context, key string) (objectapi.Object, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("get-stale", key) {
 		return objectapi.Object{}, errHeldBack
 	}
 	o, err := c.Feed.GetStale(ctx, key)
@@ -90,7 +128,7 @@
 
 // ListStale implements objectapi.Feed.
 func (c *countedFeed) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("list-stale", kind) {
 		return objectapi.Listing{}, errHeldBack
 	}
 	l, err := c.Feed.ListStale(ctx, kind)
@@ -100,7 +138,7 @@
 
 // ListKind implements objectapi.Feed.
 func (c *countedFeed) ListKind(ctx context.Context, kind string) (objectapi.Listing, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("list", kind) {
 		return objectapi.Listing{}, errHeldBack
 	}
 	asked := c.clock.Now()
@@ -111,7 +149,7 @@
 
 // Follow implements objectapi.Feed.
 func (c *countedFeed) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (objectapi.Changes, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("follow", kind) {
 		return objectapi.Changes{}, errHeldBack
 	}
 	asked := c.clock.Now()
@@ -122,7 +160,7 @@
 
 // Create implements objectapi.Feed.
 func (c *countedFeed) Create(ctx context.Context, key string, value []byte) (uint64, error) {
-	if !c.outage.mayAsk(c.clock.Now()) {
+	if !c.mayAsk("create", key) {
 		return 0, errHeldBack
 	}
 	asked := c.clock.Now()
@@ -133,7 +171,7 @@
 
 // Update implements objectapi.Feed.
 func (c *countedFeed) Update(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
-	if key != leaseKey && !c.outage.mayAsk(c.clock.Now()) {
+	if key != leaseKey && !c.mayAsk("update", key) {
 		return 0, errHeldBack
 	}
 	asked := c.clock.Now()
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -162,7 +162,7 @@
 			return f.clock.Now(), err
 		}
 		if err == nil && o.Version >= hint.version {
-			f.take(o, nil, hint.proved)
+			f.takeFrom(sourceOldRead, o, nil, hint.proved)
 			return hint.proved, nil
 		}
 	}
@@ -229,9 +229,19 @@
 	return true
 }
 
-// take takes one read. asked is when it was sent: it proves what it shows from
+// Where a configuration and its proof come from, as logged.
+const (
+	sourceRead    = "read"                  // one whole read proves it
+	sourceOldRead = "old_read_relays_proof" // a read that may be old, and a relay's word
+)
+
+// take takes one whole read. asked is when it was sent: it proves what it shows from
 // then on.
 func (f *configFollower) take(o objectapi.Object, err error, asked time.Time) {
+	f.takeFrom(sourceRead, o, err, asked)
+}
+
+func (f *configFollower) takeFrom(source string, o objectapi.Object, err error, asked time.Time) {
 	if err != nil {
 		if !f.lost && !errors.Is(err, objectapi.ErrNotFound) {
 			f.lost = true
@@ -244,7 +254,7 @@
 	}
 	if f.lost {
 		f.lost = false
-		f.log.Info("store reached again", zap.Uint64("version", o.Version))
+		f.log.Info("store reached again", zap.Uint64("version", o.Version), zap.Int64("asked_ms_ago", f.clock.Since(asked).Milliseconds()))
 	}
 	switch {
 	case o.Version < f.version:
@@ -259,9 +269,12 @@
 		f.log.Error("configuration not understood; the last one stays, without proof", zap.Uint64("version", o.Version), zap.Error(err))
 		return
 	}
+	before := f.Current()
 	f.version = o.Version
 	f.current.Store(&gateway.Config{Table: routes.Compile(c), Proved: asked})
 	f.log.Info("configuration in force", zap.Uint64("object_version", o.Version), zap.Uint64("config_version", c.Version),
+		zap.String("source", source), zap.Int64("proved_ms_ago", f.clock.Since(asked).Milliseconds()),
+		zap.Uint64("before", before.Version()), zap.Int64("before_proved_ms_ago", f.clock.Since(before.Proved).Milliseconds()),
 		zap.Int("routes", len(c.Routes)), zap.Int("workspaces", len(c.Workspaces)))
 	f.changed()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -164,7 +164,7 @@
 func (d *Daemon) build(s Settings, holder string) {
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	belief.LeadsFor = d.drainPart(leadsPart, 0)
-	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics)
+	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics, d.Log)
 	d.calls.clock = d.Clock
 	d.calls.outage.every = d.probeEvery
 	d.Outside.Feed = d.calls
@@ -188,11 +188,22 @@
 	d.fleet.Clock = d.Clock
 	d.config.changed = d.fleet.SizesChanged
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return d.Clock.Since(d.config.Current().Proved).Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_config_version", func() float64 { return float64(d.config.Current().Version()) })
+	d.Metrics.GetOrCreateGauge("pearlanding_store_absent_seconds", d.absentSeconds)
 	d.Metrics.GetOrCreateGauge("pearlanding_suspended_seconds", func() float64 { return d.Clock.Suspended().Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
 }
 
+// absentSeconds is for how long the store has answered no call of this daemon.
+func (d *Daemon) absentSeconds() float64 {
+	since, lost := d.calls.reach.LostSince()
+	if !lost {
+		return 0
+	}
+	return d.Clock.Since(since).Seconds()
+}
+
 // modelSize tells how many instances a replica of a model takes.
 func (d *Daemon) modelSize(service, model string) int {
 	table := d.config.Table()
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
@@ -51,7 +52,7 @@
 func TestRenewalsAreNotHeldBack(t *testing.T) {
 	feed := &renewed{}
 	reach := fleet.NewReachability(time.Second)
-	c := newCountedFeed(feed, reach, metrics.NewSet())
+	c := newCountedFeed(feed, reach, metrics.NewSet(), zap.NewNop())
 	reach.Failed(time.Now().Add(-time.Minute))
 	c.outage.asked = time.Now()
 	_, err := c.Get(context.Background(), "config/main")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,14 @@
 	Proved time.Time
 }
 
+// Version returns the operator's number of the configuration, 0 before the first.
+func (c Config) Version() uint64 {
+	if c.Table == nil {
+		return 0
+	}
+	return c.Table.Config.Version
+}
+
 // Bounds the gateway keeps. A zero Revoke sets no bound on the proof's age.
 type Bounds struct {
 	Revoke time.Duration // oldest proof on which a request with a key may run
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -79,6 +79,7 @@
 func (n *Node) lost(err error) {
 	n.o.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.peer), zap.Error(err))
 	n.suspect, n.peer, n.proved, n.failedAt = n.peer, "", time.Time{}, n.now()
+	n.toldOutOfTouch = false
 	n.aloneAt = time.Time{}
 	n.share.lost()
 	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
@@ -96,6 +97,7 @@
 			n.use(n.suspect)
 			return
 		case errors.Is(err, errOutOfTouch) && n.waitsFor():
+			n.tellOutOfTouch()
 			n.lookAt = n.now().Add(n.o.Uniform(againLeast, againMost))
 			return
 		}
@@ -103,6 +105,15 @@
 	n.look(ctx)
 }
 
+// tellOutOfTouch logs once for each loss of a relay that it answers without the store.
+func (n *Node) tellOutOfTouch() {
+	if n.toldOutOfTouch {
+		return
+	}
+	n.toldOutOfTouch = true
+	n.o.Log.Info("relay out of touch", zap.String("decision", "ask_it_again"), zap.String("relay", n.suspect))
+}
+
 // waitsFor tells whether a relay that is out of touch with the store is asked on. Where the
 // store does not answer this daemon either, nobody could take its place.
 func (n *Node) waitsFor() bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,14 +143,16 @@
 	kick      chan struct{} // there is something to tell, or to ask for
 
 	// State of the goroutine that calls Follow.
-	peer      string // the relay's address; empty: none that is known to work
-	suspect   string // a relay that failed
-	failedAt  time.Time
-	aloneAt   time.Time // since when the store answers this daemon's own calls without fail
-	configSeq uint64    // last heard from peer
-	proved    time.Time // by the last answer of a relay
-	lookAt    time.Time
-	looked    bool // the zone's record was looked at once
+	peer     string // the relay's address; empty: none that is known to work
+	suspect  string // a relay that failed
+	failedAt time.Time
+	// toldOutOfTouch: it was logged of suspect that it answers without the store.
+	toldOutOfTouch bool
+	aloneAt        time.Time // since when the store answers this daemon's own calls without fail
+	configSeq      uint64    // last heard from peer
+	proved         time.Time // by the last answer of a relay
+	lookAt         time.Time
+	looked         bool // the zone's record was looked at once
 }
 
 // NewNode returns a node that first looks for its zone's relay. Where all daemons start
