--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -117,6 +117,10 @@
 	started  time.Time
 	// refusedKnown: the store's record of refused requests was looked for in this life.
 	refusedKnown atomic.Bool
+	// dial connects to other daemons, uniform draws a duration in [least, most); replaced by
+	// tests, nil otherwise.
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	uniform func(least, most time.Duration) time.Duration
 }
 
 // Run serves until ctx ends, then stops in order: not ready at once, no new
@@ -162,6 +166,9 @@
 }
 
 func (d *Daemon) build(s Settings, holder string) {
+	if d.uniform == nil {
+		d.uniform = func(least, most time.Duration) time.Duration { return least + rand.N(most-least) }
+	}
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	belief.LeadsFor = d.drainPart(leadsPart, 0)
 	d.calls = newCountedFeed(d.Outside.Feed, belief.Reachability(), d.Metrics, d.Log)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -86,6 +85,9 @@
 // newRelay joins the relays of this daemon's zone.
 func (d *Daemon) newRelay(s Settings, holder string) *relay.Node {
 	d.peers = relay.NewPeers()
+	if d.dial != nil {
+		d.peers = relay.NewPeersOver(d.dial)
+	}
 	d.surveyed = make(chan struct{}, 1)
 	d.survey = &relay.Survey{Ask: d.peers.Standing, Active: d.planning, Now: d.Clock.Now, News: d.surveyed, Relays: func(ctx context.Context) ([]string, error) {
 		l, err := d.Outside.Feed.ListKind(ctx, relayKind)
@@ -98,8 +100,7 @@
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
 		Standing:  d.standing,
 		Bootstrap: s.Bootstrap, Quarantine: d.watch, Listed: d.listed,
-		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Now:     d.Clock.Now, Log: d.Log,
+		Uniform: d.uniform, Now: d.Clock.Now, Log: d.Log,
 	})
 }
 
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
-	"time"
-
 	"go.uber.org/zap"
+	"slices"
 
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/quarantine"
@@ -19,8 +16,7 @@
 	d.keeper = &quarantine.Keeper{
 		Feed: d.Outside.Feed, Key: RefusedKey, Watch: d.watch, Alone: s.Peers == "",
 		Writes:  func() bool { return d.relay == nil || d.relay.Holding() || d.relay.Unheard() },
-		Uniform: func(least, most time.Duration) time.Duration { return least + rand.N(most-least) },
-		Wall:    d.Clock.Now, Log: d.Log, Kick: make(chan struct{}, 1),
+		Uniform: d.uniform, Wall: d.Clock.Now, Log: d.Log, Kick: make(chan struct{}, 1),
 	}
 	d.Metrics.GetOrCreateGauge("pearlanding_instances_ended", func() float64 { return float64(d.watch.Ends()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_contents_marked", func() float64 { marked, _ := evidence.Counts(); return float64(marked) })
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"time"
 
 	"github.com/creachadair/jrpc2"
@@ -148,6 +149,13 @@
 // NewPeers returns a transport without connections.
 func NewPeers() *Peers { return &Peers{rpc: rpc.NewPeers(maxWait)} }
 
+// NewPeersOver returns a transport whose connections are made by dial.
+func NewPeersOver(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Peers {
+	p := NewPeers()
+	p.rpc.Dial = dial
+	return p
+}
+
 // News implements Transport.
 func (p *Peers) News(ctx context.Context, address string, r NewsRequest) (NewsReply, error) {
 	var out NewsReply
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -47,6 +47,8 @@
 
 // Peers keeps one connection to each peer address. Safe for concurrent use.
 type Peers struct {
+	// Dial connects to a peer; set before the first call.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	timeout time.Duration
 	mu      sync.Mutex
 	clients map[string]*jrpc2.Client
@@ -54,7 +56,7 @@
 
 // NewPeers returns an empty set whose calls take at most timeout.
 func NewPeers(timeout time.Duration) *Peers {
-	return &Peers{timeout: timeout, clients: map[string]*jrpc2.Client{}}
+	return &Peers{Dial: link.Dialer(0).DialContext, timeout: timeout, clients: map[string]*jrpc2.Client{}}
 }
 
 // Call makes one call to the peer at address. A failed call closes the
@@ -83,7 +85,7 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := link.Dialer(0).DialContext(ctx, "tcp", address)
+	conn, err := p.Dial(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.WithType(err, ErrRefused)
 	}
