Relays: a quiet zone keeps its relay

Daemons in a zone where nothing happened lost their relay again and again, each time followed the store by themselves for three seconds, and were without one when the store went away.

Cause: a relay's proof of the entries was up to 0.8 s old, its word was held for 0.375 s more, and the peer counted the whole from when it had asked; the next call was held as long again but had to be answered before 1.5 s were over. And a relay that nobody had asked for three seconds waited for changes for three seconds, whoever turned up meanwhile.

Mend: a relay tells for how long it held a call, and the age counts from then; a call is held no longer than the last proof leaves time for, and an eighth of a second at least, so that calls don't follow one another at once; a peer that turns up ends a relay's long wait, and the next call proves at once. Ruled out: waits of 0 where little time is left (peers ask without end).

--- a/internal/front/return_test.go
+++ b/internal/front/return_test.go
@@ -97,14 +97,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			z := newSimZone(ctx, t, daemons, seed)
+			defer z.end(cancel)
 			j := newJudge(z)
 			j.run(settle)
 			play(j)
-			cancel()
-			for _, d := range z.daemons {
-				d.peers.Close()
-			}
-			time.Sleep(settle) // what is under way ends
 			if len(j.faults) > 0 {
 				t.Errorf("%d looks found an old configuration; first: %s\n%s", len(j.faults), j.faults[0], z.told())
 			}
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -36,7 +36,6 @@
 	changed  chan struct{}
 	down     bool
 	cut      map[string]bool // daemons that do not reach it
-	lost     int             // calls that got no answer
 	calls    int
 }
 
@@ -56,6 +55,13 @@
 	return s.revision
 }
 
+// made returns how many calls were made so far.
+func (s *simStore) made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // entry changes an instance's entry.
 func (s *simStore) entry(id string) {
 	s.mu.Lock()
@@ -85,7 +91,7 @@
 	simInstances = "servers"
 )
 
-// link is one daemon's way to the store. It implements objectapi.Feed.
+// simLink is one daemon's way to the store. It implements objectapi.Feed.
 type simLink struct {
 	*simStore
 	daemon string
@@ -113,9 +119,6 @@
 			return err
 		}
 	}
-	l.mu.Lock()
-	l.lost++
-	l.mu.Unlock()
 	<-ctx.Done()
 	return errors.WithType(ctx.Err(), objectapi.ErrUnavailable)
 }
@@ -351,6 +354,15 @@
 	return d
 }
 
+// end ends all daemons; what is under way ends too.
+func (z *simZone) end(cancel context.CancelFunc) {
+	cancel()
+	for _, d := range z.daemons {
+		d.peers.Close()
+	}
+	time.Sleep(time.Minute)
+}
+
 // simClock is a clock that no suspension moves.
 func simClock() *steady.Clock {
 	start := time.Now()
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -31,9 +31,9 @@
 	Events []Event // possibly none
 	// Revision is the store's revision to go on from after Events.
 	Revision uint64
-	// Age is how long before the answer the call was sent to the store that brought
-	// these changes; zero where the answer is the store's own. Counted back from when
-	// the caller asked, it is never too young.
+	// Age is how long before the caller asked the call was sent to the store that brought
+	// these changes, negative if it was sent later; zero where the answer is the store's
+	// own. It is never too young.
 	Age time.Duration
 }
 
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -40,8 +40,11 @@
 }
 
 // NewsReply is what a relay knows. Ages are in milliseconds before the reply was
-// made, rounded up; the asker counts them back from when it sent the request.
+// made, rounded up. The reply was made no earlier than Held after the asker sent the request,
+// and the asker counts the ages back from then.
 type NewsReply struct {
+	// Held is for how many milliseconds the relay held the request, rounded down.
+	Held       int64  `json:"held_ms,omitempty"`
 	Gap        bool   `json:"gap,omitempty"`     // the changes are no longer known: list
 	Changes    []byte `json:"changes,omitempty"` // the latest of each object, packed
 	Revision   uint64 `json:"revision"`
@@ -74,6 +77,9 @@
 // turns to the store.
 func (n *Node) news(ctx context.Context, r NewsRequest) (NewsReply, error) {
 	began := n.now()
+	if began.Sub(n.askedAt.Load()) >= servingFor {
+		n.arrive()
+	}
 	n.askedAt.Store(began)
 	n.reports.note(r.From, r.Standing, began)
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
@@ -93,7 +99,7 @@
 		}
 		quarantined := r.Quarantine != nil && *r.Quarantine != n.hot()
 		if expired || news.gap || len(news.changes) > 0 || config.seq != r.ConfigSeq || quarantined {
-			return n.reply(entries, config, news), nil
+			return n.reply(began, entries, config, news), nil
 		}
 		stale := time.NewTimer(left)
 		select {
@@ -109,9 +115,17 @@
 	}
 }
 
-func (n *Node) reply(entries time.Time, config configProof, news told) NewsReply {
+// arrive notes that a peer asks after none did for a while.
+func (n *Node) arrive() {
+	select {
+	case n.arrived <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) reply(began, entries time.Time, config configProof, news told) NewsReply {
 	now := n.now()
-	out := NewsReply{Gap: news.gap, Changes: news.changes, Revision: news.end, EntriesAge: ageMS(now, entries),
+	out := NewsReply{Held: now.Sub(began).Milliseconds(), Gap: news.gap, Changes: news.changes, Revision: news.end, EntriesAge: ageMS(now, entries),
 		ConfigSeq: config.seq, ConfigVersion: config.version, Quarantine: n.hot()}
 	if config.version != 0 {
 		out.ConfigAge = ageMS(now, config.proved)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,14 +36,15 @@
 // the store, rests, and asks again: its newest proof is at most two of its waits and
 // a pause old, and its peer's another wait and pause more.
 const (
-	servingPart   = 1.0 / 3 // wait of a relay's own watch: each new one is a proof
-	servingPause  = 1.0 / 5 // a relay's rest after news
-	askPart       = 1.0 / 4 // how long a relay may hold a peer's call
-	peerPause     = 1.0 / 6 // a peer's rest after news
-	leastAskPart  = 1.0 / 8 // a call gets this much time, however old the last proof
-	answerMargin  = 1.0 / 5 // how much longer than it may be held a call may take
-	stalePatience = 3.0     // how long a relay may be out of touch until it is replaced
-	alonePatience = 1.0 / 2 // the same while the store answers whoever would replace it
+	servingPart   = 1.0 / 3  // wait of a relay's own watch: each new one is a proof
+	servingPause  = 1.0 / 5  // a relay's rest after news
+	askPart       = 1.0 / 4  // how long a relay may hold a peer's call
+	peerPause     = 1.0 / 6  // a peer's rest after news
+	leastAskPart  = 1.0 / 8  // a call gets this much time, however old the last proof
+	leastWaitPart = 1.0 / 16 // and a relay may hold it for half of that, so that calls don't follow one another at once
+	answerMargin  = 1.0 / 5  // how much longer than it may be held a call may take
+	stalePatience = 3.0      // how long a relay may be out of touch until it is replaced
+	alonePatience = 1.0 / 2  // the same while the store answers whoever would replace it
 )
 
 // Other times.
@@ -143,6 +144,7 @@
 	positions positions
 	known     addresses     // of all zones' relays, as listed last
 	kick      chan struct{} // there is something to tell, or to ask for
+	arrived   chan struct{} // a peer asks, after none did for a while
 
 	// State of the goroutine that calls Follow.
 	peer     string // the relay's address; empty: none that is known to work
@@ -160,7 +162,7 @@
 // NewNode returns a node that first looks for its zone's relay. Where all daemons start
 // together, they look one after the other, so that most find a relay.
 func NewNode(o Options) *Node {
-	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now(), kick: make(chan struct{}, 1)}
+	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now(), kick: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
 	if o.Bootstrap {
 		n.lookAt = n.lookAt.Add(o.Uniform(0, settleMost))
 	}
@@ -264,11 +266,52 @@
 	return n.follow(ctx, after, wait)
 }
 
-// follow asks the store.
+// proveWait is the wait of a call that is only to prove what is known.
+const proveWait = time.Millisecond
+
+// servingWait is how long a relay's call may wait: no longer than its peers' proofs allow, and
+// not at all if its own is old.
+func (n *Node) servingWait() time.Duration {
+	entries, _, _ := n.history.state()
+	most := n.part(servingPart)
+	if n.now().Sub(entries) > most+n.part(servingPause) {
+		return proveWait
+	}
+	return most
+}
+
+// follow asks the store. A wait that began while no peer asked ends when one does: the peer
+// must hear in time that what it knows still holds.
 func (n *Node) follow(ctx context.Context, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	select {
+	case <-n.arrived: // of before this call
+	default:
+	}
 	if n.Serving() {
-		wait = min(wait, n.part(servingPart))
+		return n.followFor(ctx, after, min(wait, n.servingWait()))
+	}
+	timed, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interrupted := make(chan bool, 1)
+	go func() {
+		select {
+		case <-n.arrived:
+			interrupted <- true
+			cancel()
+		case <-timed.Done():
+			interrupted <- false
+		}
+	}()
+	changes, err := n.followFor(timed, after, wait)
+	cancel()
+	if <-interrupted && err != nil && ctx.Err() == nil {
+		return n.followFor(ctx, after, proveWait)
 	}
+	return changes, err
+}
+
+// followFor asks the store once.
+func (n *Node) followFor(ctx context.Context, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	asked := n.now()
 	changes, err := n.Feed.Follow(ctx, n.o.Kind, after, wait)
 	answered := err == nil || errors.Is(err, objectapi.ErrCompacted)
@@ -295,7 +338,9 @@
 	if n.proved.IsZero() {
 		wait = 0
 	} else {
-		timeout = max(min(wait+n.part(answerMargin), n.proved.Add(n.o.Stale()).Sub(asked)), n.part(leastAskPart))
+		left := n.proved.Add(n.o.Stale()).Sub(asked)
+		wait = min(wait, max(left-n.part(answerMargin), n.part(leastWaitPart)))
+		timeout = max(min(wait+n.part(answerMargin), left), n.part(leastAskPart))
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -309,13 +354,17 @@
 	if err != nil {
 		return objectapi.Changes{}, err
 	}
-	age := time.Duration(r.EntriesAge) * time.Millisecond
+	held := min(time.Duration(r.Held)*time.Millisecond, n.now().Sub(asked))
+	age := time.Duration(r.EntriesAge)*time.Millisecond - held
+	if age == 0 {
+		age = time.Nanosecond // zero stands for the store's own answers
+	}
 	n.configSeq, n.proved = r.ConfigSeq, asked.Add(-age)
 	n.answered.Store(n.now())
 	n.share.found(address)
 	n.hear(address, r.Quarantine)
 	if r.ConfigVersion != 0 {
-		n.o.Confirm(r.ConfigVersion, asked.Add(-time.Duration(r.ConfigAge)*time.Millisecond))
+		n.o.Confirm(r.ConfigVersion, asked.Add(held-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
 	if r.Gap {
 		return objectapi.Changes{}, objectapi.ErrCompacted
