--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -5,8 +5,7 @@
 // queueShare is the part of what the objective leaves beyond the quickest first event
 // that a queue may take when a new stream is admitted. Beyond it the stream would come
 // late, and so would those behind it; refused at once it may be in time elsewhere, or
-// later. Half of it refuses work that would have been in time: worth per request owed
-// -0.028 +/- 0.005 (36 paired days); nearly three times as much: +0.006 +/- 0.005.
+// later. A smaller share refuses work that would have been in time.
 const queueShare = 0.3
 
 // Admission is the decision whether a new stream is sent at all, with its inputs.
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -17,7 +17,7 @@
 )
 
 // fewDaemons is up to how many daemons each knows its replicas' load best by its own
-// requests: simulated, seven do better with nothing told, 68 better with it.
+// requests.
 const fewDaemons = 16
 
 // Others is what all other daemons told.
@@ -38,9 +38,8 @@
 const standingFor = time.Second
 
 // toldStanding tells whether others say that a target's group stands still. p.mu is held.
-// Alone, a daemon has no other stream there that would show it, and waits 1.5 objectives
-// for a first event: of 2,800 streams that came late by a move, 2,296 had waited 0.76 s in
-// the median (a day of 295 daemons).
+// Alone, a daemon has no other stream there that would show it, and waits for longer than the
+// objective.
 func (p *Picker) toldStanding(t *Target, now time.Time) bool {
 	return now.Sub(p.toldAt) < standingFor && p.others.Standing[t.Group]
 }
@@ -79,14 +78,7 @@
 // or, where others' loads are known, two of those that stand well: the least loaded by this
 // daemon's own requests and one by chance. What is told is nearly as old as a stream lasts; if
 // each daemon took the least loaded of many by it, hundreds would send to the same one until
-// the next word. Simulated streams that met a full replica, what is told 0.4 s old:
-//
-//	daemons, replicas (gone)   streams   nothing told   own and chance   three of a few
-//	295, 95 (9)                  5,400          1,276              323              430
-//	68, 30                       1,440              8                1               29
-//	7, 12                          720              0                3               29
-//
-// p.mu is held.
+// the next word. p.mu is held.
 func (p *Picker) candidates(targets []Target, tried map[string]bool, now time.Time) []*Target {
 	var all, well []*Target
 	for i := range targets {
--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -21,18 +21,14 @@
 )
 
 // Times to come back. The one for overload is about the time in which a queue of a
-// batch empties: 150 ms and 1 s made no difference to the worth per request owed beyond
-// 0.004 +/- 0.004 (36 paired days each).
+// batch empties.
 const (
 	comeBackSoon = 100 * time.Millisecond
-	// comeBackElsewhere leaves the caller its objective: another daemon serves at once. With
-	// 100 ms, callers due in 200 were late by some milliseconds (830 of 24,000 in a day on
-	// which a third of the daemons lost the store).
+	// comeBackElsewhere leaves the caller its objective: another daemon serves at once.
 	comeBackElsewhere = 10 * time.Millisecond
 	comeBackOverload  = 400 * time.Millisecond
 	// comeBackStarting is about what a start takes until requests are served, after all
-	// machines lost power. Callers told to come back after 0.1 s were refused again: 4,870 of
-	// worth in the two seconds after it (2,000 requests a second, one repeat each).
+	// machines lost power: callers that come back sooner are refused again.
 	comeBackStarting = time.Second
 )
 
--- a/internal/dispatch/earned.go
+++ b/internal/dispatch/earned.go
@@ -9,9 +9,8 @@
 const (
 	// earnedFor is how long what requests earn beyond one repeat lasts, as a time
 	// constant. What a process has saved it can spend just before it ends, beside what
-	// its successor earns in the same window: with all ten seconds of it saved, 90 daemons
-	// started again once made 185 repeats more than the 1,525 allowed (simulated load).
-	// Two seconds of 30 requests each let ten requests be sent again at once.
+	// its successor earns in the same window: daemons that start again together must not
+	// spend more than all may.
 	earnedFor = 2 * time.Second
 	// earnedLeast does not decay: a service with a request each few seconds could never
 	// repeat one otherwise.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -6,8 +6,7 @@
 const (
 	// firstEventTimes is how many times the objective a first event may take at a
 	// replica of which nothing else is known. Where other streams bring events the
-	// request only waits its turn, and moving would add load to an overload. Once the
-	// objective: worth per request owed -0.006 +/- 0.002 (36 paired days).
+	// request only waits its turn, and moving would add load to an overload.
 	firstEventTimes = 1.5
 	// defaultFirstEvent stands in for a route without an objective.
 	defaultFirstEvent = 2 * time.Second
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -20,8 +20,7 @@
 // event within the objective, but not before it is unusual: a stream moved later is late in
 // any case, and one that is moved while its replica only reads makes another one read it
 // again. Where too few pauses were seen to tell, the objective itself bounds them: moved by
-// the published costs alone, streams of a large model were late by their moves (of 617
-// requests 175, and 90 without).
+// the published costs alone, streams of a large model would be late by their moves.
 func (p *Picker) Patience(w StreamLimits) Patience {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -47,12 +46,10 @@
 
 // How what is usual follows what is seen.
 const (
-	// unusualTimes is how many times the longest pause seen of late a pause is unusual. With
-	// 1.15 times the longest of 1,500, streams of replicas that read long prompts were moved
-	// too often: worth per request owed -0.025 (6 days of 7 daemons and 48 engines).
+	// unusualTimes is how many times the longest pause seen of late a pause is unusual: the
+	// rest is for replicas that read longer prompts than any of late.
 	unusualTimes = 1.5
-	// pausesKept is how many pauses a window holds; the one before it counts too, so that the
-	// longest of 5,000 to 10,000 is known.
+	// pausesKept is how many pauses a window holds; the one before it counts too.
 	pausesKept = 5000
 	// pausesLeast is how many must be seen before they tell what is usual.
 	pausesLeast = 300
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -35,9 +35,8 @@
 	// stillPenalty puts a target that stands still behind others.
 	stillPenalty = 40
 	// waitUnit of the oldest wait for a first event counts like a request in progress.
-	// The last first event measured does not count beside it: choosing by it too, daemons
-	// leave and return to a replica together; worth per request owed -0.006 +/- 0.002 (36
-	// paired days of 7 daemons and 48 engines that fail one by one).
+	// The last first event does not count beside it: choosing by it too, daemons leave and
+	// return to a replica together.
 	waitUnit = 50 * time.Millisecond
 	// suspectPenalty puts a target that failed lately behind others.
 	suspectPenalty = 20
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,10 +34,9 @@
 }
 
 // Pool holds repeats of each service that several daemons earned and did not need, for
-// those of them that do. Each of 295 daemons has 3.5 requests a second and earns a repeat
-// in two: alone, 15 of 21 failed requests of a quiet day ended because their daemon had
-// none left, while all together used a ninth of what they may. Whoever takes the pool over
-// begins with none. Safe for concurrent use; time is passed in.
+// those of them that do: a daemon with few requests has none left when it needs one, while
+// all together use a part of what they may. Whoever takes the pool over begins with none.
+// Safe for concurrent use; time is passed in.
 type Pool struct {
 	mu sync.Mutex
 	m  map[string]*pooled
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -10,8 +10,7 @@
 
 // QuietFor is how long running streams of a model's replica may bring nothing: a
 // replica that reads long prompts is quiet for a whole pass, and moving its streams
-// away then makes others read them again. Worth per request owed +0.032 +/- 0.004 against
-// a fixed 250 ms (36 paired days of 7 daemons and 48 engines that fail one by one).
+// away then makes others read them again.
 func QuietFor(e *routes.Engine, m routes.Model) time.Duration {
 	return max(e.LongestPass(m)+quietMargin, quietLeast)
 }
@@ -47,9 +46,8 @@
 
 // expected is how long the next first event will take at least, by the longest
 // wait of those that wait now and by the last one measured, less the time since: a queue
-// empties while nothing is sent. Counted in full, a target was left until long after
-// its queue was gone: worth per request owed -0.012 +/- 0.002 (36 paired days of 7 daemons
-// and 48 engines that fail one by one).
+// empties while nothing is sent. Counted in full, a target would be left until long after
+// its queue was gone.
 func (r *record) expected(now time.Time) time.Duration {
 	d := r.oldestWait(now)
 	if now.Sub(r.firstAt) < firstFor {
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -47,7 +47,7 @@
 const maxRoutes = 4096
 
 // firstAskPart of the longest wait seen on a route is what a caller that asks first has left at
-// least: callers' own limits were seen to differ by 0.15 of it.
+// least: callers' own limits differ.
 const firstAskPart = 0.8
 
 // CallerWaits knows for how long the callers of each route wait when they ask first: one that has
--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -9,13 +9,13 @@
 // Times of the belief about instances whose entries went.
 const (
 	// returnGrace is how long after an outage of the store an entry that is
-	// missing may still come back. Source: the platform promises two seconds.
+	// missing may still come back, as the platform promises.
 	returnGrace = 2 * time.Second
 	// removedMemory is how long a removed instance is remembered, for whoever
 	// must know how long ago its group lost it.
 	removedMemory = 60 * time.Second
 	// lapsedFor is how long an instance whose entry lapsed may count as a member of its
-	// group. Source: instances were seen cut off from the store for up to 10 s.
+	// group: about as long as instances are cut off from the store.
 	lapsedFor = 15 * time.Second
 )
 
@@ -89,8 +89,7 @@
 
 // graceEnds is when an entry that is missing is no lapse any more. It counts from the
 // first answer to any call. Counted from the answer that brought the removal, for which a
-// watch may wait long after the store's return, requests reached an instance until 2.1 s
-// after it had left (bound: 2 s).
+// watch may wait long after the store's return, requests would reach an instance that left.
 func (b *Belief) graceEnds() time.Time { return b.reach.Back().Add(returnGrace) }
 
 // Remove takes the removal of an entry. Right after an outage the instance is
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,8 +91,7 @@
 
 // Serving tells whether requests may be sent to the group's head. A member that was
 // ready and whose entry lapsed does not end the group: an instance cut off from the
-// store goes on serving, and its head's streams show whether it does. Worth per request
-// owed 0.52 to 0.72 (two days of 68 daemons with 47 of 171 engines cut off for 8.6 s).
+// store goes on serving, and its head's streams show whether it does.
 func (g *Group) Serving() bool {
 	return g.Head != nil && g.Head.Group.State == Open && g.Size > 0 &&
 		len(g.Members)+len(g.Lapsed) == g.Size && g.allStay()
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -132,7 +132,7 @@
 
 // interrupted waits for a reason to break off a watch that was sent at asked, or for its
 // end. A watch that was sent while the store was away may hang until its timeout and hide
-// all changes since: up to 4.5 s, where instances that leave must be known within 2 s.
+// all changes since, for longer than the bound on instances that leave.
 func (f *Follower) interrupted(watch context.Context, asked time.Time) broken {
 	reach := f.belief.Reachability()
 	for {
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -154,12 +154,12 @@
 	lookEvery   = 20 * time.Second
 	lookServing = time.Second
 	// lookRelayed is that of a daemon that follows through another one, which looks for
-	// it: each 20 s, 295 daemons made 15 calls a second, a twentieth of all.
+	// it: hundreds of daemons would make many calls otherwise.
 	lookRelayed = 2 * time.Minute
 	// neglectAfter is how long work may stand before the lease is looked at. Most
 	// of a planner's steps take less. A daemon that follows through another one leaves
-	// that to it: work may stand for seconds, as while orders are carried out late, and 295
-	// daemons looked 8,740 times at the lease then, of 16,111 calls of a day.
+	// that to it: work may stand for seconds, as while orders are carried out late, and each
+	// of hundreds of daemons would look at the lease all the while.
 	neglectAfter = 800 * time.Millisecond
 	// noticeEvery is how often work that stands is looked for.
 	noticeEvery = 400 * time.Millisecond
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -28,7 +28,6 @@
 	// formPatience is how long a group may form beyond what its loads should take.
 	formPatience = 8 * time.Second
 	// lateOrders is how long an order without an answer may still be carried out.
-	// Source: up to 12 s were seen; one second is added.
 	lateOrders = 13 * time.Second
 )
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,7 +67,7 @@
 	callerIdle = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's head likewise.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's head; configurations seen ask for 16 KiB.
+	// maxHeaderBytes bounds a request's head, whatever the configuration allows.
 	maxHeaderBytes = 64 << 10
 	sweepEvery     = time.Second
 	// memoryShare is the part of the process's memory at which the collector works
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -28,8 +28,8 @@
 	// the rest is for asking the store instead.
 	stalePart = 0.75
 	// leadsPart of it is how long after the last proof that it stood the entry of a head
-	// may be gone while requests are sent there: the rest is for the view's own pace. With
-	// 174 of 760 engines cut off from the store, 35 of 100 groups had lost their heads.
+	// may be gone while requests are sent there, as instances cut off from the store serve on:
+	// the rest is for the view's own pace.
 	leadsPart    = 0.75
 	defaultStale = 2 * time.Second
 )
--- a/internal/quarantine/bounds.go
+++ b/internal/quarantine/bounds.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Bounds of the evidence, in contents. A crash of 114 of 760 instances marks some 1,600.
+// Bounds of the evidence, in contents: a crash of many instances marks all that they ran.
 const (
 	marksMost   = 4096
 	refusedMost = 256
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -20,9 +20,7 @@
 // Parameters of what a daemon sees.
 const (
 	// ranFor is how long after its first event a request has run for long enough to be no
-	// cause of an end: those that are ended their instance 46 to 90 ms after their run began
-	// (five runs of two recorded days). Simulated, 150 minutes of 14 replicas that crash 50 times
-	// each refuse 127 of 450,000 requests at 1 s, 34 at 0.5 s, 3 at 0.3 s.
+	// cause of an end: the shorter, the fewer harmless requests are refused after crashes.
 	ranFor = 300 * time.Millisecond
 	// endedFor is how long a life that ended is remembered for sends that break off late.
 	endedFor = 10 * time.Second
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -72,7 +72,7 @@
 }
 
 // stopsApart is the least time between two words that streams stopped. Told at once, a group
-// that stands is known to the relay half of shareEvery sooner in the mean (computed).
+// that stands is known to the relay half of shareEvery sooner in the mean.
 const stopsApart = 50 * time.Millisecond
 
 // once makes one exchange.
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -28,10 +28,8 @@
 const holesMost = 16
 
 // history is what a daemon can tell its peers of the entries: of each object its latest
-// change. Told one by one, the changes of 760 engines whose groups form (revision 509 to
-// 2,359 in two seconds) overran any bounded list before peers came back, and each of 295
-// listed the store five to seven times as it started (two pages each). Safe for concurrent
-// use; time is passed in.
+// change. A list of all changes would be overrun while the groups of many instances form, and
+// each peer would list the store anew. Safe for concurrent use; time is passed in.
 type history struct {
 	mu       sync.Mutex
 	known    bool
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -57,8 +57,7 @@
 
 // standingLeast is how many daemons must say that a group's streams stopped, while none
 // says that they bring events. A word of one alone was a busy replica more often than a
-// dead one: told to all, everybody left replicas that only read a long prompt, and worth per
-// request owed fell by 0.024 (one day of 90 daemons).
+// dead one: told to all, everybody would leave replicas that only read a long prompt.
 const standingLeast = 2
 
 // standing returns the groups that stand still, by this zone's daemons. Words are as fresh
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,8 +56,7 @@
 	settleLeast = 300 * time.Millisecond
 	settleMost  = 1500 * time.Millisecond
 	// againLeast and againMost spread the questions to a relay that is out of touch with
-	// the store: its word ends an outage for its zone. With up to 1.5 s between them the
-	// daemons of a zone served 1.4 s to 2.5 s after the store was back.
+	// the store: its word ends an outage for its zone.
 	againLeast = 150 * time.Millisecond
 	againMost  = 500 * time.Millisecond
 	// conflictLeast and conflictMost are the same after a lost race: the winner has
@@ -66,8 +65,7 @@
 	conflictMost  = 300 * time.Millisecond
 	// firstMargin is how much longer than it may be held a daemon's first call to a relay
 	// may take: nothing is served before it. After a loss of power the record names a machine
-	// that may have none yet; with 0.6 s for it, 2,675 requests to 295 daemons were refused
-	// as instances were not known.
+	// that may have none yet, and requests are refused until instances are known.
 	firstMargin = 200 * time.Millisecond
 	// recheckEvery is how often a relay looks whether the record still names it.
 	recheckEvery = 20 * time.Second
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -22,9 +22,7 @@
 	// take a tenth of a millisecond, a busy relay some ms.
 	repeatTimeout = 60 * time.Millisecond
 	// shareEvery is how often a daemon tells its load, and a relay asks those of other
-	// zones. What is known is then about 0.4 s old; at 0.8 s it spreads streams of a second
-	// no better than chance does (simulated load of 295 daemons and 95 replicas, 900 streams
-	// a second: 368 of 5,400 met a full replica at 0.4 s, 834 at 0.8 s, 1,276 without).
+	// zones: loads as old as a stream lasts spread streams no better than chance does.
 	shareEvery   = 250 * time.Millisecond
 	shareTimeout = 200 * time.Millisecond
 	// loadFor is how long a daemon's word of its load counts.
