Relays: whoever lost one looks for it in time, and reads once it answers

The watch of whoever lost its relay now ends when it is looked for again, and any relay that answers anew lets its daemon read at once. 'store answers again' no longer names a lost call where a relay's proof showed it.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -67,7 +67,11 @@
 		c.log.Info("store does not answer", append(fields, zap.Error(err))...)
 		return
 	}
-	c.log.Info("store answers again", append(fields, zap.Int64("absent_ms", now.Sub(before).Milliseconds()), zap.Uint64("held_back", held))...)
+	fields = append(fields, zap.Int64("absent_ms", now.Sub(before).Milliseconds()), zap.Uint64("held_back", held))
+	if err != nil { // not by this call
+		fields = []zap.Field{zap.String("call", "relays_proof"), fields[3], fields[4]}
+	}
+	c.log.Info("store answers again", fields...)
 }
 
 // mayAsk tells whether a call may be made now, and counts one that is held back.
--- a/internal/front/return_test.go
+++ b/internal/front/return_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 // contact is how long a daemon must have had its way to a store that answers until it must
@@ -135,6 +137,27 @@
 	}
 }
 
+// toldWithin is how long after the store's return a zone with a relay holds what was
+// acknowledged then: the relay's next read, its proof, and its peers' next question.
+const toldWithin = 1500 * time.Millisecond
+
+// The zone's daemons ask the store each two seconds while their relay is out of touch, as its
+// word comes sooner: they must hear it.
+func TestRelayTellsItsZoneThatTheStoreIsBack(t *testing.T) {
+	for seed := range uint64(20) {
+		inZone(t, 4, seed, func(j *judge) {
+			j.down(true)
+			j.run(4*time.Second + time.Duration(seed)*130*time.Millisecond)
+			j.down(false)
+			j.configure()
+			j.run(toldWithin)
+			for _, d := range j.zone.daemons {
+				must.Eq(j.zone.t, j.changes[0].version, d.config.Current().Version(), must.Sprint(d.Settings().Node, "\n", j.zone.told()))
+			}
+		})
+	}
+}
+
 // Daemons cut off from the store, the store away, relays that can't be reached, changes in a
 // row: in any order, more than one at once.
 func TestEveryDaemonKnowsAChangeInTimeWhateverFails(t *testing.T) {
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -199,10 +199,9 @@
 		n.o.Log.Info("relay given up", zap.String("relay", address))
 	}
 	n.o.Log.Info("relay used", zap.String("relay", address))
-	if n.toldOutOfTouch && n.o.Returned != nil {
+	if n.o.Returned != nil {
 		n.o.Returned()
 	}
-	n.toldOutOfTouch = false
 	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
 	n.share.found(address) // the daemon that plans asks it for no news, but shares with it
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,7 +102,8 @@
 	Direct func() bool
 	// Confirm hands on that the configuration's object had a version at a time.
 	Confirm func(version uint64, proved time.Time)
-	// Returned, if set, is told that a relay which was out of touch with the store is in touch.
+	// Returned, if set, is told that a relay answers which did not, or another one: the store
+	// answers that one.
 	Returned func()
 	// Traffic is what this daemon's requests share with others.
 	Traffic Traffic
@@ -261,6 +262,9 @@
 		n.lost(err)
 	}
 	n.via.Store(false)
+	if n.suspect != "" && !n.o.Direct() {
+		wait = min(wait, max(n.lookAt.Sub(n.now()), proveWait)) // its relay is looked for again then
+	}
 	return n.follow(ctx, after, wait)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,6 +84,29 @@
 	must.False(t, other.config.After(asked))
 }
 
+// A proof's age counts back from when its relay told it, which was no earlier than the time
+// for which it held the call after the call was sent. A relay that says more than went by is
+// not believed.
+func TestAgeCountsFromWhenARelayHeldTheCall(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	other := z.daemons[0]
+	if other == z.relays()[0] {
+		other = z.daemons[1]
+	}
+	for held, age := range map[int64]time.Duration{0: 800 * time.Millisecond, 300: 500 * time.Millisecond, 60_000: 400 * time.Millisecond} {
+		asked := z.now
+		z.answers = func() NewsReply {
+			z.pass(400 * time.Millisecond)
+			return NewsReply{Held: held, EntriesAge: 800, ConfigVersion: 9, ConfigAge: 800, Revision: z.revision}
+		}
+		c, err := other.Follow(context.Background(), entriesKind, other.at, time.Second)
+		must.NoError(t, err)
+		must.Eq(t, age, c.Age)
+		must.Eq(t, asked.Add(-age), other.config)
+	}
+}
+
 func TestRelayOutOfTouchIsLeftForTheStore(t *testing.T) {
 	z := newZone(3)
 	z.rounds(t, 6)
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -36,6 +36,8 @@
 	stales   int             // old listings
 	writes   int
 	daemons  []*daemon
+	// answers, if set, stands for every relay's answer for news.
+	answers func() NewsReply
 }
 
 type configChange struct {
@@ -202,6 +204,9 @@
 
 // News implements Transport between the zone's daemons.
 func (z *zone) News(ctx context.Context, address string, r NewsRequest) (NewsReply, error) {
+	if z.answers != nil {
+		return z.answers(), nil
+	}
 	for _, d := range z.daemons {
 		if d.name == address && !d.dead {
 			r.WaitMS = 0
