--- a/internal/fleet/reachability_test.go
+++ b/internal/fleet/reachability_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -92,17 +93,16 @@
 
 // A daemon rests up to a second after a watch that failed; not when the store is back.
 func TestFollowerDoesNotRestWhenTheStoreIsBack(t *testing.T) {
-	f, feed := startFollower(t)
-	feed.lists <- objectapi.Listing{Revision: 5}
-	for range 4 { // the rest is at its longest
-		(<-feed.follows).answer <- followAnswer{err: errNoAnswer}
-	}
-	time.Sleep(retryPause) // the last call has ended, and the rest begun
-	back := time.Now().Add(2 * heartbeat)
-	f.belief.Reached(back)
-	select {
-	case <-feed.follows:
-	case <-time.After(retryMost / 2):
-		t.Fatal("it still rests")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f, feed := startFollower(t)
+		feed.lists <- objectapi.Listing{Revision: 5}
+		for range 4 { // the rest is at its longest
+			(<-feed.follows).answer <- followAnswer{err: errNoAnswer}
+		}
+		synctest.Wait() // the last call has ended, and the rest begun
+		begun := time.Now()
+		f.belief.Reached(begun.Add(2 * heartbeat))
+		<-feed.follows
+		must.Eq(t, 0, time.Since(begun))
+	})
 }
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
@@ -48,24 +49,43 @@
 	}
 }
 
-// Whoever holds the lease renews it whatever else failed: held back, it would lapse.
+// Whoever holds the lease renews it whatever else failed: held back, it would lapse. Reads of
+// the configuration find out whether the store is back.
 func TestRenewalsAreNotHeldBack(t *testing.T) {
+	away := func(feed objectapi.Feed) *countedFeed {
+		reach := fleet.NewReachability(time.Second)
+		c := newCountedFeed(feed, "config/main", reach, metrics.NewSet(), zap.NewNop())
+		reach.Failed(time.Now().Add(-time.Minute))
+		c.outage.asked = time.Now()
+		return c
+	}
 	feed := &renewed{}
-	reach := fleet.NewReachability(time.Second)
-	c := newCountedFeed(feed, "config/main", reach, metrics.NewSet(), zap.NewNop())
-	reach.Failed(time.Now().Add(-time.Minute))
-	c.outage.asked = time.Now()
-	_, err := c.Get(context.Background(), "pearlanding-leases/groups")
+	c := away(feed)
+	_, err := c.Get(context.Background(), leaseKey)
 	must.ErrorIs(t, err, objectapi.ErrUnavailable)
 	must.Eq(t, 0, feed.gets)
-	_, err = c.Get(context.Background(), "config/main") // its follower spaces these reads itself
-	must.NoError(t, err)
-	must.Eq(t, 1, feed.gets)
-	reach.Failed(time.Now().Add(time.Second)) // the answer ended the absence; another begins
-	c.outage.asked = time.Now()
 	_, err = c.Update(context.Background(), leaseKey, 3, nil)
 	must.NoError(t, err)
 	must.Eq(t, 1, feed.updates)
+
+	// The follower of the configuration spaces its reads itself.
+	_, err = away(feed).Get(context.Background(), "config/main")
+	must.NoError(t, err)
+	must.Eq(t, 1, feed.gets)
+}
+
+// Each call tells whether the store answers, whoever made it: a watch tells late.
+func TestEveryCallShowsWhetherTheStoreAnswers(t *testing.T) {
+	feed := &pricedFeed{err: errors.WithType(errors.New("down"), objectapi.ErrUnavailable)}
+	reach := fleet.NewReachability(time.Second)
+	c := newCountedFeed(feed, "config/main", reach, metrics.NewSet(), zap.NewNop())
+	_, err := c.Get(context.Background(), "config/main")
+	must.ErrorIs(t, err, objectapi.ErrUnavailable)
+	must.True(t, reach.Lost())
+	feed.err = nil
+	_, err = c.Get(context.Background(), "config/main")
+	must.NoError(t, err)
+	must.False(t, reach.Lost())
 }
 
 // renewed counts calls.
