Relays: a daemon that stops without a relay does not ask the store without end

Since whoever lost its relay waits only until it looks for it again, one that stops, which looks for none, would have asked with a wait of 1 ms all through its grace. Found on reading; TestDaemonWithoutItsRelayLooksForItInTime asked with 1 ms where it must wait for 3 s.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -262,7 +262,7 @@
 		n.lost(err)
 	}
 	n.via.Store(false)
-	if n.suspect != "" && !n.o.Direct() {
+	if n.suspect != "" && !n.o.Direct() && !n.closed.Load() {
 		wait = min(wait, max(n.lookAt.Sub(n.now()), proveWait)) // its relay is looked for again then
 	}
 	return n.follow(ctx, after, wait)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -196,6 +196,30 @@
 	must.False(t, z.relays()[0] == relay)
 }
 
+// A daemon that lost its relay waits for changes until it looks for it again, and no daemon
+// asks without end: not one that stops, which looks for none.
+func TestDaemonWithoutItsRelayLooksForItInTime(t *testing.T) {
+	z := newZone(2)
+	z.unlucky = true
+	z.rounds(t, 6)
+	other := z.daemons[0]
+	if other == z.relays()[0] {
+		other = z.daemons[1]
+	}
+	follow := func() time.Duration {
+		_, err := other.Follow(context.Background(), entriesKind, other.at, 3*time.Second)
+		must.NoError(t, err)
+		return z.waited
+	}
+	z.relays()[0].dead = true
+	must.Eq(t, settleMost, follow())
+	z.pass(settleMost - time.Millisecond)
+	must.Eq(t, time.Millisecond, follow())
+	other.Close()
+	z.pass(time.Hour)
+	must.Eq(t, 3*time.Second, follow())
+}
+
 // What happened: while 760 engines wrote their first entries and groups formed (1,850
 // changes in two seconds), each of 295 daemons listed the whole store five to seven times,
 // 14 pages of about 22 calls that its start made. Why: a relay remembered 1,024 changes and
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -36,6 +36,7 @@
 	stales   int             // old listings
 	writes   int
 	daemons  []*daemon
+	waited   time.Duration // of the last call of Follow
 	// answers, if set, stands for every relay's answer for news.
 	answers func() NewsReply
 }
@@ -334,7 +335,8 @@
 	return state
 }
 
-func (s *storeOf) Follow(_ context.Context, _ string, after uint64, _ time.Duration) (objectapi.Changes, error) {
+func (s *storeOf) Follow(_ context.Context, _ string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	s.z.waited = wait
 	if !s.reached() {
 		return objectapi.Changes{}, errDown
 	}
