--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -23,21 +23,21 @@
 // reach how each ended, and holds calls back while the store does not answer.
 type countedFeed struct {
 	objectapi.Feed
-	free   string // key of the object whose reads are not held back
-	set    *metrics.Set
-	reach  *fleet.Reachability
-	clock  *steady.Clock // nil: this machine's
-	log    *zap.Logger
-	outage outage
-	mu     sync.Mutex
-	total  map[string]uint64 // by call and kind
-	lost   time.Time         // since when calls get no answer, as logged; zero: they do
-	held   uint64            // calls held back since
+	probeKey string // of the object whose reads find out whether the store answers
+	set      *metrics.Set
+	reach    *fleet.Reachability
+	clock    *steady.Clock // nil: this machine's
+	log      *zap.Logger
+	outage   outage
+	mu       sync.Mutex
+	total    map[string]uint64 // by call and kind
+	lost     time.Time         // since when calls get no answer, as logged; zero: they do
+	held     uint64            // calls held back since
 }
 
-// newCountedFeed returns a feed; reads of the object free are never held back.
-func newCountedFeed(feed objectapi.Feed, free string, reach *fleet.Reachability, set *metrics.Set, log *zap.Logger) *countedFeed {
-	return &countedFeed{Feed: feed, free: free, reach: reach, set: set, log: log, total: map[string]uint64{},
+// newCountedFeed returns a feed; reads of the object probeKey are never held back.
+func newCountedFeed(feed objectapi.Feed, probeKey string, reach *fleet.Reachability, set *metrics.Set, log *zap.Logger) *countedFeed {
+	return &countedFeed{Feed: feed, probeKey: probeKey, reach: reach, set: set, log: log, total: map[string]uint64{},
 		outage: outage{reach: reach}}
 }
 
@@ -56,27 +56,27 @@
 	since, lost := c.reach.LostSince()
 	c.mu.Lock()
 	before, held := c.lost, c.held
-	if lost == !before.IsZero() {
-		c.mu.Unlock()
-		return
+	changed := lost == before.IsZero()
+	if changed {
+		c.lost, c.held = since, 0
 	}
-	c.lost, c.held = since, 0
 	c.mu.Unlock()
-	fields := []zap.Field{zap.String("call", call), zap.String("key", key), zap.Int64("asked_ms_ago", now.Sub(asked).Milliseconds())}
-	if lost {
-		c.log.Info("store does not answer", append(fields, zap.Error(err))...)
+	shownBy := []zap.Field{zap.String("call", call), zap.String("key", key), zap.Int64("asked_ms_ago", now.Sub(asked).Milliseconds())}
+	switch {
+	case !changed:
 		return
+	case lost:
+		c.log.Info("store does not answer", append(shownBy, zap.Error(err))...)
+		return
+	case err != nil: // this call got no answer: another daemon told
+		shownBy = []zap.Field{zap.String("call", "relays_proof")}
 	}
-	fields = append(fields, zap.Int64("absent_ms", now.Sub(before).Milliseconds()), zap.Uint64("held_back", held))
-	if err != nil { // not by this call
-		fields = []zap.Field{zap.String("call", "relays_proof"), fields[3], fields[4]}
-	}
-	c.log.Info("store answers again", fields...)
+	c.log.Info("store answers again", append(shownBy, zap.Int64("absent_ms", now.Sub(before).Milliseconds()), zap.Uint64("held_back", held))...)
 }
 
 // mayAsk tells whether a call may be made now, and counts one that is held back.
 func (c *countedFeed) mayAsk(call, key string) bool {
-	if key == c.free || c.outage.mayAsk(c.clock.Now()) {
+	if key == c.probeKey || c.outage.mayAsk(c.clock.Now()) {
 		return true
 	}
 	c.mu.Lock()
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -83,7 +83,7 @@
 	heard      chan confirmation
 	back       chan struct{} // another daemon says that the store is back
 	current    atomic.Pointer[gateway.Config]
-	reads      readSchedule
+	reads      readSchedule // owned by Run
 }
 
 // confirmation is another daemon's word that the configuration's object had a
@@ -261,6 +261,7 @@
 	f.takeFrom(sourceRead, o, err, asked)
 }
 
+// takeFrom takes one read, which proves what it shows from a time on.
 func (f *configFollower) takeFrom(source readSource, o objectapi.Object, err error, asked time.Time) {
 	if err != nil {
 		if !f.lost && !errors.Is(err, objectapi.ErrNotFound) {
--- a/internal/front/reads.go
+++ b/internal/front/reads.go
@@ -8,9 +8,13 @@
 	"pearlanding/internal/objectapi"
 )
 
-// probeFirst is the time after which a read without an answer is repeated; it doubles with
-// each further one.
-const probeFirst = 500 * time.Millisecond
+// Reads without an answer.
+const (
+	// probeFirst is the time after which the first is repeated; it doubles with each further one.
+	probeFirst = 500 * time.Millisecond
+	// doublings is after how many the time between them grows no more.
+	doublings = 8
+)
 
 // readSource is where a configuration and its proof come from, as logged.
 type readSource string
@@ -91,6 +95,3 @@
 	}
 	return next
 }
-
-// doublings is after how many reads without an answer the time between them grows no more.
-const doublings = 8
