Newcomer's read: the pace of reads is one value, the wait of a proving call stands once

readSchedule.due took five arguments, three of them durations that could be swapped unnoticed: they are a readPace now. ProveWait stood in fleet and in relay with the same meaning: fleet's is used by both. The comment of due claimed that a read without an answer is repeated whatever is told; one is not while another daemon's word proves what is in force, and the comment says so. No logic, bound or expectation changed; the tests name the same times.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -19,10 +19,10 @@
 	// its history a watch may hear nothing until it ends, so this bounds how long
 	// changes are missed.
 	followWait = 3 * time.Second
-	// proveWait is that of a call that is to prove what is known: after the first listing, as
+	// ProveWait is the wait of a call that is only to prove what is known: after the first listing, as
 	// nothing is served before it, and after a call without an answer, as one that waits for
 	// changes would hide the store's return until there are some.
-	proveWait = time.Millisecond
+	ProveWait = time.Millisecond
 	// followPause follows each call that brought changes where nobody sets a pace,
 	// so that a burst of them costs one call and not one each.
 	followPause = 700 * time.Millisecond
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -15,12 +15,12 @@
 // revision in an answer without changes: a watch that heard nothing may have missed
 // some.
 func (f *Follower) call(ctx context.Context, results chan<- result, resume <-chan uint64) {
-	next, retry, wait := firstListing, retryPause, proveWait
+	next, retry, wait := firstListing, retryPause, ProveWait
 	var revision uint64
 	for ctx.Err() == nil {
 		r, broken := f.once(ctx, next, revision, wait)
 		if broken != notBroken {
-			next, wait = follow, proveWait
+			next, wait = follow, ProveWait
 			if broken == forListing {
 				next = listing
 			}
@@ -42,7 +42,7 @@
 			continue
 		case r.err != nil:
 			f.pauseUntilReturn(ctx, retry)
-			retry, wait = min(2*retry, retryMost), proveWait
+			retry, wait = min(2*retry, retryMost), ProveWait
 			continue
 		}
 		if next == follow {
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -186,7 +186,7 @@
 	if f.probeEvery != nil {
 		most = f.probeEvery()
 	}
-	return f.reads.due(f.version, f.Current().Proved, f.interval(), f.untilFirst(), most)
+	return f.reads.due(f.version, f.Current().Proved, readPace{every: f.interval(), untilFirst: f.untilFirst(), most: most})
 }
 
 // awaitHint waits at the start for another daemon's word, as long as none counts on this one.
--- a/internal/front/config_test.go
+++ b/internal/front/config_test.go
@@ -111,11 +111,11 @@
 	var s readSchedule
 	for i := range 100 {
 		s.sent(now)
-		wait := s.due(5, now, time.Millisecond, time.Second, 2*time.Second).Sub(now)
+		wait := s.due(5, now, readPace{time.Millisecond, time.Second, 2 * time.Second}).Sub(now)
 		must.Eq(t, min(probeFirst<<min(i, 4), 2*time.Second), wait)
 	}
 	s.ended(readResult{source: sourceRead, object: object(5, "50"), proved: now})
-	must.Eq(t, now.Add(time.Second), s.due(5, now, time.Second, time.Second, 2*time.Second))
+	must.Eq(t, now.Add(time.Second), s.due(5, now, readPace{time.Second, time.Second, 2 * time.Second}))
 }
 
 // A word of a version that the store does not show is dropped with the next whole read, and
@@ -126,7 +126,7 @@
 	s.sent(now.Add(time.Second))
 	s.ended(readResult{source: sourceRead, object: object(5, "what"), proved: now.Add(time.Second)})
 	must.Nil(t, s.hint)
-	must.Eq(t, now.Add(3*time.Second), s.due(0, time.Time{}, 2*time.Second, time.Second, time.Second))
+	must.Eq(t, now.Add(3*time.Second), s.due(0, time.Time{}, readPace{2 * time.Second, time.Second, time.Second}))
 }
 
 func TestRelaysReadMoreOften(t *testing.T) {
--- a/internal/front/reads.go
+++ b/internal/front/reads.go
@@ -65,29 +65,36 @@
 	}
 }
 
+// readPace is how long a daemon waits between reads, as things are.
+type readPace struct {
+	every      time.Duration // until a proof is renewed
+	untilFirst time.Duration // after an answer that there is no configuration
+	most       time.Duration // after a read without an answer
+}
+
 // due returns when the next read is to be sent: when the proof of what is in force, a version
-// proved at a time, gets older than every; at once if another daemon saw a newer version. A
-// read without an answer is repeated within most, whatever else is told: no belief that the
-// store is away outlasts that.
-func (s *readSchedule) due(version uint64, proved time.Time, every, untilFirst, most time.Duration) time.Time {
+// proved at a time, gets old; at once if another daemon saw a newer version. While what is in
+// force is not proved, a read without an answer is repeated within the pace's most: no belief
+// that the store is away outlasts that.
+func (s *readSchedule) due(version uint64, proved time.Time, pace readPace) time.Time {
 	next := proved
 	if s.proved.After(next) {
 		next = s.proved
 	}
-	next = next.Add(every)
+	next = next.Add(pace.every)
 	switch {
 	case s.asked.IsZero():
 		return s.asked
 	case s.hint != nil && s.hint.version > version:
 		next = s.asked
 	case s.missing:
-		next = s.asked.Add(untilFirst)
+		next = s.asked.Add(pace.untilFirst)
 	}
 	least := leastPause
 	if s.unanswered > 0 {
-		least = most
+		least = pace.most
 		if s.unanswered <= doublings {
-			least = min(most, probeFirst<<(s.unanswered-1))
+			least = min(pace.most, probeFirst<<(s.unanswered-1))
 		}
 	}
 	if earliest := s.asked.Add(least); next.Before(earliest) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/steady"
@@ -263,21 +264,18 @@
 	}
 	n.via.Store(false)
 	if n.suspect != "" && !n.o.Direct() && !n.closed.Load() {
-		wait = min(wait, max(n.lookAt.Sub(n.now()), proveWait)) // its relay is looked for again then
+		wait = min(wait, max(n.lookAt.Sub(n.now()), fleet.ProveWait)) // its relay is looked for again then
 	}
 	return n.follow(ctx, after, wait)
 }
 
-// proveWait is the wait of a call that is only to prove what is known.
-const proveWait = time.Millisecond
-
 // servingWait is how long a relay's call may wait: no longer than its peers' proofs allow, and
 // not at all if its own is old.
 func (n *Node) servingWait() time.Duration {
 	entries, _, _ := n.history.state()
 	most := n.part(servingPart)
 	if n.now().Sub(entries) > most+n.part(servingPause) {
-		return proveWait
+		return fleet.ProveWait
 	}
 	return most
 }
@@ -307,7 +305,7 @@
 	changes, err := n.followFor(timed, after, wait)
 	cancel()
 	if <-interrupted && err != nil && ctx.Err() == nil {
-		return n.followFor(ctx, after, proveWait)
+		return n.followFor(ctx, after, fleet.ProveWait)
 	}
 	return changes, err
 }
