Planner: one census a plan, not one for each group that it begins

Cause: form() looked for the best next group by counting anew all instances (needs, with a search in all groups that form for each), all groups of the view for each domain (groupsIn), and all free instances, once for each group it began. The cost was cubic in the fleet.

Why this mend holds: the census is counted once a plan and adjusted by each group and load that is begun; a group that is begun touches its own domain only. The look for neglected work ends at the first order.

Ruled out: the weight store's ceiling alone; it bounds how many loads begin, not how long a plan takes.

--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -15,7 +15,8 @@
 // assign gives each domain its model. A domain keeps the model it was given, or
 // the one that most of its instances hold; the others go to the model that lacks
 // most of its share, spread over zones.
-func (p *Planner) assign(v *fleet.View, engine *routes.Engine) assignment {
+func (p *Planner) assign(c *census) assignment {
+	v, engine := c.view, c.engine
 	byDomain := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
 		if in.Domain != "" && !in.Draining {
@@ -38,7 +39,7 @@
 	for _, d := range domains {
 		if m, ok := engine.Model(p.given[d]); ok {
 			take(d, m)
-		} else if m, ok := p.held(byDomain[d], engine); ok {
+		} else if m, ok := c.held(byDomain[d]); ok {
 			take(d, m)
 		}
 	}
@@ -77,13 +78,13 @@
 
 // held returns the model that most of a domain's instances hold, if they are
 // enough for a group.
-func (p *Planner) held(instances []*fleet.Instance, engine *routes.Engine) (routes.Model, bool) {
+func (c *census) held(instances []*fleet.Instance) (routes.Model, bool) {
 	var best routes.Model
 	most := 0
-	for _, m := range engine.Models {
+	for _, m := range c.engine.Models {
 		n := 0
 		for _, in := range instances {
-			if p.holds(in, m.Name) {
+			if c.holds(in, m.Name) {
 				n++
 			}
 		}
@@ -94,19 +95,6 @@
 	return best, most > 0
 }
 
-// holds tells whether an instance holds a model, or will by what was ordered.
-func (p *Planner) holds(in *fleet.Instance, model string) bool {
-	if joinCost(in, model) <= costStaged || p.staging[in.ID].model == model {
-		return true
-	}
-	for _, f := range p.forming {
-		if f.model.Name == model && slices.Contains(f.members, in.ID) {
-			return true
-		}
-	}
-	return false
-}
-
 // lackMost picks the model for a domain: one that lacks at least half a domain and
 // has the fewest in the zone, otherwise the one that lacks most.
 func (p *Planner) lackMost(engine *routes.Engine, lacking map[string]float64, inZone map[string]int) routes.Model {
--- /dev/null
+++ b/internal/formation/bench_test.go
@@ -0,0 +1,82 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/routes"
+)
+
+// benchDomain is how many instances a fabric domain holds.
+const benchDomain = 10
+
+// benchView is a view of instances of which a part is in groups that serve; the rest is free
+// and holds no model.
+func benchView(instances, serving int, engine *routes.Engine) *fleet.View {
+	all := map[string]*fleet.Instance{}
+	for i := range instances {
+		id, domain := fmt.Sprintf("i-%05d", i), i/benchDomain
+		in := &fleet.Instance{ID: id, Service: simService, Address: "10.0.0.1:80", Zone: fmt.Sprint("z", domain%3), Domain: fmt.Sprintf("d%04d", domain), Version: uint64(i)}
+		m := engine.Models[domain%2]
+		if group := i % benchDomain / m.Size; i < serving && (group+1)*m.Size <= benchDomain {
+			rank := i % benchDomain % m.Size
+			in.Models, in.Staged = []string{m.Name}, []string{m.Name}
+			in.Group = fleet.Membership{Name: fmt.Sprintf("g%04d-%d", domain, group), Epoch: epochsPerTerm + 1, Rank: rank, State: fleet.Ready}
+			if rank == 0 {
+				in.Group.State = fleet.Open
+			}
+		}
+		all[id] = in
+	}
+	return fleet.Build(1, time.Time{}, all, nil, func(_, model string) int {
+		m, _ := engine.Model(model)
+		return m.Size
+	})
+}
+
+// BenchmarkPlan is one plan of a planner that takes over: at the first start, while half of the
+// instances serve, and once all do.
+func BenchmarkPlan(b *testing.B) {
+	engine, now := simModels(), time.Unix(1000, 0)
+	for _, instances := range []int{300, 3000, 8200} {
+		engine.LoadsAtOnce = instances / 8
+		for _, c := range []struct {
+			name    string
+			serving int
+		}{{"start", 0}, {"half", instances / 2}, {"serving", instances}} {
+			v := benchView(instances, c.serving, engine)
+			b.Run(fmt.Sprintf("%d/%s", instances, c.name), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p := NewPlanner(simService, 2, nil, now)
+					p.Idle = true
+					p.Plan(v, engine, now)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkWorkStands is what each daemon that does not plan spends on looking for work that
+// the planner neglects.
+func BenchmarkWorkStands(b *testing.B) {
+	engine, now := simModels(), time.Unix(1000, 0)
+	table := routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}})
+	for _, instances := range []int{300, 3000, 8200} {
+		engine.LoadsAtOnce = instances / 8
+		for _, c := range []struct {
+			name    string
+			serving int
+		}{{"start", 0}, {"half", instances / 2}, {"serving", instances}} {
+			v := benchView(instances, c.serving, engine)
+			b.Run(fmt.Sprintf("%d/%s", instances, c.name), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					workStands(v, table, now)
+				}
+			})
+		}
+	}
+}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -11,6 +11,7 @@
 
 // option is a group that could be formed now.
 type option struct {
+	domain  *freeDomain
 	model   routes.Model
 	members []*fleet.Instance
 	loads   int     // members that would load from the weight store
@@ -20,30 +21,34 @@
 }
 
 // form plans new groups from free instances until none fits, then loads models
-// to the hosts of those that stay free.
-func (p *Planner) form(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time) []Order {
-	var out []Order
+// to the hosts of those that stay free. It hands each order to yield and stops when that
+// returns false.
+func (p *Planner) form(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time, yield func(...Order) bool) {
 	loading := p.loading(v, now)
-	models, cold := p.assign(v, engine), p.Idle && p.cold(v)
+	c := p.census(v, engine, busy, now)
+	models, cold := p.assign(c), p.Idle && p.cold(v)
 	for {
-		best := p.best(v, engine, models, p.free(v, busy, now), cold)
+		best := c.best(models, cold)
 		if best == nil {
 			break
 		}
 		if !p.mayLoad(engine, cold, loading, best.loads, now) {
-			return out
+			return
 		}
 		loading += best.loads
 		p.began(best.loads, now)
 		f := p.begin(best, now)
+		c.begun(f, best)
 		for _, in := range best.members {
 			busy[in.ID] = true
-			out = append(out, p.send(now, p.join(f, in, "new group"))...)
+			if !yield(p.send(now, p.join(f, in, "new group"))...) {
+				return
+			}
 		}
 	}
-	free := p.free(v, busy, now)
-	out = append(out, p.warm(models, free, busy, now)...)
-	return append(out, p.stage(v, engine, models, free, cold, loading, now)...)
+	if yield(p.warm(models, c.domains, busy, now)...) {
+		yield(p.stage(c, models, cold, loading, now)...)
+	}
 }
 
 // begin records a new group.
@@ -139,26 +144,6 @@
 	}
 }
 
-// best returns the best group to form next, nil if there is none. Groups that
-// need no load go first; then the model that lacks most of its target.
-func (p *Planner) best(v *fleet.View, engine *routes.Engine, models assignment, free map[string][]*fleet.Instance, cold bool) *option {
-	needs := p.needs(v, engine)
-	var best *option
-	for _, domain := range sortedDomains(free) {
-		for _, m := range models[domain] {
-			o := choose(m, free[domain], p.warmed)
-			if o == nil || o.loads > 0 && !cold {
-				continue // those that lack the model load it to their hosts first
-			}
-			o.lack, o.same, o.free = needs[m.Name].part(), p.groupsIn(v, domain, m.Name), len(free[domain])
-			if best == nil || better(o, best) {
-				best = o
-			}
-		}
-	}
-	return best
-}
-
 // cold tells whether most instances hold no model yet: then groups load as they
 // join, which saves the warm start. Later loads are scarce, and each is made
 // where it helps most.
@@ -186,22 +171,6 @@
 	) < 0
 }
 
-// groupsIn counts the groups of a model in a domain, those forming included.
-func (p *Planner) groupsIn(v *fleet.View, domain, model string) int {
-	n := 0
-	for _, f := range p.forming {
-		if in := v.Instances[f.members[0]]; f.model.Name == model && in != nil && in.Domain == domain {
-			n++
-		}
-	}
-	for key, g := range v.Groups {
-		if g.Model == model && g.Head != nil && g.Head.Domain == domain && p.forming[key] == nil && g.Complete() {
-			n++
-		}
-	}
-	return n
-}
-
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -258,42 +227,3 @@
 	}
 	return costOther
 }
-
-// need is what a model should have and lacks, in instances.
-type need struct {
-	target  float64
-	lacking float64
-}
-
-// part is the part of the target that is missing.
-func (n need) part() float64 {
-	if n.target <= 0 {
-		return 0
-	}
-	return n.lacking / n.target
-}
-
-// needs returns what each model lacks of its share of the instances. Those that
-// hold it and are free count too: they soon join or stand by.
-func (p *Planner) needs(v *fleet.View, engine *routes.Engine) map[string]need {
-	total := 0
-	for _, in := range v.Services[p.Service] {
-		if !in.Draining {
-			total++
-		}
-	}
-	have := map[string]float64{}
-	for _, in := range v.Services[p.Service] {
-		for _, m := range engine.Models {
-			if !in.Draining && p.holds(in, m.Name) {
-				have[m.Name]++
-				break
-			}
-		}
-	}
-	out := map[string]need{}
-	for name, target := range p.targets(engine, total) {
-		out[name] = need{target: target, lacking: target - have[name]}
-	}
-	return out
-}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -195,7 +195,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		for _, o := range NewPlanner(s.Name, 0, nil, now).Plan(view, s.Engine, now) {
+		for o := range NewPlanner(s.Name, 0, nil, now).orders(view, s.Engine, now) {
 			if o.Op != OpStage {
 				return true
 			}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 	"time"
 
@@ -111,15 +112,27 @@
 
 // Plan returns the orders to send now.
 func (p *Planner) Plan(v *fleet.View, engine *routes.Engine, now time.Time) []Order {
-	var out []Order
-	p.forget(v, now)
-	busy := map[string]bool{}
-	for _, key := range sortedKeys(v) {
-		out = append(out, p.tend(v, v.Groups[key], busy, now)...)
+	return slices.Collect(p.orders(v, engine, now))
+}
+
+// orders makes the orders to send now one after the other. A planner whose orders were not all
+// taken must not plan again.
+func (p *Planner) orders(v *fleet.View, engine *routes.Engine, now time.Time) iter.Seq[Order] {
+	return func(take func(Order) bool) {
+		yield := func(orders ...Order) bool {
+			return !slices.ContainsFunc(orders, func(o Order) bool { return !take(o) })
+		}
+		p.forget(v, now)
+		busy := map[string]bool{}
+		for _, key := range sortedKeys(v) {
+			if !yield(p.tend(v, v.Groups[key], busy, now)...) {
+				return
+			}
+		}
+		if yield(p.tendForming(v, busy, now)...) {
+			p.form(v, engine, busy, now, yield)
+		}
 	}
-	out = append(out, p.tendForming(v, busy, now)...)
-	out = append(out, p.form(v, engine, busy, now)...)
-	return out
 }
 
 func sortedKeys(v *fleet.View) []fleet.Key {
--- /dev/null
+++ b/internal/formation/plan_cost_test.go
@@ -0,0 +1,42 @@
+package formation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/routes"
+)
+
+// What happened: with 3,000 instances the first plan took 14 s of a processor, as each group that
+// was begun counted all instances and groups anew, and groups formed long after requests came.
+// Ten times as many instances cost about ten times as much work. Allocations stand in for it:
+// they are the same on every run.
+func TestCostOfAPlanGrowsWithTheInstances(t *testing.T) {
+	const few, factor, tolerance = 200, 10, 1.5
+	now := time.Unix(1000, 0)
+	for name, serving := range map[string]int{"at the start": 0, "half serve": 2, "all serve": 1} {
+		t.Run(name, func(t *testing.T) {
+			plan, look := map[int]float64{}, map[int]float64{}
+			for _, instances := range []int{few, few * factor} {
+				engine := simModels()
+				engine.LoadsAtOnce = instances // no ceiling ends the plan early
+				table := routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}})
+				part := 0
+				if serving > 0 {
+					part = instances / serving
+				}
+				v := benchView(instances, part, engine)
+				plan[instances] = testing.AllocsPerRun(1, func() {
+					p := NewPlanner(simService, 2, nil, now)
+					p.Idle = true
+					p.Plan(v, engine, now)
+				})
+				look[instances] = testing.AllocsPerRun(1, func() { workStands(v, table, now) })
+			}
+			must.LessEq(t, tolerance*factor*plan[few], plan[few*factor], must.Sprint("a plan"))
+			must.LessEq(t, tolerance*factor*look[few], look[few*factor], must.Sprint("a look for work that stands"))
+		})
+	}
+}
--- a/internal/formation/warm.go
+++ b/internal/formation/warm.go
@@ -14,14 +14,14 @@
 // accelerators: as a group of its own, of one, that never opens and that it leaves as
 // soon as it is ready. When a group loses a member, the spare then joins as quickly as
 // those that stay, and not only after the model's warm start.
-func (p *Planner) warm(models assignment, free map[string][]*fleet.Instance, busy map[string]bool, now time.Time) []Order {
+func (p *Planner) warm(models assignment, domains []*freeDomain, busy map[string]bool, now time.Time) []Order {
 	if now.Sub(p.started) < settle {
 		return nil
 	}
 	var out []Order
-	for _, domain := range sortedDomains(free) {
-		for _, in := range free[domain] {
-			m, staged := stagedOf(in, models[domain])
+	for _, d := range domains {
+		for _, in := range d.free {
+			m, staged := stagedOf(in, models[d.name])
 			if !staged || m.Size < 2 || p.staging[in.ID].model != "" || p.warmed[in.ID] == m.Name {
 				continue
 			}
