Planner: no plan where it can find nothing

Callers: the daemon that plans at the start of a large fleet is late with groups, and every other daemon spends processor time that its requests need.

(2) The planner made a plan for each answer to an order; those to joins, opens and stages change nothing that a plan looks at, and a thousand joins are sent in the first seconds.

Mend: only daemons that follow the store themselves look, once a view (a fresh planner's orders depend on the view and the configuration only). Answers that came meanwhile are taken in together, and only one that frees an instance, the answer to a leave, calls for a plan.

Sight: pearlanding_plan_seconds, and a line for a plan that takes over half of the pause between two.

Tests: TestOnlyWhoMayTakeTheLeaseLooksForNeglectedWork, TestAnswersToJoinsNeedNoPlan; both name what did not exist before (they do not compile there).

--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -61,6 +61,8 @@
 	ended    chan endedOrder
 	term     uint64
 	noticed  time.Time // when work that stands was last looked for
+	looked   lookedAt  // in what
+	stands   bool      // whether there was some
 	standing time.Time // since when there is some; zero: none
 	// neglected: work has stood for so long that the lease should be looked at.
 	neglected atomic.Bool
@@ -103,7 +105,9 @@
 			return
 		case <-taken:
 		case e := <-m.ended:
-			m.take(e, m.Clock.Now())
+			if !m.takeAll(e, m.Clock.Now()) {
+				continue
+			}
 		case <-m.Changed:
 		case <-m.Stopped:
 		case <-m.search.found:
@@ -177,9 +181,24 @@
 
 func (m *Manager) relayed() bool { return m.Relayed != nil && m.Relayed() }
 
-// notice looks for work that whoever holds the lease should have done.
+// lookedAt is all that the search for work that stands depends on.
+type lookedAt struct {
+	view  *fleet.View
+	table *routes.Table
+}
+
+// notice looks for work that whoever holds the lease should have done. A daemon that follows
+// through another one leaves that to it, as each look costs a whole plan.
 func (m *Manager) notice(view *fleet.View, table *routes.Table, now time.Time) {
-	if !workStands(view, table, now) {
+	if m.relayed() {
+		m.standing = time.Time{}
+		m.neglected.Store(false)
+		return
+	}
+	if at := (lookedAt{view, table}); at != m.looked {
+		m.looked, m.stands = at, workStands(view, table, now)
+	}
+	if !m.stands {
 		m.standing = time.Time{}
 	} else if m.standing.IsZero() {
 		m.standing = now
@@ -241,6 +260,7 @@
 		return
 	}
 	m.counts.viewed(view, now)
+	defer m.tookPlan(now)
 	m.search.look(ctx, view, m.Still(now), now)
 	view = m.search.without(view, table.ModelSize)
 	for i := range table.Config.Services {
@@ -266,6 +286,18 @@
 	}
 }
 
+// slowPlan is how long a plan may take before it is logged: half of the pause between two.
+const slowPlan = planTick / 2
+
+// tookPlan notes how long a plan took that began at a time.
+func (m *Manager) tookPlan(began time.Time) {
+	took := m.Clock.Since(began)
+	m.counts.took(took)
+	if took > slowPlan {
+		m.Log.Warn("plan took long", zap.Duration("took", took), zap.Uint64("term", m.term))
+	}
+}
+
 // tell logs what the planner sees when it changed.
 func (m *Manager) tell(s summary, revision uint64) {
 	if m.told[s.service] == s {
@@ -278,6 +310,20 @@
 	m.Log.Info("groups", zap.Object("seen", s), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
 }
 
+// takeAll takes in what came of an order, and of all others that ended meanwhile. It tells
+// whether they may lead to new orders; a plan for each of a thousand joins would find nothing.
+func (m *Manager) takeAll(e endedOrder, now time.Time) (plan bool) {
+	for {
+		m.take(e, now)
+		plan = plan || e.order.Op == OpLeave && e.outcome != Unanswered
+		select {
+		case e = <-m.ended:
+		default:
+			return plan
+		}
+	}
+}
+
 // take takes in what came of an order.
 func (m *Manager) take(e endedOrder, now time.Time) {
 	if e.order.Op == OpJoin && e.outcome == Unanswered {
--- a/internal/formation/manager_test.go
+++ b/internal/formation/manager_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/routes"
 )
 
 // A holder of the lease must not plan on a view from before its term (seen as TWO
@@ -51,3 +53,44 @@
 		})
 	}
 }
+
+// A whole plan is made to see whether the planner neglects work: 2 ms with 3,000 instances, 2.5
+// times a second, at each of 300 daemons. Only those that others follow through may take the
+// lease for it, and one look at a view is enough.
+func TestOnlyWhoMayTakeTheLeaseLooksForNeglectedWork(t *testing.T) {
+	engine, now := simModels(), time.Unix(1000, 0)
+	table := routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}})
+	view := benchView(300, 300, engine)
+	view.Instances["i-00000"].Draining = true // its group should close
+	relayed := true
+	m := &Manager{Relayed: func() bool { return relayed }}
+	for range 3 {
+		m.notice(view, table, now)
+		now = now.Add(neglectAfter)
+	}
+	must.False(t, m.neglected.Load())
+	must.Eq(t, lookedAt{}, m.looked, must.Sprint("the relay looks"))
+
+	relayed = false
+	m.notice(view, table, now)
+	must.False(t, m.neglected.Load(), must.Sprint("the planner has had no time"))
+	must.Zero(t, testing.AllocsPerRun(10, func() { m.notice(view, table, now) }), must.Sprint("the same view again"))
+	m.notice(view, table, now.Add(neglectAfter+1))
+	must.True(t, m.neglected.Load())
+	m.notice(benchView(300, 300, engine), table, now.Add(neglectAfter+2))
+	must.False(t, m.neglected.Load(), must.Sprint("done"))
+}
+
+// What happened: the planner made a whole plan for the answer to each of a thousand joins. Only
+// answers to leaves free instances before any entry shows it.
+func TestAnswersToJoinsNeedNoPlan(t *testing.T) {
+	m := &Manager{ended: make(chan endedOrder, 8), Lease: &Lease{}}
+	for range 3 {
+		m.ended <- endedOrder{order: Order{Op: OpJoin}}
+	}
+	must.False(t, m.takeAll(endedOrder{order: Order{Op: OpJoin}}, time.Time{}))
+	must.Eq(t, 0, len(m.ended), must.Sprint("all were taken together"))
+	m.ended <- endedOrder{order: Order{Op: OpLeave}}
+	must.True(t, m.takeAll(endedOrder{order: Order{Op: OpOpen}}, time.Time{}))
+	must.False(t, m.takeAll(endedOrder{order: Order{Op: OpLeave}, outcome: Unanswered}, time.Time{}), must.Sprint("it may not have left"))
+}
--- a/internal/formation/metrics.go
+++ b/internal/formation/metrics.go
@@ -26,6 +26,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_orders_total{op=%q,outcome=%q}", string(op), outcome)).Inc()
 }
 
+// took notes how long one plan of all services took.
+func (m *planMetrics) took(d time.Duration) {
+	m.set.GetOrCreateHistogram("pearlanding_plan_seconds").Update(d.Seconds())
+}
+
 // planned counts a planner's loads from the weight store, and the groups it sees.
 func (m *planMetrics) planned(p *Planner, s summary) {
 	m.set.GetOrCreateCounter("pearlanding_weight_loads_total").Add(p.loadsBegun - m.loads[p])
