Requests: targets are listed once a view, not for each request

What callers saw: before 3,000 instances requests wait at daemons that are short of processor time.

Cause: each request listed the instances or groups that it may be sent to anew, at its admission and at each choice, and a stream that waits for an event does so again 20 times a second. The cost and the garbage grew with the fleet.

Mend: the list of a service and model is made once a view and shared by all requests. Whether a head whose entry lapsed may still be sent requests is looked at with each request, as before; views without such a head cost nothing for it.

TestTargetsAreListedOnceAView guards it. TestLapsedHeadIsNoTargetPastItsTime calls the list by its new form (the time moved from listTargets to at); cases and expectations are the same.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,12 +120,10 @@
 	LeadsUntil time.Time
 }
 
-// PastLead tells whether an instance is a lapsed head that may be sent no more requests. A
-// view may be older than that: the loop that makes the next one is late on a busy machine, and
-// stands still on a suspended one.
-func (v *View) PastLead(head *Instance, now time.Time) bool {
-	gone, lapsed := v.Removed[head.ID]
-	return lapsed && gone.Leads && !now.Before(gone.LeadsUntil)
+// LeadsUntil tells until when a lapsed head may be sent requests; false: it is none.
+func (v *View) LeadsUntil(head *Instance) (until time.Time, lapsed bool) {
+	gone, removed := v.Removed[head.ID]
+	return gone.LeadsUntil, removed && gone.Leads
 }
 
 // SizeOf tells how many instances a replica of a model takes; 0: unknown.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	// MayBorrow tells whether they probably have one. nil: there are no others.
 	Borrow    func(ctx context.Context, service string) bool
 	MayBorrow func(service string) bool
+	index     atomic.Pointer[targetIndex]
 	waits     dispatch.CallerWaits // of callers
 	sampled   atomic.Uint64
 	any       atomic.Bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -141,7 +141,7 @@
 		if !g.mayRepeat(service.Name) {
 			return false
 		}
-		return slices.ContainsFunc(listTargets(g.View(), service, model, g.Clock.Now()), func(o dispatch.Target) bool {
+		return slices.ContainsFunc(g.targets(g.View(), service, model), func(o dispatch.Target) bool {
 			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, x.gateway.Clock.Now()) != dispatch.Still
 		})
 	}
--- a/internal/gateway/targets_bench_test.go
+++ b/internal/gateway/targets_bench_test.go
@@ -30,16 +30,33 @@
 	return fleet.Ready
 }
 
-// BenchmarkListTargets is what each request costs once or twice, and a stream that waits
-// each checkEvery.
+// benchEngines is the service of benchView's instances.
+var benchEngines = &routes.Service{Name: "engines", Engine: &routes.Engine{Models: []routes.Model{{Name: "m0", Size: benchSize}, {Name: "m1", Size: benchSize}}}}
+
+// BenchmarkListTargets is what the first request after a change costs.
 func BenchmarkListTargets(b *testing.B) {
-	service := &routes.Service{Name: "engines", Engine: &routes.Engine{Models: []routes.Model{{Name: "m0", Size: benchSize}, {Name: "m1", Size: benchSize}}}}
-	for _, instances := range []int{300, 1000, 3000} {
+	for _, instances := range []int{300, 3000, 8200} {
 		v := benchView(instances)
 		b.Run(fmt.Sprint(instances), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if len(listTargets(v, service, "m0", time.Time{})) == 0 {
+				if len(listTargets(v, benchEngines, "m0").at(time.Time{})) == 0 {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTargets is what each request costs once or twice, and a stream that waits each
+// checkEvery.
+func BenchmarkTargets(b *testing.B) {
+	for _, instances := range []int{300, 3000, 8200} {
+		v, g := benchView(instances), &Gateway{}
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(g.targets(v, benchEngines, "m0")) == 0 {
 					b.Fatal("no target")
 				}
 			}
@@ -49,7 +66,7 @@
 
 // BenchmarkBuild is what each news of instances costs a daemon.
 func BenchmarkBuild(b *testing.B) {
-	for _, instances := range []int{300, 1000, 3000} {
+	for _, instances := range []int{300, 3000, 8200} {
 		v := benchView(instances)
 		b.Run(fmt.Sprint(instances), func(b *testing.B) {
 			for b.Loop() {
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -30,7 +30,7 @@
 	v.Groups[fleet.Key{Name: "pair", Epoch: 2}].Size = pairs("s", "m")
 	service := &routes.Service{Name: "s", Engine: &routes.Engine{}}
 	ids := func(at time.Time) (out []string) {
-		for _, target := range listTargets(v, service, "m", at) {
+		for _, target := range listTargets(v, service, "m").at(at) {
 			out = append(out, target.Instance)
 		}
 		return out
@@ -39,3 +39,16 @@
 	must.SliceNotContains(t, ids(now.Add(3*time.Second)), "head")
 	must.SliceContains(t, ids(now.Add(3*time.Second)), "here")
 }
+
+// What happened: with 3,000 instances each request listed its targets anew, once or twice, and a
+// stream that waited did so twenty times a second: 84 us and 98 KB each time.
+func TestTargetsAreListedOnceAView(t *testing.T) {
+	v, g := benchView(40), &Gateway{}
+	first := g.targets(v, benchEngines, "m0")
+	must.Len(t, 5, first)
+	must.Zero(t, testing.AllocsPerRun(10, func() { g.targets(v, benchEngines, "m0") }))
+	must.Len(t, 5, g.targets(v, benchEngines, "m1"))
+	must.SliceEmpty(t, g.targets(v, benchEngines, "unknown"), must.Sprint("callers may name any model"))
+	must.MapLen(t, 2, g.index.Load().lists)
+	must.Len(t, 6, g.targets(benchView(48), benchEngines, "m0"), must.Sprint("another view"))
+}
