View: what did not change is shared with the view before

What callers saw: requests wait at daemons that are short of processor time while groups form.

Cause: each news of instances, four times a second, built all groups and sorted all instances anew.

Mend: the next view is made from the one before: lists and groups are made anew only where an instance or a removal differs. The same code makes a first view. Members of one rank are ordered by id: their order, and the model of a group whose members disagree, changed from view to view.

--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -32,13 +32,14 @@
 	removed   map[string]Gone
 	earlier   map[string][]int64 // births of the lives of an id that have ended
 	revision  uint64
+	last      *View // published last
 }
 
 // NewBelief returns an empty belief. heartbeat is the time between the writes of
 // an instance's own entry: entries may lapse in an absence of the store that lasts as
 // long, as it may have begun some heartbeats before a call showed it.
 func NewBelief(heartbeat time.Duration, size SizeOf) *Belief {
-	return &Belief{size: size, reach: NewReachability(heartbeat),
+	return &Belief{size: size, last: &View{}, reach: NewReachability(heartbeat),
 		instances: map[string]*Instance{}, lapsed: map[string]bool{}, removed: map[string]Gone{}, earlier: map[string][]int64{}}
 }
 
@@ -169,7 +170,11 @@
 	delete(b.lapsed, id)
 }
 
+// Resize says that the sizes of models may have changed.
+func (b *Belief) Resize() { b.last = &View{} }
+
 // View publishes the belief.
 func (b *Belief) View(seen time.Time) *View {
-	return Build(b.revision, seen, maps.Clone(b.instances), maps.Clone(b.removed), b.size)
+	b.last = b.last.next(b.revision, seen, maps.Clone(b.instances), maps.Clone(b.removed), b.size)
+	return b.last
 }
--- /dev/null
+++ b/internal/fleet/build_test.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	_ "pearlanding/internal/fixedseed"
+)
+
+// A view that is made from the one before is the same as one that is made anew, whatever changed.
+func TestViewAfterChangesIsAsMadeAnew(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b := NewBelief(heartbeat, func(_, model string) int { return map[string]int{"large": 3, "small": 2}[model] })
+		b.LeadsFor = time.Second
+		now, version := start, uint64(0)
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			for range rapid.IntRange(0, 5).Draw(r, "changes") {
+				id := fmt.Sprint("i", rapid.IntRange(0, 9).Draw(r, "id"))
+				version++
+				switch rapid.IntRange(0, 5).Draw(r, "event") {
+				case 0:
+					b.Remove(id, now, now)
+				case 1:
+					b.Discard(id, version, now)
+				case 2:
+					b.Lost(now)
+				case 3:
+					b.Reached(now)
+				default:
+					b.Put(drawInstance(r, id, version))
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(r, "ms")) * time.Millisecond)
+			b.Expire(now)
+			anew := Build(b.revision, now, maps.Clone(b.instances), maps.Clone(b.removed), b.size)
+			must.Eq(r, anew, b.View(now))
+		}
+	})
+}
+
+func drawInstance(r *rapid.T, id string, version uint64) *Instance {
+	in := &Instance{ID: id, Version: version, Service: rapid.SampledFrom([]string{"engines", "plain"}).Draw(r, "service"),
+		Draining: rapid.IntRange(0, 5).Draw(r, "draining") == 0, Born: int64(rapid.IntRange(1, 2).Draw(r, "born"))}
+	if in.Service == "engines" && rapid.Bool().Draw(r, "member") {
+		in.Models = []string{rapid.SampledFrom([]string{"large", "small"}).Draw(r, "model")}
+		in.Group = Membership{Name: rapid.SampledFrom([]string{"g", "h"}).Draw(r, "group"), Epoch: uint64(rapid.IntRange(1, 2).Draw(r, "epoch")),
+			Rank: int(id[1]-'0') % 3, State: rapid.SampledFrom([]GroupState{Joining, Ready, Open, Closing, Broken}).Draw(r, "state")}
+	}
+	return in
+}
+
+// Instances change several times a second somewhere among thousands; what did not is shared.
+func TestGroupsThatDidNotChangeAreShared(t *testing.T) {
+	v := benchView(40)
+	instances := maps.Clone(v.Instances)
+	changed := *instances["i-00005"]
+	changed.Draining = true
+	instances[changed.ID] = &changed
+	next := v.next(2, start, instances, nil, benchSizes)
+	for key, g := range v.Groups {
+		must.Eq(t, key != changed.Group.Key(), next.Groups[key] == g)
+	}
+	must.False(t, next.Groups[changed.Group.Key()].Serving())
+}
+
+// benchSize is how many instances a replica takes.
+const benchSize = 4
+
+func benchSizes(string, string) int { return benchSize }
+
+// benchView is a view of so many instances, all in groups that serve.
+func benchView(instances int) *View {
+	all := map[string]*Instance{}
+	for i := range instances {
+		id, state := fmt.Sprintf("i-%05d", i), Ready
+		if i%benchSize == 0 {
+			state = Open
+		}
+		all[id] = &Instance{ID: id, Service: "engines", Models: []string{"m"},
+			Group: Membership{Name: fmt.Sprint("g", i/benchSize), Epoch: 1, Rank: i % benchSize, State: state}}
+	}
+	return Build(1, start, all, nil, benchSizes)
+}
+
+// BenchmarkNext is what each news of instances costs a daemon, by how many there are and how
+// many of them changed.
+func BenchmarkNext(b *testing.B) {
+	for _, instances := range []int{300, 3000, 8200} {
+		for _, changes := range []int{1, 100} {
+			v := benchView(instances)
+			later := maps.Clone(v.Instances)
+			for i := range changes {
+				in := *later[fmt.Sprintf("i-%05d", i*instances/changes)]
+				later[in.ID] = &in
+			}
+			b.Run(fmt.Sprintf("%d/%d", instances, changes), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					v.next(2, start, maps.Clone(later), nil, benchSizes)
+				}
+			})
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,7 +5,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -128,47 +127,3 @@
 
 // SizeOf tells how many instances a replica of a model takes; 0: unknown.
 type SizeOf func(service, model string) int
-
-// Build derives groups from instances.
-func Build(revision uint64, seen time.Time, instances map[string]*Instance, removed map[string]Gone, size SizeOf) *View {
-	v := &View{Revision: revision, Seen: seen, Instances: instances, Removed: removed,
-		Services: map[string][]*Instance{}, Groups: map[Key]*Group{}}
-	for _, in := range instances {
-		v.Services[in.Service] = append(v.Services[in.Service], in)
-		if in.Group.Name == "" {
-			continue
-		}
-		g := v.Groups[in.Group.Key()]
-		if g == nil {
-			g = &Group{Key: in.Group.Key(), Service: in.Service}
-			v.Groups[g.Key] = g
-		}
-		g.Members = append(g.Members, in)
-		if g.Model == "" && len(in.Models) > 0 {
-			g.Model = in.Models[0]
-			g.Size = size(in.Service, g.Model)
-		}
-		if in.Group.Rank == 0 {
-			g.Head, g.Zone = in, in.Zone
-		}
-	}
-	for _, gone := range removed {
-		g := v.Groups[gone.Instance.Group.Key()]
-		if !gone.Lapsed || g == nil {
-			continue
-		}
-		g.Lapsed = append(g.Lapsed, gone.Instance)
-		if gone.Leads && g.Head == nil {
-			g.Head, g.Zone = gone.Instance, gone.Instance.Zone
-		}
-	}
-	for _, list := range v.Services {
-		slices.SortFunc(list, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	for _, g := range v.Groups {
-		byRank := func(a, b *Instance) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) }
-		slices.SortFunc(g.Members, byRank)
-		slices.SortFunc(g.Lapsed, byRank)
-	}
-	return v
-}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -125,6 +125,7 @@
 				f.publish(now)
 			}
 		case <-f.sizes:
+			f.belief.Resize()
 			if v := f.View(); v != nil {
 				f.publish(v.Seen)
 			}
