Views: tests of removals that no entry shows

Two comparisons of removals make the next view: of those that ended by time, and of members whose entries came and went between two views.

--- a/internal/fleet/build.go
+++ b/internal/fleet/build.go
@@ -77,7 +77,7 @@
 			c.groups[gone.Instance.Group.Key()] = true
 		}
 	}
-	for id, gone := range removed {
+	for id, gone := range removed { // one that came and went since v is in no list of instances
 		if v.Removed[id] != gone {
 			c.groups[gone.Instance.Group.Key()] = true
 		}
--- a/internal/fleet/build_test.go
+++ b/internal/fleet/build_test.go
@@ -107,3 +107,35 @@
 		}
 	}
 }
+
+// putPair puts the two members of a group.
+func putPair(b *Belief) Key {
+	for rank, id := range []string{"head", "member"} {
+		b.Put(&Instance{ID: id, Service: "s", Models: []string{"large"}, Version: 1, Group: Membership{Name: "g", Epoch: 1, Rank: rank, State: []GroupState{Open, Ready}[rank]}})
+	}
+	return Key{"g", 1}
+}
+
+// A lapsed member counts for a while only; no entry changes as that while ends.
+func TestLapsedMemberLeavesTheViewByTime(t *testing.T) {
+	b := NewBelief(heartbeat, sizes)
+	key := putPair(b)
+	b.Remove("member", start, start)
+	must.True(t, b.View(start).Groups[key].Serving())
+	later := start.Add(lapsedFor + 1)
+	must.True(t, b.Expire(later))
+	must.False(t, b.View(later).Groups[key].Serving())
+}
+
+// A member whose entry came and went between two views is known by its removal only.
+func TestMemberThatCameAndWentCountsAsLapsed(t *testing.T) {
+	b := NewBelief(heartbeat, sizes)
+	key := putPair(b)
+	member := b.instances["member"]
+	b.Discard("member", 1, start)
+	delete(b.removed, "member")
+	must.False(t, b.View(start).Groups[key].Serving())
+	b.Put(member)
+	b.Remove("member", start, start)
+	must.True(t, b.View(start).Groups[key].Serving())
+}
