Streams: time in which this process was not scheduled is no silence

Cause: a daemon that is short of processor time reads events late. The timer of a silent stream, and the age of an instance's last event, ran on meanwhile: what the daemon had not read counted as what its replicas had not sent. It moved streams away from replicas at work, each move costs a repeat and an attempt, and the successor's first event came late for the same reason. It also told its zone that these replicas stand still.

Mend: steady.RunClock stands still while the process is not scheduled: a look each 25 ms that comes more than 10 ms late shows it, and a reading in between counts no further than that. The picker lives by it, and the timers of streams and plain requests look again until they ran for their patience. What callers are promised (deadlines, objectives, proofs) stays on the clock that counts everything.

Ruled out: longer patience (moves from dead replicas come later for everyone); a multiple by the lateness seen of late (it says nothing of this stream's own silence).

Sight: pearlanding_late_seconds, and a line for a second with 100 ms or more of it.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,6 +96,7 @@
 	Metrics  *metrics.Set
 	// Clock tells the time; nil: a new clock of this machine.
 	Clock *steady.Clock
+	run   *steady.RunClock
 	// MetricsAddress serves the metrics at /metrics; empty: not served.
 	MetricsAddress string
 
@@ -169,6 +170,7 @@
 	if d.uniform == nil {
 		d.uniform = func(least, most time.Duration) time.Duration { return least + rand.N(most-least) }
 	}
+	d.run = steady.NewRunClock(d.Clock)
 	belief := fleet.NewBelief(s.Heartbeat, d.modelSize)
 	belief.LeadsFor = d.drainPart(leadsPart, 0)
 	d.calls = newCountedFeed(d.Outside.Feed, d.Outside.ConfigKey, belief.Reachability(), d.Metrics, d.Log)
@@ -197,6 +199,7 @@
 	d.Metrics.GetOrCreateGauge("pearlanding_config_version", func() float64 { return float64(d.config.Current().Version()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_store_absent_seconds", d.absentSeconds)
 	d.Metrics.GetOrCreateGauge("pearlanding_suspended_seconds", func() float64 { return d.Clock.Suspended().Seconds() })
+	d.Metrics.GetOrCreateGauge("pearlanding_late_seconds", func() float64 { return d.run.Late().Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_follows_instances", func() float64 { return float64(d.following()) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstream_connections_opened", func() float64 { return float64(d.pool.Opened()) })
 }
@@ -228,6 +231,8 @@
 	}
 	manager := d.manager()
 	d.fleet.Pace = d.pace
+	run(work, d.run.Run)
+	run(work, d.tellLateness)
 	run(work, d.config.Run)
 	run(work, d.fleet.Run)
 	run(work, d.sweep)
@@ -269,7 +274,7 @@
 		pause.For(ctx, sweepEvery)
 		now := d.Clock.Now()
 		d.pool.Sweep(now)
-		d.picker.Sweep(now)
+		d.picker.Sweep(d.run.Now())
 		d.watch.Sweep()
 	}
 }
@@ -277,7 +282,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Outside.Codec, Config: d.config.Current, View: d.fleet.View, Bounds: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Watch: d.watch, Clock: d.Clock, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Watch: d.watch, Clock: d.Clock, RunClock: d.run, Borrow: d.borrow, MayBorrow: d.mayBorrow, Starting: d.starting, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/relay"
 	"pearlanding/internal/rpc"
@@ -94,7 +95,7 @@
 		return relay.Addresses(l), err
 	}}
 	return relay.NewNode(relay.Options{
-		Traffic: relay.Traffic{Spare: d.budgets.Spare, InFlight: d.picker.InFlight, Progress: d.picker.Progress, Stops: d.picker.Stops(), Loaded: d.picker.Loaded, Rule: d.poolRule},
+		Traffic: relay.Traffic{Spare: d.budgets.Spare, InFlight: d.picker.InFlight, Progress: d.progress, Stops: d.picker.Stops(), Loaded: d.loaded, Rule: d.poolRule},
 		Store:   d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm, Returned: d.config.returned,
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
@@ -106,12 +107,20 @@
 
 // standing lists the heads that this daemon's streams show to stand still, or to have ended: a
 // process that ends breaks its streams off, and none stands still.
-func (d *Daemon) standing(now time.Time) []string {
-	out := append(d.picker.Stopped(now), d.watch.EndedLately()...)
+func (d *Daemon) standing(time.Time) []string {
+	out := append(d.picker.Stopped(d.run.Now()), d.watch.EndedLately()...)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// progress returns the groups whose running streams stopped for this daemon lately, and those
+// whose bring events. loaded takes in what all other daemons told. The picker has a time of its own.
+func (d *Daemon) progress(time.Time) (stopped, alive []fleet.Key) {
+	return d.picker.Progress(d.run.Now())
+}
+
+func (d *Daemon) loaded(others dispatch.Others, _ time.Time) { d.picker.Loaded(others, d.run.Now()) }
+
 // exchange tells this daemon, while it relays, what other zones have in progress.
 func (d *Daemon) exchange() *relay.Exchange {
 	return &relay.Exchange{Node: d.relay, List: func(ctx context.Context) (objectapi.Listing, error) {
@@ -144,7 +153,7 @@
 
 // still lists the heads of groups that stand still, for this daemon or for others.
 func (d *Daemon) still(now time.Time) []string {
-	out := d.picker.Still(now)
+	out := d.picker.Still(d.run.Now())
 	if d.survey == nil {
 		return out
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Watch *quarantine.Watch
 	// Clock tells the time; nil: this machine's.
 	Clock *steady.Clock
+	// RunClock tells the time by which instances are silent; nil: Clock does.
+	RunClock *steady.RunClock
 	// Starting tells that this daemon has just started and will soon know whether it can
 	// serve; nil: it knows.
 	Starting func() bool
@@ -98,6 +100,15 @@
 // startTick is how often a request that is held at the start looks whether it goes on.
 const startTick = 10 * time.Millisecond
 
+// runNow returns the time by which instances are silent, which is the picker's. While this process
+// is not scheduled it stands still: events that came are not read yet.
+func (g *Gateway) runNow() time.Time {
+	if g.RunClock == nil {
+		return g.Clock.Now()
+	}
+	return g.RunClock.Now()
+}
+
 // awaitStart holds a request that came while this daemon starts.
 func (g *Gateway) awaitStart(ctx context.Context) {
 	for g.Starting != nil && g.Starting() && ctx.Err() == nil {
@@ -263,7 +274,7 @@
 		}
 		own = r.own
 	}
-	t := x.gateway.Picker.Pick(x.targets(), x.tried, now)
+	t := x.gateway.Picker.Pick(x.targets(), x.tried, x.gateway.runNow())
 	if t == nil && own {
 		x.budget().Return(x.gateway.Bounds().Retry, now)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,13 +61,12 @@
 // used lately, and what is left of the repeat budgets. Targets come and go, so their
 // series are written from what there is now and not kept.
 func (g *Gateway) WriteLoad(w io.Writer) {
-	now := g.Clock.Now()
-	for _, l := range g.Picker.Loads(now) {
+	for _, l := range g.Picker.Loads(g.runNow()) {
 		labels := fmt.Sprintf("{instance=%q}", l.Instance)
 		metrics.WriteGaugeUint64(w, "pearlanding_target_in_flight"+labels, uint64(max(l.InFlight, 0)))
 		metrics.WriteGaugeFloat64(w, "pearlanding_target_expected_first_event_seconds"+labels, l.Expected.Seconds())
 	}
-	for service, left := range g.Budgets.Left(g.Bounds().Retry, now) {
+	for service, left := range g.Budgets.Left(g.Bounds().Retry, g.Clock.Now()) {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("pearlanding_repeat_budget_left{service=%q}", service), left)
 	}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -45,8 +45,16 @@
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if x.route.Repeatable() && x.route.Objective > 0 && !x.attempts.Last(x.route.Attempts) {
-		mover := time.AfterFunc(dispatch.PlainPatience(x.route.Objective), func() { cancel(errMoved) })
+		patience, sent := dispatch.PlainPatience(x.route.Objective), x.gateway.runNow()
+		mover := &watcher{}
 		defer mover.Stop()
+		mover.arm(patience, func() time.Duration {
+			if left := patience - x.gateway.runNow().Sub(sent); left > 0 {
+				return left // the timer ran while this process did not
+			}
+			cancel(errMoved)
+			return 0
+		})
 	}
 	resp, err := x.send(attempt, t, x.req.LastEvent, func() { cancel(quarantine.ErrRefused) })
 	defer x.sendDone()
@@ -64,9 +72,8 @@
 // failed judges a send without a whole answer; true: the request is answered.
 func (x *exchange) failed(attempt context.Context, t *dispatch.Target, err error) bool {
 	x.ended(cause(attempt, err))
-	now := x.gateway.Clock.Now()
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errMoved) {
-		x.gateway.Picker.Suspect(t, now)
+		x.gateway.Picker.Suspect(t, x.gateway.runNow())
 	}
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrBusy) {
 		return false
@@ -104,10 +111,10 @@
 	if codec.NotRun(resp.StatusCode, resp.Header) {
 		x.ended("refused " + resp.Status)
 		x.notRun(resp)
-		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.runNow())
 		return false
 	}
-	x.gateway.Picker.Progressed(t, x.gateway.Clock.Now())
+	x.gateway.Picker.Progressed(t, x.gateway.runNow())
 	if resp.StatusCode/100 == 2 && !codec.Signed(resp.Header) {
 		x.ended("answer without signature")
 		x.mayRun = true
@@ -116,7 +123,7 @@
 	if resp.StatusCode/100 == 5 {
 		x.ended("failed " + resp.Status)
 		x.mayRun = true
-		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.runNow())
 		if x.route.Repeatable() && !x.attempts.Spent(x.route.Attempts) {
 			if x.again() {
 				return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,7 @@
 
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/quarantine"
+	"pearlanding/internal/steady"
 	"pearlanding/internal/upstream"
 )
 
@@ -31,7 +32,7 @@
 	if id, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
 		x.lastEvent, x.hasLast = id, true
 	}
-	x.admission = x.gateway.Picker.Admit(x.targets(), x.req.Model, x.route.Objective, x.now)
+	x.admission = x.gateway.Picker.Admit(x.targets(), x.req.Model, x.route.Objective, x.gateway.runNow())
 	if !x.admission.Admitted {
 		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", dispatch.ComeBack(dispatch.Overload))
 		return
@@ -61,13 +62,13 @@
 
 // run makes one send; true: the request is answered, or cut for good.
 func (x *exchange) run(ctx context.Context, t *dispatch.Target) bool {
-	before, sent := x.events, x.gateway.Clock.Now()
+	before, sent := x.events, x.gateway.runNow()
 	patience := x.gateway.Picker.Patience(dispatch.StreamLimits{Model: x.req.Model, Objective: x.route.Objective, Gap: x.route.Gap, Longest: t.Quiet})
 	x.gateway.Picker.Waits(t, patience.Pause, sent)
 	defer func() { x.gateway.Picker.Ended(t, sent, x.events > before) }()
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.watch(attempt, t, patience, cancel)
+	watch := x.watch(attempt, t, sent, patience, cancel)
 	defer watch.Stop()
 	last := x.req.LastEvent
 	if x.hasLast {
@@ -89,7 +90,7 @@
 		if x.begun {
 			x.ended("refused " + resp.Status)
 			x.notRun(resp)
-			x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
+			x.gateway.Picker.Suspect(t, x.gateway.runNow())
 			return false
 		}
 		return x.answered(t, resp, body)
@@ -109,25 +110,33 @@
 
 // watch ends the send when its stream stands still and may go on elsewhere. It
 // is reset with each event.
-func (x *exchange) watch(ctx context.Context, t *dispatch.Target, patience dispatch.Patience, cancel context.CancelCauseFunc) *watcher {
+func (x *exchange) watch(ctx context.Context, t *dispatch.Target, sent time.Time, patience dispatch.Patience, cancel context.CancelCauseFunc) *watcher {
 	w := &watcher{}
+	w.heard.Store(sent)
 	if !x.route.Repeatable() || x.attempts.Last(x.route.Attempts) {
 		w.timer = time.AfterFunc(time.Hour, func() {})
 		return w
 	}
-	sent, elsewhere, picker := x.gateway.Clock.Now(), x.elsewhere(t), x.gateway.Picker
-	w.arm(patience.FirstLook(), func() bool {
-		now, events := x.gateway.Clock.Now(), w.events.Load()
+	elsewhere, picker := x.elsewhere(t), x.gateway.Picker
+	w.arm(patience.FirstLook(), func() (again time.Duration) {
+		now, events := x.gateway.runNow(), w.events.Load()
+		limit := patience.Pause
+		if events == 0 {
+			limit = patience.FirstLook()
+		}
+		if silent := now.Sub(w.heard.Load()); silent < limit {
+			return limit - silent // the timer ran while this process did not
+		}
 		silence := dispatch.Silence{Begun: events > 0, Waited: now.Sub(sent), Patience: patience.First, Replica: picker.Health(t, now)}
 		if !silence.Move() || !elsewhere() || !x.reserve(ctx) {
-			return true
+			return checkEvery
 		}
 		if w.events.Load() != events {
 			x.release() // it came while the repeat was asked for
-			return true
+			return checkEvery
 		}
 		cancel(errSilent)
-		return false
+		return 0
 	})
 	return w
 }
@@ -142,7 +151,7 @@
 			return false
 		}
 		return slices.ContainsFunc(g.targets(g.View(), service, model), func(o dispatch.Target) bool {
-			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, x.gateway.Clock.Now()) != dispatch.Still
+			return o.Instance != t.Instance && !tried[o.Instance] && g.Picker.Health(&o, g.runNow()) != dispatch.Still
 		})
 	}
 }
@@ -169,18 +178,21 @@
 	}
 }
 
-// watcher is a timer that asks again as long as its function returns true.
+// watcher is a timer that asks again after the time that its function returns, unless that is 0.
 type watcher struct {
 	events  atomic.Int64 // that came
+	heard   steady.Time  // when the last one came, or the stream was sent, by the RunClock
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-func (w *watcher) arm(limit time.Duration, expired func() bool) {
+func (w *watcher) arm(limit time.Duration, expired func() (again time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, func() {
-		if expired() {
-			w.Reset(checkEvery)
+		if again := expired(); again > 0 {
+			w.Reset(again)
 		}
 	})
 }
@@ -216,7 +228,7 @@
 	if !ok {
 		return errors.New("answer can't be passed on piece by piece")
 	}
-	var lastEvent time.Time // of this send
+	var lastEvent time.Time // of this send, by the RunClock
 	for {
 		ev, err := reader.next()
 		if err == io.EOF && x.events > 0 {
@@ -234,15 +246,16 @@
 		if ev.hasID && x.hasLast && ev.id <= x.lastEvent {
 			continue // passed on before
 		}
-		now := x.gateway.Clock.Now()
-		x.gateway.Picker.Progressed(t, now)
+		now, ran := x.gateway.Clock.Now(), x.gateway.runNow()
+		x.gateway.Picker.Progressed(t, ran)
 		x.sending.Event(now)
+		p.watch.heard.Store(ran)
 		if p.watch.events.Add(1) == 1 {
-			x.gateway.Picker.Runs(t, x.req.Model, p.sent, now)
+			x.gateway.Picker.Runs(t, x.req.Model, p.sent, ran)
 		} else {
-			x.gateway.Picker.Paused(x.req.Model, now.Sub(lastEvent))
+			x.gateway.Picker.Paused(x.req.Model, ran.Sub(lastEvent))
 		}
-		lastEvent = now
+		lastEvent = ran
 		p.watch.Reset(p.pause)
 		if x.begun {
 			x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
@@ -268,10 +281,10 @@
 func (x *exchange) broke(attempt context.Context, t *dispatch.Target, err error) {
 	x.ended(cause(attempt, err))
 	if errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.NoteStopped(t, x.gateway.Clock.Now())
+		x.gateway.Picker.NoteStopped(t, x.gateway.runNow())
 	}
 	if attempt.Err() == nil || errors.Is(context.Cause(attempt), errSilent) {
-		x.gateway.Picker.Suspect(t, x.gateway.Clock.Now())
+		x.gateway.Picker.Suspect(t, x.gateway.runNow())
 	}
 	if !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, upstream.ErrBusy) {
 		x.mayRun = true
