--- a/internal/formation/bench_test.go
+++ b/internal/formation/bench_test.go
@@ -36,47 +36,39 @@
 	})
 }
 
-// BenchmarkPlan is one plan of a planner that takes over: at the first start, while half of the
-// instances serve, and once all do.
-func BenchmarkPlan(b *testing.B) {
-	engine, now := simModels(), time.Unix(1000, 0)
+// benchViews runs a benchmark at several sizes: at the first start, while half of the instances
+// serve, and once all do.
+func benchViews(b *testing.B, run func(v *fleet.View, engine *routes.Engine)) {
+	engine := simModels()
 	for _, instances := range []int{300, 3000, 8200} {
 		engine.LoadsAtOnce = instances / 8
-		for _, c := range []struct {
-			name    string
-			serving int
-		}{{"start", 0}, {"half", instances / 2}, {"serving", instances}} {
-			v := benchView(instances, c.serving, engine)
-			b.Run(fmt.Sprintf("%d/%s", instances, c.name), func(b *testing.B) {
+		for name, serving := range map[string]int{"start": 0, "half": instances / 2, "serving": instances} {
+			v := benchView(instances, serving, engine)
+			b.Run(fmt.Sprintf("%d/%s", instances, name), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					p := NewPlanner(simService, 2, nil, now)
-					p.Idle = true
-					p.Plan(v, engine, now)
+					run(v, engine)
 				}
 			})
 		}
 	}
 }
 
-// BenchmarkWorkStands is what each daemon that does not plan spends on looking for work that
-// the planner neglects.
+// BenchmarkPlan is one plan of a planner that takes over.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Unix(1000, 0)
+	benchViews(b, func(v *fleet.View, engine *routes.Engine) {
+		p := NewPlanner(simService, 2, nil, now)
+		p.Idle = true
+		p.Plan(v, engine, now)
+	})
+}
+
+// BenchmarkWorkStands is what a daemon that does not plan spends on each view to look for work
+// that the planner neglects.
 func BenchmarkWorkStands(b *testing.B) {
-	engine, now := simModels(), time.Unix(1000, 0)
-	table := routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}})
-	for _, instances := range []int{300, 3000, 8200} {
-		engine.LoadsAtOnce = instances / 8
-		for _, c := range []struct {
-			name    string
-			serving int
-		}{{"start", 0}, {"half", instances / 2}, {"serving", instances}} {
-			v := benchView(instances, c.serving, engine)
-			b.Run(fmt.Sprintf("%d/%s", instances, c.name), func(b *testing.B) {
-				b.ReportAllocs()
-				for b.Loop() {
-					workStands(v, table, now)
-				}
-			})
-		}
-	}
+	now := time.Unix(1000, 0)
+	benchViews(b, func(v *fleet.View, engine *routes.Engine) {
+		workStands(v, routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}}), now)
+	})
 }
