Planner: a probe during which this process was not scheduled counts against nobody

Mend: a probe that ended late by the clock, but in less time than it has by the RunClock, is made again. A refused connection is an answer and counts at once.

TestMemberIsNotTakenForDeadByALatePlanner plays it; its mutant (each probe counts) is refuted.

--- a/internal/formation/found_test.go
+++ b/internal/formation/found_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
@@ -32,3 +35,56 @@
 	s.probe(t.Context(), in)
 	must.Eq(t, 0, len(s.found), must.Sprint("known already"))
 }
+
+// lateProber answers nothing in time, and the process is not scheduled during its first calls.
+type lateProber struct {
+	stood   *atomic.Int64
+	asked   int
+	stands  int // during so many calls
+	answers int // from this call on; 0: never
+}
+
+func (p *lateProber) Probe(ctx context.Context, _ *fleet.Instance) error {
+	p.asked++
+	if p.asked <= p.stands {
+		p.stood.Add(int64(time.Second)) // all timers are due then
+		return context.DeadlineExceeded
+	}
+	if p.answers > 0 && p.asked >= p.answers {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Load: the daemon that plans is not scheduled for a second while it probes a member, whose answer
+// it reads too late. Only probes during which it ran count against the member.
+func TestMemberIsNotTakenForDeadByALatePlanner(t *testing.T) {
+	for name, c := range map[string]struct {
+		stands, answers, asked int
+		dead                   bool
+	}{
+		"late twice, then answered": {2, 3, 3, false},
+		"late twice, no answer":     {2, 0, 4, true},
+		"on schedule, no answer":    {0, 0, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var stood atomic.Int64
+				start := time.Now()
+				steadily := func() time.Duration { return time.Since(start) + time.Duration(stood.Load()) }
+				clock := steady.NewClockOf(func() (time.Time, time.Duration) { return start.Round(0).Add(steadily()), steadily() }, steadily)
+				p := &lateProber{stood: &stood, stands: c.stands, answers: c.answers}
+				s := newSearch(p, zap.NewNop())
+				s.clock, s.run = clock, steady.NewRunClock(clock)
+				ctx, end := context.WithCancel(t.Context())
+				defer end()
+				go s.run.Run(ctx)
+				time.Sleep(time.Second)
+				s.probe(ctx, &fleet.Instance{ID: "i"})
+				must.Eq(t, c.asked, p.asked)
+				must.Eq(t, c.dead, len(s.dead) == 1)
+			})
+		})
+	}
+}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -22,11 +22,12 @@
 
 // Manager forms groups while this daemon holds the lease.
 type Manager struct {
-	Clock   *steady.Clock // nil: this machine's
-	Lease   *Lease
-	Orders  Orders
-	View    func() *fleet.View
-	Changed <-chan struct{} // signalled after the view changed
+	Clock    *steady.Clock    // nil: this machine's
+	RunClock *steady.RunClock // by which instances do not answer; nil: one over this machine's
+	Lease    *Lease
+	Orders   Orders
+	View     func() *fleet.View
+	Changed  <-chan struct{} // signalled after the view changed
 	// Proved tells when the call was sent that last brought the view up to date;
 	// Refresh asks for a whole listing.
 	Proved  func() time.Time
@@ -93,6 +94,9 @@
 func (m *Manager) Run(ctx context.Context) {
 	m.ended, m.search, m.counts = make(chan endedOrder), newSearch(m.Prober, m.Log), newPlanMetrics(m.Metrics)
 	m.search.clock = m.Clock
+	if m.RunClock != nil {
+		m.search.run = m.RunClock
+	}
 	stopped := make(chan struct{})
 	taken := make(chan struct{}, 1)
 	go m.keepLease(ctx, taken, stopped)
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -41,6 +41,7 @@
 type search struct {
 	prober Prober
 	clock  *steady.Clock
+	run    *steady.RunClock // by which an instance is silent
 	log    *zap.Logger
 	mu     sync.Mutex
 	asked  map[fleet.Key]time.Time
@@ -57,7 +58,7 @@
 func lifeOf(in *fleet.Instance) life { return life{in.ID, in.Born} }
 
 func newSearch(prober Prober, log *zap.Logger) *search {
-	return &search{prober: prober, log: log, asked: map[fleet.Key]time.Time{}, dead: map[life]time.Time{}, found: make(chan struct{}, 1)}
+	return &search{prober: prober, run: steady.NewRunClock(nil), log: log, asked: map[fleet.Key]time.Time{}, dead: map[life]time.Time{}, found: make(chan struct{}, 1)}
 }
 
 // look probes the members of the groups led by the given heads, and the members whose
@@ -96,11 +97,17 @@
 // probe asks one member, again if there was no answer.
 func (s *search) probe(ctx context.Context, in *fleet.Instance) {
 	var err error
-	for range probesToDie {
+	for failed := 0; failed < probesToDie; {
+		began, ran := s.clock.Now(), s.run.Now()
 		if err = s.try(ctx, in); err == nil {
 			s.lives(in)
 			return
 		}
+		// An answer may have come in time that this process did not read, as it was not scheduled.
+		unheard := s.clock.Since(began) >= probeTimeout && s.run.Now().Sub(ran) < probeTimeout
+		if !unheard || ctx.Err() != nil {
+			failed++
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -251,7 +251,7 @@
 
 func (d *Daemon) manager() *formation.Manager {
 	return &formation.Manager{
-		Clock: d.Clock,
+		Clock: d.Clock, RunClock: d.run,
 		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.still, Stopped: d.surveyed,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
