Probes: the RunClock may lag by one look after a process ran again

Traced: the RunClock stands until its next look after the process runs again, so a probe that begins in between seems up to 35 ms shorter than it was. Such a member was found dead one probe (250 ms) later.

--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -104,7 +104,7 @@
 			return
 		}
 		// An answer may have come in time that this process did not read, as it was not scheduled.
-		unheard := s.clock.Since(began) >= probeTimeout && s.run.Now().Sub(ran) < probeTimeout
+		unheard := s.clock.Since(began) >= probeTimeout && s.run.Now().Sub(ran) < probeTimeout-steady.RunClockStep
 		if !unheard || ctx.Err() != nil {
 			failed++
 		}
--- a/internal/steady/run_clock.go
+++ b/internal/steady/run_clock.go
@@ -14,6 +14,9 @@
 	beatEvery = 25 * time.Millisecond
 	// beatSlack is how late a look may come by the scheduler's ordinary delays.
 	beatSlack = 10 * time.Millisecond
+	// RunClockStep is by how much a RunClock may lag: it stands until the next look after the
+	// process ran again.
+	RunClockStep = beatEvery + beatSlack
 )
 
 // RunClock tells a time that stands still while the process is not scheduled: its timers are late
@@ -46,7 +49,7 @@
 	if !c.due.IsZero() && now.After(c.due) {
 		c.late += now.Sub(c.due)
 	}
-	c.due = now.Add(beatEvery + beatSlack)
+	c.due = now.Add(RunClockStep)
 }
 
 // Now returns the time.
