--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -74,19 +74,18 @@
 	return out
 }
 
-// standing is a target with what is known of it, as it is looked at for one choice.
-type standing struct {
+// scoredTarget is a target with its score by this daemon's own requests.
+type scoredTarget struct {
 	target *Target
-	record *record // of this daemon's own requests; nil: none of late
-	own    float64 // score by these
+	own    float64
 }
 
 // candidates returns the targets among which the choice is made: all that were not tried,
 // or, where others' loads are known, two of those that stand well: the least loaded by this
 // daemon's own requests and one by chance. What is told is nearly as old as a stream lasts; if
 // each daemon took the least loaded of many by it, hundreds would send to the same one until
-// the next word. p.mu is held, and so is the result until the next call.
-func (p *Picker) candidates(targets []Target, tried map[string]bool, now time.Time) []standing {
+// the next word. The result is valid until the next call. p.mu is held.
+func (p *Picker) candidates(targets []Target, tried map[string]bool, now time.Time) []scoredTarget {
 	all, well := p.all[:0], p.well[:0]
 	told := p.told(now)
 	for i := range targets {
@@ -95,7 +94,7 @@
 			continue
 		}
 		r := p.records[t.life()]
-		s := standing{t, r, p.ownScore(t, r, now)}
+		s := scoredTarget{t, p.ownScore(t, r, now)}
 		all = append(all, s)
 		if told && p.standsWell(t, r, now) {
 			well = append(well, s)
@@ -105,8 +104,8 @@
 	if len(well) == 0 {
 		return all
 	}
-	own := p.least(well, func(s *standing) float64 { return s.own })
-	p.pair = [2]standing{*own, well[p.uniform(len(well))]}
+	own := p.least(well, func(s *scoredTarget) float64 { return s.own })
+	p.pair = [2]scoredTarget{*own, well[p.uniform(len(well))]}
 	return p.pair[:]
 }
 
@@ -124,7 +123,7 @@
 }
 
 // least returns the one with the least score, one by chance of those that share it.
-func (p *Picker) least(of []standing, score func(*standing) float64) *standing {
+func (p *Picker) least(of []scoredTarget, score func(*scoredTarget) float64) *scoredTarget {
 	ties := p.ties[:0]
 	var best float64
 	for i := range of {
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -75,8 +75,8 @@
 	toldAt  time.Time                // when they did
 	stops   chan struct{}
 	// Scratch space of one choice, kept as there may be thousands of targets.
-	all, well []standing
-	pair      [2]standing
+	all, well []scoredTarget
+	pair      [2]scoredTarget
 	ties      []int
 }
 
@@ -91,7 +91,7 @@
 func (p *Picker) Pick(targets []Target, tried map[string]bool, now time.Time) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := p.least(p.candidates(targets, tried, now), func(s *standing) float64 { return p.score(s, now) })
+	best := p.least(p.candidates(targets, tried, now), func(s *scoredTarget) float64 { return p.score(s, now) })
 	if best == nil {
 		return nil
 	}
@@ -102,7 +102,7 @@
 }
 
 // score is what speaks against a target, in requests in progress. p.mu is held.
-func (p *Picker) score(s *standing, now time.Time) float64 {
+func (p *Picker) score(s *scoredTarget, now time.Time) float64 {
 	score := s.own
 	if p.told(now) {
 		score += float64(p.others.InFlight[s.target.Instance])
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -61,10 +61,10 @@
 	told     map[string]summary  // logged last, by service
 	ended    chan endedOrder
 	term     uint64
-	noticed  time.Time // when work that stands was last looked for
-	looked   lookedAt  // in what
-	stands   bool      // whether there was some
-	standing time.Time // since when there is some; zero: none
+	noticed  time.Time  // when work that stands was last looked for
+	searched searchedIn // where
+	found    bool       // whether there was some
+	standing time.Time  // since when there is some; zero: none
 	// neglected: work has stood for so long that the lease should be looked at.
 	neglected atomic.Bool
 	began     time.Time // when this daemon noticed that it holds the lease
@@ -185,8 +185,8 @@
 
 func (m *Manager) relayed() bool { return m.Relayed != nil && m.Relayed() }
 
-// lookedAt is all that the search for work that stands depends on.
-type lookedAt struct {
+// searchedIn is all that the search for work that stands depends on.
+type searchedIn struct {
 	view  *fleet.View
 	table *routes.Table
 }
@@ -199,10 +199,10 @@
 		m.neglected.Store(false)
 		return
 	}
-	if at := (lookedAt{view, table}); at != m.looked {
-		m.looked, m.stands = at, workStands(view, table, now)
+	if in := (searchedIn{view, table}); in != m.searched {
+		m.searched, m.found = in, workStands(view, table, now)
 	}
-	if !m.stands {
+	if !m.found {
 		m.standing = time.Time{}
 	} else if m.standing.IsZero() {
 		m.standing = now
--- a/internal/formation/manager_test.go
+++ b/internal/formation/manager_test.go
@@ -69,7 +69,7 @@
 		now = now.Add(neglectAfter)
 	}
 	must.False(t, m.neglected.Load())
-	must.Eq(t, lookedAt{}, m.looked, must.Sprint("the relay looks"))
+	must.Eq(t, searchedIn{}, m.searched, must.Sprint("the relay looks"))
 
 	relayed = false
 	m.notice(view, table, now)
