--- a/internal/dispatch/picker_test.go
+++ b/internal/dispatch/picker_test.go
@@ -160,8 +160,7 @@
 	must.Eq(t, "here", pickOne(p, t0.Add(time.Millisecond), next, there))
 }
 
-// With thousands of instances each choice made three lists of them, which was most of the garbage
-// that the collector had to take away while requests waited.
+// Guards against lists of all replicas made for each choice.
 func TestAChoiceMakesNoGarbage(t *testing.T) {
 	p := NewPicker("z", func(n int) int { return n - 1 })
 	p.Loaded(Others{Daemons: 100}, t0)
--- a/internal/formation/found_test.go
+++ b/internal/formation/found_test.go
@@ -57,8 +57,7 @@
 	return ctx.Err()
 }
 
-// Load: the daemon that plans is not scheduled for a second while it probes a member, whose answer
-// it reads too late. Only probes during which it ran count against the member.
+// Guards against members taken for dead because the daemon that plans read their answers late.
 func TestMemberIsNotTakenForDeadByALatePlanner(t *testing.T) {
 	for name, c := range map[string]struct {
 		stands, answers, asked int
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -315,7 +315,7 @@
 }
 
 // takeAll takes in what came of an order, and of all others that ended meanwhile. It tells
-// whether they may lead to new orders; a plan for each of a thousand joins would find nothing.
+// whether they may lead to new orders.
 func (m *Manager) takeAll(e endedOrder, now time.Time) (plan bool) {
 	for {
 		m.take(e, now)
--- a/internal/formation/manager_test.go
+++ b/internal/formation/manager_test.go
@@ -54,9 +54,7 @@
 	}
 }
 
-// A whole plan is made to see whether the planner neglects work: 2 ms with 3,000 instances, 2.5
-// times a second, at each of 300 daemons. Only those that others follow through may take the
-// lease for it, and one look at a view is enough.
+// Guards against whole plans made by daemons that may not take the lease, or twice for one view.
 func TestOnlyWhoMayTakeTheLeaseLooksForNeglectedWork(t *testing.T) {
 	engine, now := simModels(), time.Unix(1000, 0)
 	table := routes.Compile(&routes.Config{Services: []routes.Service{{Name: simService, Engine: engine}}})
@@ -81,8 +79,7 @@
 	must.False(t, m.neglected.Load(), must.Sprint("done"))
 }
 
-// What happened: the planner made a whole plan for the answer to each of a thousand joins. Only
-// answers to leaves free instances before any entry shows it.
+// Guards against a whole plan for each of a thousand answers that change nothing.
 func TestAnswersToJoinsNeedNoPlan(t *testing.T) {
 	m := &Manager{ended: make(chan endedOrder, 8), Lease: &Lease{}}
 	for range 3 {
--- a/internal/formation/plan_cost_test.go
+++ b/internal/formation/plan_cost_test.go
@@ -9,10 +9,8 @@
 	"pearlanding/internal/routes"
 )
 
-// What happened: with 3,000 instances the first plan took 14 s of a processor, as each group that
-// was begun counted all instances and groups anew, and groups formed long after requests came.
-// Ten times as many instances cost about ten times as much work. Allocations stand in for it:
-// they are the same on every run.
+// Guards against plans that count all instances anew for each group: no group formed among 3,000
+// instances. Allocations stand in for time, as they are the same on every run.
 func TestCostOfAPlanGrowsWithTheInstances(t *testing.T) {
 	const few, factor, tolerance = 200, 10, 1.5
 	now := time.Unix(1000, 0)
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -43,10 +43,8 @@
 	return r
 }
 
-// What happened: a daemon before 3,000 instances was short of processor time, took its own delay for
-// its streams' silence, and moved them away from replicas that worked for them; the callers'
-// streams were cut when their second replica did not bring the next event in time either. Time in
-// which this process was not scheduled is no silence.
+// Guards against streams that are moved from replicas at work, and cut there after, because this
+// daemon was late to read their events.
 func TestStreamIsNotMovedWhileTheProcessIsNotScheduled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -40,8 +40,7 @@
 	must.SliceContains(t, ids(now.Add(3*time.Second)), "here")
 }
 
-// What happened: with 3,000 instances each request listed its targets anew, once or twice, and a
-// stream that waited did so twenty times a second: 84 us and 98 KB each time.
+// Guards against requests whose cost grows with the fleet: targets are listed for all of them at once.
 func TestTargetsAreListedOnceAView(t *testing.T) {
 	v, g := benchView(40), &Gateway{}
 	first := g.targets(v, benchEngines, "m0")
--- a/internal/relay/share_cost_test.go
+++ b/internal/relay/share_cost_test.go
@@ -29,9 +29,8 @@
 	return n, word
 }
 
-// What happened: the daemon that relays for a hundred others spent most of its processor on
-// telling each of them four times a second which groups stand still, counting anew all groups
-// that bring events to any of them, and on encoding the same loads a hundred times.
+// Guards against answers that count every group of every peer anew: a relay of a hundred daemons
+// spent a third of a core on them.
 func TestAnswerToAPeerDoesNotGrowWithWhatAllSay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	cost := func(replicas int) float64 {
