Requests: headers of upstreams that nothing reads are counted and logged once

Neither a line nor a metric told which headers came with the answers of an engine that had named a limit, so 'never read' could not be told from 'read and not kept'. Nothing is decided by it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	Borrow    func(ctx context.Context, service string) bool
 	MayBorrow func(service string) bool
 	index     atomic.Pointer[targetIndex]
+	unread    unreadHeaders
 	waits     dispatch.CallerWaits // of callers
 	sampled   atomic.Uint64
 	any       atomic.Bool
@@ -335,6 +336,9 @@
 		return nil, err
 	}
 	x.attempts.Reached()
+	if err == nil {
+		x.gateway.countUnread(resp.Header)
+	}
 	return resp, err
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,8 @@
 	NotRun(status int, h http.Header) bool
 	// Signed tells whether the answer carries an instance's signature.
 	Signed(h http.Header) bool
+	// Unread returns the names of an answer's headers that nothing here reads, in canonical form.
+	Unread(h http.Header) []string
 	// AnswerHeader returns the header of an answer to pass on to the caller.
 	AnswerHeader(h http.Header) http.Header
 	// RetryAfter sets when a caller should come back.
--- /dev/null
+++ b/internal/gateway/unread_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against series without end when upstreams send ever new header names.
+func TestUnreadHeaderNamesAreBounded(t *testing.T) {
+	var u unreadHeaders
+	label, first := u.note("Server-Limit")
+	must.Eq(t, "Server-Limit", label)
+	must.True(t, first)
+	_, first = u.note("Server-Limit")
+	must.False(t, first)
+	for i := range 2 * maxUnreadHeaders {
+		u.note(fmt.Sprint("X-", i))
+	}
+	must.MapLen(t, maxUnreadHeaders, u.names)
+	label, first = u.note("X-New")
+	must.Eq(t, "other", label)
+	must.False(t, first)
+}
