Rest that an instance asks for is kept to its end

Cause: Retry-After of an instance's 503 was not read. The refusal made it a suspect for 1.5 s, a penalty that counts for nothing while the others are suspect too. Evidence: the daemon's lines (requests 0.8, 0.9 and 2.7 s after the 503, the others failing meanwhile), the header in no source; the test on the old code. Class: as with limits, a word of an instance about itself that nothing reads.

Why the fix holds: the end is kept by life and closes the target at the choice of every send and once more before its first byte; no answer shortens it. A caller whom no instance takes is told what is left of the first rest, or waits for it where that leaves half of the objective. The reason is upstream_backpressure for limits too.

--- a/internal/backpressure/fleet_test.go
+++ b/internal/backpressure/fleet_test.go
@@ -194,7 +194,7 @@
 		connect = time.Duration(f.rng.IntN(400)) * time.Millisecond
 	}
 	f.later(connect, func() {
-		if !permit && gate.Closed(life) {
+		if gate.Closed(life, permit, f.now) {
 			return
 		}
 		limit, refused := f.limit, f.rng.IntN(10) == 0
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 
 	mu     sync.Mutex
 	limits map[Life]*limit
+	// rests is until when instances want no request from this daemon.
+	rests map[Life]time.Time
 	// grantedAt is when a question for permits was answered last, with or without any.
 	grantedAt time.Time
 	changed   chan struct{}
@@ -58,14 +61,14 @@
 
 // NewGate returns a gate that knows of no limit.
 func NewGate(daemons func() int, uniform func(least, most time.Duration) time.Duration, log *zap.Logger) *Gate {
-	return &Gate{log: log, daemons: daemons, uniform: uniform, limits: map[Life]*limit{}, changed: make(chan struct{}, 1)}
+	return &Gate{log: log, daemons: daemons, uniform: uniform, limits: map[Life]*limit{}, rests: map[Life]time.Time{}, changed: make(chan struct{}, 1)}
 }
 
 // Idle tells whether nothing is known of any instance.
 func (g *Gate) Idle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.limits) == 0
+	return len(g.limits) == 0 && len(g.rests) == 0
 }
 
 // Changed is signalled when a limit is named, changed or ended.
@@ -73,6 +76,9 @@
 
 // Hear takes in what the answer to a request says that was sent at a time and answered now.
 func (g *Gate) Hear(life Life, s Signals, sent, now time.Time) {
+	if s.Rest > 0 {
+		g.rest(life, min(s.Rest, MostRest), now)
+	}
 	switch {
 	case s.Limit > 0:
 		g.named(life, clampLimit(s.Limit), now, 0, "answer")
@@ -81,6 +87,38 @@
 	}
 }
 
+// rest takes in that a life asks for rest from now on. Of two rests the later end holds.
+func (g *Gate) rest(life Life, lasts time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.rests) >= maxLives {
+		g.endRests(now)
+	}
+	until, known := g.rests[life]
+	if !known && len(g.rests) >= maxLives {
+		return
+	}
+	if !now.Before(until) {
+		g.log.Info("instance asks for rest", zap.String("instance", life.Instance), zap.Int64("rest_ms", lasts.Milliseconds()))
+	}
+	if end := now.Add(lasts); end.After(until) {
+		g.rests[life] = end
+	}
+}
+
+// endRests forgets the rests that are over; g.mu is held.
+func (g *Gate) endRests(now time.Time) {
+	maps.DeleteFunc(g.rests, func(_ Life, until time.Time) bool { return !now.Before(until) })
+}
+
+// Resting returns how many lives want no request from this daemon.
+func (g *Gate) Resting(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endRests(now)
+	return len(g.rests)
+}
+
 // named takes in that a life named a limit at a time, if that is newer by some time than what
 // is known.
 func (g *Gate) named(life Life, to float64, at time.Time, newer time.Duration, source string) {
@@ -147,10 +185,11 @@
 	delete(g.limits, oldest)
 }
 
-// Sweep forgets limits that ended and are not told on any more.
+// Sweep forgets rests that are over, and limits that ended and are not told on any more.
 func (g *Gate) Sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.endRests(now)
 	for life, l := range g.limits {
 		if l.limit == 0 && now.Sub(l.at) >= endedFor {
 			delete(g.limits, life)
@@ -188,6 +227,9 @@
 func (g *Gate) Open(life Life, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now.Before(g.rests[life]) {
+		return false
+	}
 	l := g.limits[life]
 	return l == nil || l.limit == 0 || l.left(now) > 0 || g.mayAlone(l, now)
 }
@@ -197,6 +239,9 @@
 func (g *Gate) Take(life Life, now time.Time) (permit, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now.Before(g.rests[life]) {
+		return false, false
+	}
 	l := g.limits[life]
 	switch {
 	case l == nil || l.limit == 0:
@@ -211,30 +256,39 @@
 	return false, false
 }
 
-// Closed tells whether a request that took no permit must not be written to a life now: it
-// chose the life before its limit was known.
-func (g *Gate) Closed(life Life) bool {
+// Closed tells whether a request that took the right to be sent to a life, with a permit or
+// without, must not be written now: what the life said came to be known since.
+func (g *Gate) Closed(life Life, permit bool, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now.Before(g.rests[life]) {
+		return true
+	}
 	l := g.limits[life]
-	return l != nil && l.limit > 0
+	return !permit && l != nil && l.limit > 0
+}
+
+// Free is when requests may be sent again.
+type Free struct {
+	In time.Duration // 0: nothing keeps them back
+	// Here: this daemon may send then; otherwise some daemon may.
+	Here bool
 }
 
-// FreeIn returns after how long some daemon may send to one of the lives again; 0: none of
-// them limits its requests.
-func (g *Gate) FreeIn(lives []Life) (least time.Duration) {
+// FreeIn returns when the first of some lives may be sent requests again.
+func (g *Gate) FreeIn(lives []Life, now time.Time) (first Free) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, life := range lives {
-		l := g.limits[life]
-		if l == nil || l.limit == 0 {
-			continue
+		free := Free{max(g.rests[life].Sub(now), 0), true}
+		if l := g.limits[life]; l != nil && l.limit > 0 {
+			free = Free{max(free.In, time.Duration(float64(time.Second)/l.limit)), false}
 		}
-		if apart := time.Duration(float64(time.Second) / l.limit); least == 0 || apart < least {
-			least = apart
+		if free.In > 0 && (first.In == 0 || free.In < first.In) {
+			first = free
 		}
 	}
-	return least
+	return first
 }
 
 // left drops permits that are used up or over and returns how many are left.
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -160,3 +160,43 @@
 	must.InDelta(t, 100*grantPart, sum, 1e-6, must.Sprint("sum of the parts"))
 	must.MapLen(t, len(domains), granting, must.Sprint("all take turns"))
 }
+
+// Guards against a rest that a later answer, or a shorter rest, ends.
+func TestRestLastsAsLongAsWasAskedFor(t *testing.T) {
+	g := newGate(9)
+	g.Hear(life, Signals{Rest: 3 * time.Second}, at(0), at(0.1))
+	g.Hear(life, Signals{Rest: time.Second}, at(0), at(0.2))
+	g.Hear(life, Signals{Conclusive: true}, at(0.3), at(0.4)) // it was sent before
+	must.False(t, g.Open(life, at(3.0)))
+	_, ok := g.Take(life, at(3.0))
+	must.False(t, ok)
+	must.True(t, g.Closed(life, true, at(3.0)), must.Sprint("with a permit too"))
+	must.True(t, g.Open(life, at(3.1)))
+	must.True(t, g.Open(Life{"i-1", 8}, at(1)), must.Sprint("another life"))
+	must.Eq(t, 0, g.Resting(at(3.1)))
+	must.True(t, g.Idle())
+}
+
+// Guards against a daemon that stops for what one instance asks.
+func TestRestIsBounded(t *testing.T) {
+	g := newGate(9)
+	g.Hear(life, Signals{Rest: 365 * 24 * time.Hour}, at(0), at(0))
+	must.True(t, g.Open(life, at(0).Add(MostRest)))
+	for i := range maxLives + 10 {
+		g.Hear(Life{fmt.Sprint(i), 0}, Signals{Rest: time.Second}, at(0), at(float64(i)/1e6))
+	}
+	must.Eq(t, maxLives, g.Resting(at(0.1)))
+}
+
+// Guards against a caller that is told to come back before any instance takes it.
+func TestFreeInIsWhenTheFirstTakesRequestsAgain(t *testing.T) {
+	g := newGate(9)
+	a, b, c := Life{"a", 0}, Life{"b", 0}, Life{"c", 0}
+	g.Hear(a, Signals{Rest: 3 * time.Second}, at(0), at(0))
+	g.Hear(b, Signals{Limit: 0.5}, at(0), at(0))
+	g.Hear(c, Signals{Limit: 10, Rest: 5 * time.Second}, at(0), at(0))
+	must.Eq(t, Free{2 * time.Second, false}, g.FreeIn([]Life{a, b, c}, at(0)))
+	must.Eq(t, Free{time.Second, true}, g.FreeIn([]Life{a, b, c}, at(2)))
+	must.Eq(t, Free{5 * time.Second, false}, g.FreeIn([]Life{c}, at(0)))
+	must.Eq(t, Free{}, g.FreeIn([]Life{{"d", 0}}, at(0)))
+}
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -1,5 +1,7 @@
 package backpressure
 
+import "time"
+
 // Life is one life of an instance's id. What is known of one holds for no other.
 type Life struct {
 	Instance string
@@ -22,4 +24,9 @@
 	// Conclusive: the instance made the answer itself, so a limit that it does not name has
 	// ended. A refusal shows no end.
 	Conclusive bool
+	// Rest is for how long the instance wants no request from this daemon; 0: it asks for none.
+	Rest time.Duration
 }
+
+// MostRest stands in for a longer rest.
+const MostRest = 10 * time.Minute
--- a/internal/dispatch/comeback.go
+++ b/internal/dispatch/comeback.go
@@ -48,11 +48,17 @@
 // comeBackMost bounds times to come back that instances set.
 const comeBackMost = 10 * time.Second
 
-// ComeBackAfter tells when a caller should come back whom instances can take after a time; 0:
-// they don't say.
+// ComeBackAfter tells when a caller should come back whom instances can take after a time.
 func ComeBackAfter(free time.Duration) time.Duration {
-	if free <= 0 {
-		return 0
-	}
 	return min(max(free, comeBackSoon), comeBackMost)
 }
+
+// waitShare is the part of what the objective leaves beyond the quickest answer that a request
+// may wait for an instance. The rest is for the others that waited for it.
+const waitShare = 0.5
+
+// WorthWaiting tells whether a request that has so much of its objective left waits for an
+// instance that is free in a while, where the quickest answer takes floor.
+func WorthWaiting(free, left, floor time.Duration) bool {
+	return free > 0 && free <= time.Duration(waitShare*float64(left-floor))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -189,6 +189,7 @@
 	d.buildQuarantine(s)
 	d.gate = backpressure.NewGate(func() int { return int(d.sharing.Load()) }, d.uniform, d.Log)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_limited", func() float64 { return float64(len(d.gate.Limited())) })
+	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_resting", func() float64 { return float64(d.gate.Resting(d.Clock.Now())) })
 	entries := d.Outside.Feed
 	if s.Peers != "" {
 		d.relay = d.newRelay(s, holder)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,9 +35,11 @@
 	switch {
 	case !x.mayRun && x.gateway.View() == nil:
 		x.refuse(http.StatusServiceUnavailable, "instances_not_known", dispatch.ComeBack(dispatch.Starting))
-	case !x.mayRun && x.limitedFor() > 0:
-		x.refuse(http.StatusServiceUnavailable, "upstream_limited", x.limitedFor())
 	case !x.mayRun:
+		if free := x.free(); free.In > 0 {
+			x.refuse(http.StatusServiceUnavailable, "upstream_backpressure", dispatch.ComeBackAfter(free.In))
+			return
+		}
 		x.refuse(http.StatusServiceUnavailable, reason, dispatch.ComeBack(dispatch.Busy))
 	case x.gateway.Clock.Now().Before(x.deadline):
 		x.refuse(http.StatusBadGateway, reason, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -281,6 +281,9 @@
 		own = r.own
 	}
 	t := x.pick()
+	if t == nil && x.awaitRest(ctx) {
+		t = x.pick()
+	}
 	if t == nil && own {
 		x.budget().Return(x.gateway.Bounds().Retry, now)
 	}
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 
 	"pearlanding/internal/backpressure"
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/pause"
 )
 
 func lifeOf(t *dispatch.Target) backpressure.Life {
@@ -32,14 +34,11 @@
 // withheld returns the test whether the request that is about to be written to a target must
 // not be.
 func (x *exchange) withheld(t *dispatch.Target) func() bool {
-	if x.permit {
-		return nil
-	}
-	life, gate, metrics := lifeOf(t), x.gateway.Gate, x.gateway.Metrics
+	life, permit, g := lifeOf(t), x.permit, x.gateway
 	return func() bool {
-		closed := gate.Closed(life)
+		closed := g.Gate.Closed(life, permit, g.Clock.Now())
 		if closed {
-			metrics.set.GetOrCreateCounter("pearlanding_sends_withheld_total").Inc()
+			g.Metrics.set.GetOrCreateCounter("pearlanding_sends_withheld_total").Inc()
 		}
 		return closed
 	}
@@ -57,9 +56,9 @@
 	g.Gate.Hear(lifeOf(t), signals, sent, g.Clock.Now())
 }
 
-// limitedFor returns when a request may be sent again that the limits of all instances that are
-// left keep back; 0: they don't.
-func (x *exchange) limitedFor() time.Duration {
+// free returns when a request may be sent again that what all instances that are left say of
+// themselves keeps back.
+func (x *exchange) free() backpressure.Free {
 	now := x.gateway.Clock.Now()
 	var lives []backpressure.Life
 	for _, t := range x.gateway.listed(x.gateway.View(), x.service, x.req.Model) {
@@ -67,9 +66,21 @@
 			continue
 		}
 		if x.gateway.Gate.Open(lifeOf(&t), now) {
-			return 0
+			return backpressure.Free{}
 		}
 		lives = append(lives, lifeOf(&t))
 	}
-	return dispatch.ComeBackAfter(x.gateway.Gate.FreeIn(lives))
+	return x.gateway.Gate.FreeIn(lives, now)
+}
+
+// awaitRest waits for the first instance whose rest ends so early that the request can still be
+// answered within its objective; false: there is none.
+func (x *exchange) awaitRest(ctx context.Context) bool {
+	free := x.free()
+	left := x.route.Objective - x.waitedBefore - x.gateway.Clock.Since(x.now)
+	if !free.Here || !dispatch.WorthWaiting(free.In, left, x.gateway.Picker.Floor(x.req.Model)) {
+		return false
+	}
+	pause.For(ctx, free.In)
+	return ctx.Err() == nil
 }
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -65,8 +65,8 @@
 	x.digest = x.content().Digest
 	x.plain(t.Context())
 	must.Eq(t, http.StatusServiceUnavailable, w.Code)
-	must.Eq(t, "upstream_limited", x.reason)
-	must.Eq(t, 2*time.Second, x.limitedFor())
+	must.Eq(t, "upstream_backpressure", x.reason)
+	must.Eq(t, 2*time.Second, x.free().In)
 	must.SliceEmpty(t, x.sends)
 }
 
@@ -83,5 +83,32 @@
 	must.True(t, withheld())
 	gate.Granted([]backpressure.Permits{{Instance: chosen.Instance, Count: 1}}, time.Now())
 	x, _ = pressed(gate)
-	must.True(t, x.withheld(x.next(t.Context())) == nil, must.Sprint("it took a permit"))
+	must.False(t, x.withheld(x.next(t.Context()))(), must.Sprint("it took a permit"))
+}
+
+// rest lets instances ask for rest.
+func rest(gate *backpressure.Gate, lasts time.Duration, instances ...string) {
+	now := time.Now()
+	for _, id := range instances {
+		gate.Hear(backpressure.Life{Instance: id}, backpressure.Signals{Rest: lasts}, now, now)
+	}
+}
+
+// Guards against requests that are refused though an instance is free again well within their
+// objective, and against ones that wait for longer.
+func TestRequestWaitsForARestThatEndsInTime(t *testing.T) {
+	gate := newGate()
+	rest(gate, 20*time.Millisecond, "a")
+	rest(gate, time.Minute, "b")
+	x, _ := pressed(gate)
+	x.now, x.route.Objective = time.Now(), 400*time.Millisecond
+	must.Eq(t, "a", x.next(t.Context()).Instance)
+
+	rest(gate, 300*time.Millisecond, "a")
+	x, w := pressed(gate)
+	x.now, x.route.Objective = time.Now(), 400*time.Millisecond
+	x.digest = x.content().Digest
+	x.plain(t.Context())
+	must.Eq(t, http.StatusServiceUnavailable, w.Code)
+	must.Less(t, 250*time.Millisecond, time.Since(x.now), must.Sprint("it waited"))
 }
