Words of limits: a message tells news and a few others in turns

Now a message has what changed in the last 2 s and eight others, and the askers are looked through twice a second.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -40,6 +40,7 @@
 	rests map[Life]time.Time
 	// grantedAt is when a question for permits was answered last, with or without any.
 	grantedAt time.Time
+	told      int // words of old that were told
 	changed   chan struct{}
 }
 
@@ -47,6 +48,7 @@
 type limit struct {
 	limit   float64   // 0: it ended
 	at      time.Time // see Word.AgeUS
+	changed time.Time // when this daemon came to know of the limit, its change or end
 	permits []permits
 	// aloneAt is when this daemon may send without a permit while nobody answers for them;
 	// zero: not drawn yet.
@@ -71,6 +73,13 @@
 	return len(g.limits) == 0 && len(g.rests) == 0
 }
 
+// Quiet tells whether no limit is known, nor the end of one.
+func (g *Gate) Quiet() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.limits) == 0
+}
+
 // Changed is signalled when a limit is named, changed or ended.
 func (g *Gate) Changed() <-chan struct{} { return g.changed }
 
@@ -81,10 +90,21 @@
 	}
 	switch {
 	case s.Limit > 0:
-		g.named(life, clampLimit(s.Limit), now, 0, "answer")
+		g.named(life, clampLimit(s.Limit), now, 0, now, "answer")
 	case s.Conclusive:
-		g.ended(life, sent, false, "answer")
+		g.ended(life, sent, false, now, "answer")
+	}
+}
+
+// oldest returns the key whose value has the earliest time.
+func oldest[K comparable, V any](m map[K]V, at func(V) time.Time) (key K) {
+	var first time.Time
+	for k, v := range m {
+		if t := at(v); first.IsZero() || t.Before(first) {
+			key, first = k, t
+		}
 	}
+	return key
 }
 
 // rest takes in that a life asks for rest from now on. Of two rests the later end holds.
@@ -121,7 +141,7 @@
 
 // named takes in that a life named a limit at a time, if that is newer by some time than what
 // is known.
-func (g *Gate) named(life Life, to float64, at time.Time, newer time.Duration, source string) {
+func (g *Gate) named(life Life, to float64, at time.Time, newer time.Duration, now time.Time, source string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.limits[life]
@@ -135,14 +155,14 @@
 	}
 	l.at = at
 	if l.limit != to {
-		l.limit, l.permits, l.aloneAt = to, nil, time.Time{}
+		l.limit, l.permits, l.aloneAt, l.changed = to, nil, time.Time{}, now
 		g.tell("instance limits requests", life, zap.Float64("per_second", to), zap.String("source", source))
 	}
 }
 
 // ended takes in that a life named no limit to a request sent at a time. An end of which
 // another daemon told is kept even where no limit is known, to be told on.
-func (g *Gate) ended(life Life, sent time.Time, toldOn bool, source string) {
+func (g *Gate) ended(life Life, sent time.Time, toldOn bool, now time.Time, source string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.limits[life]
@@ -151,12 +171,12 @@
 	}
 	if l == nil {
 		g.makeRoom()
-		l = &limit{}
+		l = &limit{changed: now}
 		g.limits[life] = l
 	}
 	l.at = sent
 	if l.limit > 0 {
-		l.limit, l.permits, l.aloneAt = 0, nil, time.Time{}
+		l.limit, l.permits, l.aloneAt, l.changed = 0, nil, time.Time{}, now
 		g.tell("instance limits requests no more", life, zap.String("source", source))
 	}
 }
@@ -172,17 +192,9 @@
 
 // makeRoom forgets the life heard of longest ago if too many are kept; g.mu is held.
 func (g *Gate) makeRoom() {
-	if len(g.limits) < maxLives {
-		return
+	if len(g.limits) >= maxLives {
+		delete(g.limits, oldest(g.limits, func(l *limit) time.Time { return l.at }))
 	}
-	var oldest Life
-	var at time.Time
-	for life, l := range g.limits {
-		if at.IsZero() || l.at.Before(at) {
-			oldest, at = life, l.at
-		}
-	}
-	delete(g.limits, oldest)
 }
 
 // Sweep forgets rests that are over, and limits that ended and are not told on any more.
@@ -223,11 +235,16 @@
 	}
 }
 
+// shut tells whether a life wants no request at all now; g.mu is held.
+func (g *Gate) shut(life Life, now time.Time) bool {
+	return now.Before(g.rests[life])
+}
+
 // Open tells whether a request could be sent to a life now.
 func (g *Gate) Open(life Life, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Before(g.rests[life]) {
+	if g.shut(life, now) {
 		return false
 	}
 	l := g.limits[life]
@@ -239,7 +256,7 @@
 func (g *Gate) Take(life Life, now time.Time) (permit, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Before(g.rests[life]) {
+	if g.shut(life, now) {
 		return false, false
 	}
 	l := g.limits[life]
@@ -261,7 +278,7 @@
 func (g *Gate) Closed(life Life, permit bool, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Before(g.rests[life]) {
+	if g.shut(life, now) {
 		return true
 	}
 	l := g.limits[life]
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -200,3 +200,20 @@
 	must.Eq(t, Free{5 * time.Second, false}, g.FreeIn([]Life{c}, at(0)))
 	must.Eq(t, Free{}, g.FreeIn([]Life{{"d", 0}}, at(0)))
 }
+
+// Guards against messages that grow with all limits that are known, and against a limit that a
+// daemon which started later is never told of.
+func TestMessagesTellNewsAndTheRestInTurns(t *testing.T) {
+	a, b := newGate(2), newGate(2)
+	for i := range 100 {
+		a.Hear(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
+	}
+	must.Len(t, 100, a.Words(at(1)))
+	a.Hear(Life{"new", 0}, Signals{Limit: 2}, at(10), at(10))
+	for s := 10.0; s < 10+0.25*100/oldWords+1; s += 0.25 {
+		words := a.Words(at(s))
+		must.LessEq(t, oldWords+1, len(words))
+		b.Merge(words, Told{at(s), at(s)})
+	}
+	must.MapLen(t, 101, b.Limited())
+}
--- a/internal/backpressure/grants.go
+++ b/internal/backpressure/grants.go
@@ -63,8 +63,9 @@
 // Grants hands permits for limited instances to the daemons of one domain. Whoever takes over
 // begins with none. The zero value is ready; safe for concurrent use.
 type Grants struct {
-	mu sync.Mutex
-	by map[Life]*grant
+	mu    sync.Mutex
+	by    map[Life]*grant
+	swept time.Time
 }
 
 // grant is the permits of one life.
@@ -103,6 +104,10 @@
 
 // sweep forgets what nobody asks for. Permits that come back after it begin with none.
 func (g *Grants) sweep(now time.Time) {
+	if now.Sub(g.swept) < askingFor/2 {
+		return
+	}
+	g.swept = now
 	for life, one := range g.by {
 		for daemon, at := range one.asked {
 			if now.Sub(at) > askingFor {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,7 +99,7 @@
 func (x *Exchange) once(ctx context.Context) {
 	n := x.Node
 	now := n.now()
-	if n.Serving() || n.Holding() && !n.o.Gate.Idle() {
+	if n.Serving() || n.Holding() && !n.o.Gate.Quiet() {
 		x.list(ctx, now)
 	}
 	timed, cancel := context.WithTimeout(ctx, shareTimeout)
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -75,13 +75,13 @@
 	words := gate.Words(asked)
 	if n.Holding() {
 		gate.Granted(n.grants.Grant(n.o.Holder, gate.Limited(), n.shares(), asked), asked)
-		if len(words) > 0 {
+		if !gate.Quiet() {
 			n.tellLimits(ctx, words, asked)
 		}
 		return
 	}
 	relay, _ := n.share.last()
-	if relay == "" || len(words) == 0 {
+	if relay == "" || gate.Quiet() {
 		return
 	}
 	r, err := n.o.Peers.Limits(ctx, relay, LimitsRequest{From: n.o.Holder, Words: words, Permits: true})
