Leaving that an instance tells in an answer is kept until its life ends

Cause: the header was not read; leaving was believed of entries alone. Class: the same as of limits and rest, an instance's word about itself that nothing reads.

Why the fix holds: the word is kept by life and asked after every listing, view and relay, at the choice and before the first byte; no answer or time takes it back.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -38,6 +38,8 @@
 	limits map[Life]*limit
 	// rests is until when instances want no request from this daemon.
 	rests map[Life]time.Time
+	// leaving is the lives that said they leave, by instance.
+	leaving map[string]departure
 	// grantedAt is when a question for permits was answered last, with or without any.
 	grantedAt time.Time
 	told      int // words of old that were told
@@ -63,14 +65,14 @@
 
 // NewGate returns a gate that knows of no limit.
 func NewGate(daemons func() int, uniform func(least, most time.Duration) time.Duration, log *zap.Logger) *Gate {
-	return &Gate{log: log, daemons: daemons, uniform: uniform, limits: map[Life]*limit{}, rests: map[Life]time.Time{}, changed: make(chan struct{}, 1)}
+	return &Gate{log: log, daemons: daemons, uniform: uniform, limits: map[Life]*limit{}, rests: map[Life]time.Time{}, leaving: map[string]departure{}, changed: make(chan struct{}, 1)}
 }
 
 // Idle tells whether nothing is known of any instance.
 func (g *Gate) Idle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.limits) == 0 && len(g.rests) == 0
+	return len(g.limits) == 0 && len(g.rests) == 0 && len(g.leaving) == 0
 }
 
 // Quiet tells whether no limit is known, nor the end of one.
@@ -85,6 +87,9 @@
 
 // Hear takes in what the answer to a request says that was sent at a time and answered now.
 func (g *Gate) Hear(life Life, s Signals, sent, now time.Time) {
+	if s.Leaving {
+		g.leaves(life, now)
+	}
 	if s.Rest > 0 {
 		g.rest(life, min(s.Rest, MostRest), now)
 	}
@@ -96,6 +101,33 @@
 	}
 }
 
+// departure is the life of an instance that leaves.
+type departure struct {
+	born int64
+	at   time.Time // when it said so first
+}
+
+// leaves takes in that a life leaves, which holds until it ends.
+func (g *Gate) leaves(life Life, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isLeaving(life) {
+		return
+	}
+	if _, known := g.leaving[life.Instance]; !known && len(g.leaving) >= maxLives {
+		delete(g.leaving, oldest(g.leaving, func(d departure) time.Time { return d.at }))
+	}
+	g.leaving[life.Instance] = departure{life.Born, now}
+	g.log.Info("instance says that it leaves", zap.String("instance", life.Instance), zap.Int64("born", life.Born))
+}
+
+// isLeaving tells whether a life said that it leaves; one whose start is not told may be any life
+// of its instance. g.mu is held.
+func (g *Gate) isLeaving(life Life) bool {
+	d, known := g.leaving[life.Instance]
+	return known && (d.born == life.Born || d.born == 0 || life.Born == 0)
+}
+
 // oldest returns the key whose value has the earliest time.
 func oldest[K comparable, V any](m map[K]V, at func(V) time.Time) (key K) {
 	var first time.Time
@@ -237,7 +269,7 @@
 
 // shut tells whether a life wants no request at all now; g.mu is held.
 func (g *Gate) shut(life Life, now time.Time) bool {
-	return now.Before(g.rests[life])
+	return now.Before(g.rests[life]) || g.isLeaving(life)
 }
 
 // Open tells whether a request could be sent to a life now.
@@ -297,6 +329,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, life := range lives {
+		if g.isLeaving(life) {
+			continue
+		}
 		free := Free{max(g.rests[life].Sub(now), 0), true}
 		if l := g.limits[life]; l != nil && l.limit > 0 {
 			free = Free{max(free.In, time.Duration(float64(time.Second)/l.limit)), false}
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -201,6 +201,24 @@
 	must.Eq(t, Free{}, g.FreeIn([]Life{{"d", 0}}, at(0)))
 }
 
+// Guards against a life that comes back into use after it said that it leaves: by a later answer,
+// with time, or under an entry that does not tell its start.
+func TestLifeThatLeavesGetsNoRequestAnyMore(t *testing.T) {
+	g := newGate(9)
+	g.Hear(life, Signals{Leaving: true, Conclusive: true}, at(0), at(0))
+	g.Hear(life, Signals{Conclusive: true}, at(1), at(1))
+	g.Sweep(at(1e5))
+	must.False(t, g.Open(life, at(1e5)))
+	must.True(t, g.Closed(life, true, at(1e5)))
+	must.False(t, g.Open(Life{"i-1", 0}, at(1)))
+	must.True(t, g.Open(Life{"i-1", 8}, at(1)), must.Sprint("the next life"))
+	must.Eq(t, Free{}, g.FreeIn([]Life{life}, at(1)), must.Sprint("nobody waits for it"))
+	for i := range maxLives {
+		g.Hear(Life{fmt.Sprint(i), 0}, Signals{Leaving: true}, at(2), at(2))
+	}
+	must.MapLen(t, maxLives, g.leaving)
+}
+
 // Guards against messages that grow with all limits that are known, and against a limit that a
 // daemon which started later is never told of.
 func TestMessagesTellNewsAndTheRestInTurns(t *testing.T) {
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -26,6 +26,8 @@
 	Conclusive bool
 	// Rest is for how long the instance wants no request from this daemon; 0: it asks for none.
 	Rest time.Duration
+	// Leaving: the instance ends soon and wants no new request.
+	Leaving bool
 }
 
 // MostRest stands in for a longer rest.
