Orders and probes: what an instance says of itself in their answers is heard

Now orders' and probes' answers are decoded by the same code; they end no limit, as only signed answers to requests do, and are no rest.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,10 +42,12 @@
 	DecodeConfig   func(value []byte) (*routes.Config, error)
 	DecodeInstance fleet.Decode
 	Codec          gateway.Codec
-	Orders         func(*upstream.Pool) formation.Orders
-	Prober         func(*upstream.Pool) formation.Prober
+	Orders         func(*upstream.Pool, Hear) (formation.Orders, formation.Prober)
 }
 
+// Hear takes in what an instance says of itself in an answer to an order or a probe.
+type Hear func(instance string, s backpressure.Signals)
+
 // Objects of our own in the store.
 const (
 	// leaseKey holds the lease of the daemon that plans groups.
@@ -255,10 +257,23 @@
 	return group.Wait
 }
 
+// hear takes in what an instance that this daemon knows says of itself.
+func (d *Daemon) hear(instance string, s backpressure.Signals) {
+	view := d.fleet.View()
+	if view == nil {
+		return
+	}
+	if in := view.Instances[instance]; in != nil {
+		now := d.Clock.Now()
+		d.gate.Hear(backpressure.Life{Instance: instance, Born: in.Born}, s, now, now)
+	}
+}
+
 func (d *Daemon) manager() *formation.Manager {
+	orders, prober := d.Outside.Orders(d.pool, d.hear)
 	return &formation.Manager{
 		Clock: d.Clock, RunClock: d.run,
-		Lease: d.lease, Orders: d.Outside.Orders(d.pool), Prober: d.Outside.Prober(d.pool), Still: d.still, Stopped: d.surveyed,
+		Lease: d.lease, Orders: orders, Prober: prober, Still: d.still, Stopped: d.surveyed,
 		View: d.fleet.View, Changed: d.fleet.Changed(), Proved: d.fleet.Proved, Refresh: d.fleet.Refresh, Table: d.config.Table,
 		Idle:    d.gateway.Idle,
 		Relayed: func() bool { return d.following() == followsRelayed },
