Words of limits: two old ones a message; a relay that took over hears of them

Eight old words in each of three messages four times a second were 7 KB a second at each daemon with eight limits known (arithmetic, 75 bytes a word), most of what control may take. A new test guards that a relay which knows of no limit is told of the old ones: without them its peers leave the instance out.

--- a/internal/backpressure/fleet_test.go
+++ b/internal/backpressure/fleet_test.go
@@ -151,12 +151,12 @@
 // exchange is what a daemon does four times a second.
 func (f *simFleet) exchange(d *simDaemon) {
 	z, asked, known := f.zones[d.zone], f.now, !d.gate.Quiet()
-	words := d.gate.Words(asked)
 	if slices.Contains(z.relays, d) {
 		d.gate.Granted(z.grants[d].Grant(d.name, d.gate.Limited(), f.shares(d.zone), asked), asked)
 		for _, other := range f.zones {
 			for _, relay := range other.relays {
 				if relay != d && !d.gate.Quiet() {
+					words := d.gate.Words(asked)
 					f.later(f.way(), func() { relay.gate.Merge(words, Told{asked, f.now}) })
 				}
 			}
@@ -166,7 +166,7 @@
 	if len(z.relays) == 0 || d.cut || f.stale && f.rng.IntN(10) == 0 {
 		return
 	}
-	relay := z.relays[f.rng.IntN(len(z.relays))]
+	relay, words := z.relays[f.rng.IntN(len(z.relays))], d.gate.Words(asked)
 	f.later(f.way(), func() {
 		if !slices.Contains(z.relays, relay) {
 			return // it died
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -238,3 +238,16 @@
 	}
 	must.MapLen(t, 101, b.Limited())
 }
+
+// Guards against a relay that took over, knows of no limit, grants nothing and is never told: its
+// peers would leave the instance out for good.
+func TestNewRelayIsToldOfOldLimits(t *testing.T) {
+	peer, relay := newGate(2), newGate(2)
+	for i := range 5 {
+		peer.Hear(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
+	}
+	for s := 100.0; s < 101; s += 0.25 {
+		relay.Merge(peer.Words(at(s)), Told{at(s), at(s)})
+	}
+	must.MapLen(t, 5, relay.Limited())
+}
--- a/internal/backpressure/words.go
+++ b/internal/backpressure/words.go
@@ -39,7 +39,7 @@
 	newsFor = 2 * time.Second
 	// oldWords is how many other words a message tells, in turns: whoever missed a change, or
 	// has just started, hears of it later, and messages don't grow with what is known.
-	oldWords = 8
+	oldWords = 2
 )
 
 // Words returns what to tell another daemon now: what changed of late, and a few other words.
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -72,11 +72,10 @@
 func (x *Exchange) limits(ctx context.Context) {
 	n, gate := x.Node, x.Node.o.Gate
 	asked := n.now()
-	words := gate.Words(asked)
 	if n.Holding() {
 		gate.Granted(n.grants.Grant(n.o.Holder, gate.Limited(), n.shares(), asked), asked)
 		if !gate.Quiet() {
-			n.tellLimits(ctx, words, asked)
+			n.tellLimits(ctx, gate.Words(asked), asked)
 		}
 		return
 	}
@@ -84,7 +83,7 @@
 	if relay == "" || gate.Quiet() {
 		return
 	}
-	r, err := n.o.Peers.Limits(ctx, relay, LimitsRequest{From: n.o.Holder, Words: words, Permits: true})
+	r, err := n.o.Peers.Limits(ctx, relay, LimitsRequest{From: n.o.Holder, Words: gate.Words(asked), Permits: true})
 	if err != nil {
 		return // without an answer for long the gate has a pace of its own
 	}
