--- a/internal/front/simnet_test.go
+++ b/internal/front/simnet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // simNet carries the calls between daemons in virtual time.
@@ -60,10 +61,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.parted[address] = parted
-	for _, c := range n.conns[address] {
-		c.Close()
-	}
-	n.conns[address] = nil
+	n.mu.Unlock()
+	n.reset(address)
+	n.mu.Lock()
 }
 
 // dial connects to an address. One that is parted says nothing until ctx ends.
@@ -82,7 +82,19 @@
 	select {
 	case l.accepts <- far:
 		return near, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
+
+// reset ends all connections to an address.
+func (n *simNet) reset(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns[address] {
+		c.Close()
+	}
+	n.conns[address] = nil
+}
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -24,6 +24,7 @@
 	store   *simStore
 	net     *simNet
 	daemons []*Daemon
+	ends    map[*Daemon]context.CancelFunc
 	begun   time.Time
 	log     []string
 	logMu   sync.Mutex
@@ -34,17 +35,26 @@
 
 // newSimZone starts daemons within ctx, whose choices by chance follow the seed.
 func newSimZone(ctx context.Context, t *testing.T, daemons int, seed uint64) *simZone {
-	z := &simZone{t: t, store: newSimStore(), net: newSimNet(), begun: time.Now()}
+	z := &simZone{t: t, store: newSimStore(), net: newSimNet(), begun: time.Now(), ends: map[*Daemon]context.CancelFunc{}}
 	for i := range daemons {
-		z.daemons = append(z.daemons, z.start(ctx, fmt.Sprintf("d%d", i), seed+uint64(i)))
+		z.daemons = append(z.daemons, z.start(ctx, fmt.Sprintf("d%d", i), seed+uint64(i), true))
 	}
 	return z
 }
 
-func (z *simZone) start(ctx context.Context, name string, seed uint64) *Daemon {
+// kill ends a daemon's process.
+func (z *simZone) kill(i int) {
+	d := z.daemons[i]
+	z.ends[d]()
+	d.peers.Close()
+	z.net.reset(d.Settings().Peers)
+}
+
+func (z *simZone) start(ctx context.Context, name string, seed uint64, bootstrap bool) *Daemon {
+	ctx, end := context.WithCancel(ctx)
 	chance := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
-	s := Settings{Node: name, Zone: "zone", Zones: 1, Peers: name, Heartbeat: 1200 * time.Millisecond, Bounds: simBounds, Bootstrap: true}
+	s := Settings{Node: name, Zone: "zone", Zones: 1, Peers: name, Heartbeat: 1200 * time.Millisecond, Bounds: simBounds, Bootstrap: bootstrap}
 	d := &Daemon{Settings: func() Settings { return s }, Log: z.logger(name), Metrics: metrics.NewSet(), Clock: simClock(),
 		Outside: Outside{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances,
 			DecodeConfig: func(value []byte) (*routes.Config, error) {
@@ -68,6 +78,7 @@
 	go d.fleet.Run(ctx)
 	go d.answerPeers(ctx, z.net.listen(name))
 	d.fleet.Pace = d.pace
+	z.ends[d] = end
 	return d
 }
 
