Targets: what instances say is looked up once a list, not for each target and request

Once one instance had said that it leaves, which is kept for good, each request asked the gate for each target: 20 us at 3,000 instances and 54 us at 8,200, twice a request, where listing takes 0.2. Now a list remembers the gate's version at which nothing was known of any of its targets.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -1,7 +1,9 @@
 package backpressure
 
 import (
+	"iter"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +21,9 @@
 	// uniform returns a duration in [least, most) by chance.
 	uniform func(least, most time.Duration) time.Duration
 
+	// version rises with each life that comes to be known.
+	version atomic.Uint64
+
 	mu     sync.Mutex
 	limits map[Life]*limit
 	// rests is until when instances want no request from this daemon.
@@ -36,11 +41,21 @@
 	return &Gate{log: log, daemons: daemons, uniform: uniform, limits: map[Life]*limit{}, rests: map[Life]time.Time{}, leaving: map[string]departure{}, changed: make(chan struct{}, 1)}
 }
 
-// Idle tells whether nothing is known of any instance.
-func (g *Gate) Idle() bool {
+// Version rises with each life that comes to be known: of one that was not, nothing is known for
+// as long as it stays.
+func (g *Gate) Version() uint64 { return g.version.Load() }
+
+// KnowsAny tells whether anything is known of some lives.
+func (g *Gate) KnowsAny(lives iter.Seq[Life]) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.limits) == 0 && len(g.rests) == 0 && len(g.leaving) == 0
+	for life := range lives {
+		_, rests := g.rests[life]
+		if g.limits[life] != nil || rests || g.isLeaving(life) {
+			return true
+		}
+	}
+	return false
 }
 
 // Quiet tells whether no limit is known, nor the end of one.
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,7 +178,7 @@
 	must.True(t, g.Open(life, at(3.1)))
 	must.True(t, g.Open(Life{"i-1", 8}, at(1)), must.Sprint("another life"))
 	must.Eq(t, 0, g.Resting(at(3.1)))
-	must.True(t, g.Idle())
+	must.False(t, g.KnowsAny(slices.Values([]Life{life})))
 }
 
 // Guards against a daemon that stops for what one instance asks.
--- a/internal/backpressure/leaving.go
+++ b/internal/backpressure/leaving.go
@@ -23,6 +23,7 @@
 		delete(g.leaving, oldest(g.leaving, func(d departure) time.Time { return d.at }))
 	}
 	g.leaving[life.Instance] = departure{life.Born, now}
+	g.version.Add(1)
 	g.log.Info("instance says that it leaves", zap.String("instance", life.Instance), zap.Int64("born", life.Born))
 }
 
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -51,6 +51,7 @@
 		g.makeRoom()
 		l = &limit{}
 		g.limits[life] = l
+		g.version.Add(1)
 	}
 	l.at = at
 	if l.limit != to {
@@ -72,6 +73,7 @@
 		g.makeRoom()
 		l = &limit{}
 		g.limits[life] = l
+		g.version.Add(1)
 	}
 	if l.limit > 0 {
 		g.tell("instance limits requests no more", life, zap.String("source", source))
--- a/internal/backpressure/rest.go
+++ b/internal/backpressure/rest.go
@@ -24,6 +24,9 @@
 	if end := now.Add(lasts); end.After(until) {
 		g.rests[life] = end
 	}
+	if !known {
+		g.version.Add(1)
+	}
 }
 
 // endRests forgets the rests that are over; g.mu is held.
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -17,13 +17,18 @@
 	return backpressure.Life{Instance: t.Instance, Born: t.Born}
 }
 
-// open returns the targets that a request may be sent to now, by what their instances say of
-// themselves.
-func (g *Gateway) open(targets []dispatch.Target) []dispatch.Target {
-	if g.Gate.Idle() {
+// open returns the targets of a list that a request may be sent to now, by what their instances
+// say of themselves.
+func (g *Gateway) open(list *targetList) []dispatch.Target {
+	now := g.Clock.Now()
+	targets, version := list.at(now), g.Gate.Version()
+	if list.unknown.Load() == version+1 {
+		return targets
+	}
+	if !g.Gate.KnowsAny(list.lives) {
+		list.unknown.Store(version + 1)
 		return targets
 	}
-	now := g.Clock.Now()
 	closed := func(t dispatch.Target) bool { return !g.Gate.Open(lifeOf(&t), now) }
 	if !slices.ContainsFunc(targets, closed) {
 		return targets
@@ -59,9 +64,13 @@
 // free returns when a request may be sent again that what all instances that are left say of
 // themselves keeps back.
 func (x *exchange) free() backpressure.Free {
+	list := x.gateway.listed(x.gateway.View(), x.service, x.req.Model)
+	if list == nil {
+		return backpressure.Free{}
+	}
 	now := x.gateway.Clock.Now()
 	var lives []backpressure.Life
-	for _, t := range x.gateway.listed(x.gateway.View(), x.service, x.req.Model) {
+	for _, t := range list.at(now) {
 		if x.tried[t.Instance] {
 			continue
 		}
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -112,3 +112,20 @@
 	must.Eq(t, http.StatusServiceUnavailable, w.Code)
 	must.Less(t, 250*time.Millisecond, time.Since(x.now), must.Sprint("it waited"))
 }
+
+// Guards against a list of targets that was looked through once and is not again when one of its
+// instances speaks up.
+func TestTargetsNoticeWhatAnInstanceSaysLater(t *testing.T) {
+	says := map[string]backpressure.Signals{"limit": {Limit: 2}, "rest": {Rest: time.Minute}, "leaving": {Leaving: true}}
+	for name, s := range says {
+		t.Run(name, func(t *testing.T) {
+			x, _ := pressed(newGate())
+			must.Len(t, 2, x.targets())
+			now := time.Now()
+			x.gateway.Gate.Hear(backpressure.Life{Instance: "elsewhere"}, s, now, now)
+			must.Len(t, 2, x.targets())
+			x.gateway.Gate.Hear(backpressure.Life{Instance: "a"}, s, now, now)
+			must.Len(t, 1, x.targets())
+		})
+	}
+}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"pearlanding/internal/backpressure"
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/routes"
@@ -19,11 +21,15 @@
 // targets lists where requests of a service, and for a model of one that serves models, may go
 // now. The list must not be changed.
 func (g *Gateway) targets(v *fleet.View, service *routes.Service, model string) []dispatch.Target {
-	return g.open(g.listed(v, service, model))
+	list := g.listed(v, service, model)
+	if list == nil {
+		return nil
+	}
+	return g.open(list)
 }
 
-// listed is targets by the view alone. The list is made once a view.
-func (g *Gateway) listed(v *fleet.View, service *routes.Service, model string) []dispatch.Target {
+// listed is targets by the view alone, nil without one. The list is made once a view.
+func (g *Gateway) listed(v *fleet.View, service *routes.Service, model string) *targetList {
 	if v == nil {
 		return nil
 	}
@@ -32,7 +38,7 @@
 		index = &targetIndex{view: v, lists: map[targetsOf]*targetList{}}
 		g.index.Store(index)
 	}
-	return index.list(service, model).at(g.Clock.Now())
+	return index.list(service, model)
 }
 
 // targetIndex holds the targets of one view as requests ask for them: listed anew for each
@@ -72,6 +78,18 @@
 	targets []dispatch.Target
 	// until is when targets end whose entries have lapsed, by instance; nil: there are none.
 	until map[string]time.Time
+	// unknown is one more than the gate's version at which nothing was known of any target;
+	// 0: something was, or nobody looked.
+	unknown atomic.Uint64
+}
+
+// lives yields the lives of the targets.
+func (l *targetList) lives(yield func(backpressure.Life) bool) {
+	for i := range l.targets {
+		if !yield(lifeOf(&l.targets[i])) {
+			return
+		}
+	}
 }
 
 // at returns the targets that may be sent requests at a time. A view may be older than that: the
--- a/internal/gateway/targets_bench_test.go
+++ b/internal/gateway/targets_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"pearlanding/internal/backpressure"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/routes"
 )
@@ -64,6 +65,23 @@
 	}
 }
 
+// BenchmarkTargetsBesideALeavingInstance is the same once an instance has said of itself that it
+// leaves: the gate is asked for each target from then on.
+func BenchmarkTargetsBesideALeavingInstance(b *testing.B) {
+	for _, instances := range []int{300, 3000, 8200} {
+		v, g := benchView(instances), &Gateway{Gate: newGate()}
+		g.Gate.Hear(backpressure.Life{Instance: "gone"}, backpressure.Signals{Leaving: true}, time.Time{}, time.Time{})
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(g.targets(v, benchEngines, "m0")) == 0 {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkBuild is what each news of instances costs a daemon.
 func BenchmarkBuild(b *testing.B) {
 	for _, instances := range []int{300, 3000, 8200} {
