Texts of upstreams that are kept and logged are cut at 100 bytes

An engine could send a header name or value as long as its head may be, and 32 of each were kept for the daemon's life. TestUnreadHeaderNamesAreBounded has a long one.

--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -54,8 +54,8 @@
 	signals, err := g.Codec.Signals(resp.StatusCode, resp.Header)
 	if err != nil {
 		g.Metrics.set.GetOrCreateCounter("pearlanding_upstream_signals_invalid_total").Inc()
-		if _, first := g.invalid.note(err.Error()); first {
-			g.Log.Warn("instance's word of itself not understood", zap.String("decision", "as_if_not_said"), zap.String("instance", t.Instance), zap.Error(err))
+		if text, first := g.invalid.note(err.Error()); first {
+			g.Log.Warn("instance's word of itself not understood", zap.String("decision", "as_if_not_said"), zap.String("instance", t.Instance), zap.String("error", text))
 		}
 	}
 	g.Gate.Hear(lifeOf(t), signals, sent, g.Clock.Now())
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -3,13 +3,19 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 
 	"go.uber.org/zap"
 )
 
-// maxSeenTexts bounds how many texts of upstreams are told apart; more count as "other".
-const maxSeenTexts = 32
+// Bounds of what is kept of upstreams' texts.
+const (
+	// maxSeenTexts is how many are told apart; more count as "other".
+	maxSeenTexts = 32
+	// maxTextBytes is up to where they are.
+	maxTextBytes = 100
+)
 
 // seenTexts are texts that came from upstreams. The zero value holds none. Safe for concurrent
 // use.
@@ -20,6 +26,7 @@
 
 // note returns what to count a text under, and whether it came for the first time.
 func (s *seenTexts) note(text string) (label string, first bool) {
+	text = strings.ToValidUTF8(text[:min(len(text), maxTextBytes)], "")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.texts[text] {
@@ -41,7 +48,7 @@
 	for _, name := range g.Codec.Unread(h) {
 		label, first := g.unread.note(name)
 		if first {
-			g.Log.Info("upstream's header not read", zap.String("name", name), zap.Strings("values", h[name]))
+			g.Log.Info("upstream's header not read", zap.String("name", label), zap.String("values", fmt.Sprintf("%.*q", maxTextBytes, h[name])))
 		}
 		g.Metrics.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_upstream_headers_unread_total{name=%q}", label)).Inc()
 	}
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -19,6 +20,8 @@
 		u.note(fmt.Sprint("X-", i))
 	}
 	must.MapLen(t, maxSeenTexts, u.texts)
+	label, _ = (&seenTexts{}).note(strings.Repeat("ä", maxTextBytes))
+	must.Eq(t, maxTextBytes, len(label), must.Sprint("bytes of a long text"))
 	label, first = u.note("X-New")
 	must.Eq(t, "other", label)
 	must.False(t, first)
