Peers' server: it ends with its connections, not while it reads a request

A daemon that stopped while a peer's request was being read could end with 'panic: send on closed channel': the JSON-RPC server closes the channel on which its reader hands requests on. On a planned stop requests were finished by then, but the process ended by itself.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -32,8 +32,12 @@
 // returns an error if it ends earlier: a daemon that no peer can reach must not go
 // on as if all were well.
 func Serve(ctx context.Context, listener net.Listener, methods handler.Map) error {
-	accept := server.NetAccepter(listener, channel.Line)
-	err := server.Loop(ctx, accept, server.Static(methods), &server.LoopOptions{
+	peers := newClosingListener(listener)
+	defer context.AfterFunc(ctx, peers.closeAll)()
+	accept := server.NetAccepter(peers, channel.Line)
+	// Not stopped by ctx but by the ends of its connections: a jrpc2 server that is stopped while
+	// it reads a request panics.
+	err := server.Loop(context.WithoutCancel(ctx), accept, server.Static(methods), &server.LoopOptions{
 		ServerOptions: &jrpc2.ServerOptions{Concurrency: callsAtOnce},
 	})
 	if ctx.Err() != nil {
