Limits: a relay that was replaced grants no more permits

The new test plays the daemons' own exchanges over their own calls, relays killed, silent and cut off.

--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -23,6 +23,7 @@
 	entries []change          // of instances that leave
 	worst   time.Duration
 	fault   string
+	tick    func() // called with each look; nil: nothing else is played
 }
 
 // run lets time pass, changes entries of other instances meanwhile, and looks at every daemon.
@@ -34,6 +35,9 @@
 			j.zone.store.entry(fmt.Sprint("i-", j.chance.IntN(50)))
 		}
 		j.look()
+		if j.tick != nil {
+			j.tick()
+		}
 	}
 }
 
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -77,6 +77,7 @@
 	go d.config.Run(ctx)
 	go d.fleet.Run(ctx)
 	go d.answerPeers(ctx, z.net.listen(name))
+	go d.exchange().Run(ctx)
 	d.fleet.Pace = d.pace
 	z.ends[d] = end
 	return d
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -32,7 +32,7 @@
 // answerLimits answers another daemon, in touch with the store or not.
 func (n *Node) answerLimits(_ context.Context, r LimitsRequest) (LimitsReply, error) {
 	gate, now := n.o.Gate, n.now()
-	if r.Permits && !n.Holding() {
+	if r.Permits && !n.granting() {
 		return LimitsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 	}
 	gate.Merge(r.Words, backpressure.Told{Earliest: now.Add(-shareTimeout), Latest: now})
@@ -43,6 +43,13 @@
 	return out, nil
 }
 
+// granting tells whether this daemon grants permits: it holds its zone's record, and no listing
+// since names another one. One that was cut off holds it for long after.
+func (n *Node) granting() bool {
+	own := n.ownRelay()
+	return n.Holding() && (own == "" || own == n.o.Address)
+}
+
 // shares tells which part of limits this daemon's zone grants.
 func (n *Node) shares() backpressure.Shares {
 	n.known.mu.Lock()
@@ -73,7 +80,9 @@
 	n, gate := x.Node, x.Node.o.Gate
 	asked := n.now()
 	if n.Holding() {
-		gate.Granted(n.grants.Grant(n.o.Holder, gate.Limited(), n.shares(), asked), asked)
+		if n.granting() {
+			gate.Granted(n.grants.Grant(n.o.Holder, gate.Limited(), n.shares(), asked), asked)
+		}
 		if !gate.Quiet() {
 			n.tellLimits(ctx, gate.Words(asked), asked)
 		}
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"pearlanding/internal/backpressure"
+	"pearlanding/internal/objectapi"
 )
 
 var limited = backpressure.Life{Instance: "i-1", Born: 7}
@@ -62,6 +64,18 @@
 	must.Eq(t, map[backpressure.Life]float64{limited: 2}, c.o.Gate.Limited())
 }
 
+// Guards against a relay that was cut off, has been replaced and goes on granting beside its
+// successor until it looks at its record.
+func TestReplacedRelayGrantsNoPermits(t *testing.T) {
+	_, relay, a, b := settled(t)
+	ask := LimitsRequest{From: b.name, Permits: true}
+	_, err := relay.answerLimits(t.Context(), ask)
+	must.NoError(t, err)
+	relay.Node.listed(objectapi.Listing{Objects: []objectapi.Object{{Key: recordKey, Value: fmt.Appendf(nil, `{"holder":"h","address":%q}`, a.name)}}})
+	_, err = relay.answerLimits(t.Context(), ask)
+	must.Eq(t, codeNotRelaying, jrpc2.ErrorCode(err))
+}
+
 // Guards against permits of a daemon that grants none: its zone's relay does too.
 func TestDaemonThatDoesNotRelayGrantsNoPermits(t *testing.T) {
 	z, relay, a, b := settled(t)
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -50,6 +50,13 @@
 	zones []string
 }
 
+// setOwn notes the relay of this daemon's zone.
+func (a *addresses) setOwn(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own = address
+}
+
 // listed takes in a listing of the records.
 func (n *Node) listed(l objectapi.Listing) {
 	if n.o.Listed != nil {
@@ -191,6 +198,7 @@
 		n.o.Log.Info("relay taken", zap.String("decision", "follow_the_store_for_the_zone"), zap.String("address", n.o.Address))
 	}
 	n.suspect = ""
+	n.known.setOwn(n.o.Address)
 	n.lookAt = n.now().Add(recheckEvery)
 	n.Kick() // the relays of other zones may know what this one must
 }
