Follower tests: a clock of their own, not the machine's beside time.Now

Both compared times of the machine's clock with those of time.Now, which steady.Clock forbids: a correction of the time of day comes between them. In virtual time one of over a millisecond since the clock was last looked at makes it take the bubble's start for a suspension of 27 years; played with a correction of 2 ms, the second test fails in the same way (rests 500 ms). The checks are as they were, on one clock. No product code is touched: outside tests the sources agree.

--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/steady"
 )
 
 // scriptedFeed answers each call from a channel, so that a test decides the order.
@@ -66,6 +67,7 @@
 		return &Instance{ID: id, Service: "s", Version: version}, nil
 	}
 	f := NewFollower(feed, "entries", decode, NewBelief(heartbeat, sizes), zap.NewNop())
+	f.Clock = testClock()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.Run(ctx); close(ended) }()
@@ -73,6 +75,17 @@
 	return f, feed
 }
 
+// testClock is a clock that no suspension moves, nor a correction of the time of day. That of the
+// machine must not be used in virtual time: it takes the jump for a suspension.
+func testClock() *steady.Clock {
+	start := time.Now()
+	since := func() time.Duration { return time.Since(start) }
+	return steady.NewClockOf(func() (time.Time, time.Duration) {
+		d := since()
+		return start.Round(0).Add(d), d
+	}, since)
+}
+
 func object(id string, version uint64) objectapi.Object {
 	return objectapi.Object{Key: "entries/" + id, Version: version}
 }
@@ -108,7 +121,7 @@
 	f, feed := startFollower(t)
 	feed.lists <- objectapi.Listing{Revision: 5}
 	<-feed.follows // hears nothing
-	before := time.Now()
+	before := f.Clock.Now()
 	f.Refresh()
 	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("b", 8)}, Revision: 9}
 	<-feed.follows
--- a/internal/fleet/reachability_test.go
+++ b/internal/fleet/reachability_test.go
@@ -100,9 +100,9 @@
 			(<-feed.follows).answer <- followAnswer{err: errNoAnswer}
 		}
 		synctest.Wait() // the last call has ended, and the rest begun
-		begun := time.Now()
+		begun := f.Clock.Now()
 		f.belief.Reached(begun.Add(2 * heartbeat))
 		<-feed.follows
-		must.Eq(t, 0, time.Since(begun))
+		must.Eq(t, 0, f.Clock.Since(begun))
 	})
 }
