--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// inTouch tells whether a daemon is in touch.
+func (j *leavingJudge) inTouch(i int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.since[i].IsZero()
+}
+
 // kill ends some processes; each begins anew.
 func (j *leavingJudge) kill(daemons ...int) {
 	for _, i := range daemons {
