--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -32,7 +32,7 @@
 	leaving map[string]departure
 	// grantedAt is when a question for permits was answered last, with or without any.
 	grantedAt time.Time
-	told      int // words of old that were told
+	told      int // how many words were told in turns
 	changed   chan struct{}
 }
 
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -11,10 +11,10 @@
 // Guards against series without end when upstreams send ever new header names.
 func TestUnreadHeaderNamesAreBounded(t *testing.T) {
 	var u seenTexts
-	label, first := u.note("Server-Limit")
-	must.Eq(t, "Server-Limit", label)
+	label, first := u.note("X-Load")
+	must.Eq(t, "X-Load", label)
 	must.True(t, first)
-	_, first = u.note("Server-Limit")
+	_, first = u.note("X-Load")
 	must.False(t, first)
 	for i := range 2 * maxSeenTexts {
 		u.note(fmt.Sprint("X-", i))
