Logs: what a listing of the instances took, and when a daemon first knows them

Between a daemon's start and its first view lay 3 s at 299 daemons and 3,000 instances, and no line told what passed. "instances listed" now says pages, bytes, time until the answers' heads, until their bodies and for decoding; "instances known" is the first view, with the age of its proof.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -180,7 +180,9 @@
 		}
 	}
 	f.belief.Replace(all, l.Revision, f.proved.Load(), now)
-	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision))
+	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision),
+		zap.Int("pages", l.Transfer.Pages), zap.Int("bytes", l.Transfer.Bytes), zap.Int64("wait_ms", l.Transfer.Wait.Milliseconds()),
+		zap.Int64("receive_ms", l.Transfer.Receive.Milliseconds()), zap.Int64("decode_ms", l.Transfer.Decode.Milliseconds()))
 }
 
 func (f *Follower) apply(e objectapi.Event, now time.Time) {
@@ -215,6 +217,10 @@
 func (f *Follower) id(key string) string { return strings.TrimPrefix(key, f.Kind+"/") }
 
 func (f *Follower) publish(seen time.Time) {
+	if f.View() == nil {
+		f.Log.Info("instances known", zap.Int("instances", len(f.belief.instances)), zap.Uint64("revision", f.belief.Revision()),
+			zap.Int64("proved_ms_ago", f.Clock.Since(seen).Milliseconds()))
+	}
 	f.view.Store(f.belief.View(seen))
 	select {
 	case f.change <- struct{}{}:
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -24,6 +24,17 @@
 type Listing struct {
 	Objects  []Object
 	Revision uint64
+	// Transfer is what reading it took; the zero value: not measured.
+	Transfer Transfer
+}
+
+// Transfer is what reading a listing from the store took.
+type Transfer struct {
+	Pages int
+	Bytes int
+	// Wait is the time until the heads of the answers came, Receive until their bodies were
+	// whole, Decode until the objects were read from them.
+	Wait, Receive, Decode time.Duration
 }
 
 // Changes are what a call of Follow brought.
