Start of a large fleet: entries come from the zone's relay, not all from the store

Cause: each daemon that starts lists all entries. At 299 daemons and 3,000 instances that is 321 MB over the store's one link of 1,000 Mbit/s, 2.57 s. Ruled out: decoding, a slow processor or link of the daemon (those with ten times the link took as long), waiting for a relay (0.19 s from listing to view).

The relay sets this by the bytes of its entries times the daemons that told their loads; a fleet that is small enough lists as before.

Machines with a wide link look at the record first and so become relays; one that starts takes the place of a narrow one.

Weighed: a reduced view with heads only (moves the judgement of which groups serve into the relay; not needed for this target); a view that any peer hands on (is this, from the relay first); listing with a spread over time (the last still waits 2.6 s).

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -96,7 +96,7 @@
 	}}
 	return relay.NewNode(relay.Options{
 		Traffic: relay.Traffic{Spare: d.budgets.Spare, InFlight: d.picker.InFlight, Progress: d.progress, Stops: d.picker.Stops(), Loaded: d.loaded, Rule: d.poolRule},
-		Store:   d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers,
+		Store:   d.Outside.Feed, Kind: d.Outside.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.Peers, LinkMbps: s.LinkMbps,
 		Peers: d.peers, Direct: d.planning, Confirm: d.config.confirm, Returned: d.config.returned,
 		Stale:     func() time.Duration { return d.drainPart(stalePart, defaultStale) },
 		Standing:  d.standing,
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -18,6 +18,7 @@
 	Heartbeat time.Duration // between the writes of an instance's own entry
 	MaxFiles  int           // descriptors of the process
 	MemoryMB  int
+	LinkMbps  float64 // rate of the machine's link in Mbit/s
 	Bounds    Bounds
 }
 
--- a/internal/front/simstore_test.go
+++ b/internal/front/simstore_test.go
@@ -28,6 +28,8 @@
 	down     bool
 	cut      map[string]bool // daemons that do not reach it
 	calls    int
+	link     simRate // carries the listings of entries
+	value    []byte  // of each entry
 }
 
 func newSimStore() *simStore {
@@ -58,7 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.events = append(s.events, objectapi.Event{Object: objectapi.Object{Key: simInstances + "/" + id, Version: s.revision}})
+	s.events = append(s.events, objectapi.Event{Object: objectapi.Object{Key: simInstances + "/" + id, Version: s.revision, Value: s.value}})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -150,6 +152,13 @@
 		}
 		return nil
 	})
+	if kind == simInstances {
+		size := 0
+		for _, o := range out.Objects {
+			size += len(o.Value)
+		}
+		l.link.carry(size)
+	}
 	return out, err
 }
 
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -27,8 +27,10 @@
 	ends    map[*Daemon]context.CancelFunc
 	started func(ctx context.Context, d *Daemon) // called for each process that begins; nil: nothing else runs
 	begun   time.Time
-	log     []string
-	logMu   sync.Mutex
+	// mbps, if set, is the rate of a daemon's link in Mbit/s.
+	mbps  func(daemon string) float64
+	log   []string
+	logMu sync.Mutex
 }
 
 // simBounds are those of a deployment.
@@ -61,6 +63,10 @@
 	chance := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
 	s := Settings{Node: name, Zone: "zone", Zones: 1, Peers: name, Heartbeat: 1200 * time.Millisecond, Bounds: simBounds, Bootstrap: bootstrap}
+	if z.mbps != nil {
+		s.LinkMbps = z.mbps(name)
+		z.net.setLink(name, s.LinkMbps)
+	}
 	d := &Daemon{Settings: func() Settings { return s }, Log: z.logger(name), Metrics: metrics.NewSet(), Clock: simClock(),
 		Outside: Outside{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances,
 			DecodeConfig: func(value []byte) (*routes.Config, error) {
@@ -97,6 +103,7 @@
 	for _, d := range z.daemons {
 		d.peers.Close()
 	}
+	z.net.close()
 	time.Sleep(time.Minute)
 }
 
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -96,15 +96,50 @@
 		}
 	}
 	if l.Revision > h.end {
-		h.holes = append(h.holes, hole{h.end, l.Revision})
+		h.open(hole{h.end, l.Revision})
 	}
 	h.end = max(h.end, l.Revision)
+}
+
+// open notes a hole; h.mu is held.
+func (h *history) open(o hole) {
+	h.holes = append(h.holes, o)
 	if len(h.holes) > holesMost {
 		h.base = max(h.base, h.holes[0].to)
 		h.holes = h.holes[1:]
 	}
 }
 
+// skipped notes that of the changes between two revisions only the result is known.
+func (h *history) skipped(from, to uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open(hole{from, to})
+}
+
+// difference returns what leads from the known objects to those of a listing; false: not every
+// object is known.
+func (h *history) difference(l objectapi.Listing) (events []objectapi.Event, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known || !h.complete {
+		return nil, false
+	}
+	present := make(map[string]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		present[o.Key] = true
+		if old, seen := h.latest[o.Key]; !seen || old.Object.Version < o.Version {
+			events = append(events, objectapi.Event{Object: o})
+		}
+	}
+	for key, e := range h.latest {
+		if !e.Removed && !present[key] && e.Object.Version <= l.Revision {
+			events = append(events, objectapi.Event{Object: objectapi.Object{Key: key, Version: l.Revision}, Removed: true})
+		}
+	}
+	return events, true
+}
+
 // followed takes in the changes after a revision, as they were at a time.
 func (h *history) followed(after uint64, c objectapi.Changes, proved time.Time) {
 	h.mu.Lock()
@@ -217,6 +252,34 @@
 	return events, max(h.end, revision), false
 }
 
+// snapshot returns every object that lives, as it was at a revision or later; false: not every
+// one is known.
+func (h *history) snapshot() (events []objectapi.Event, revision uint64, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known || !h.complete {
+		return nil, 0, false
+	}
+	for _, e := range h.latest {
+		if !e.Removed {
+			events = append(events, e)
+		}
+	}
+	slices.SortFunc(events, func(a, b objectapi.Event) int { return cmp.Compare(a.Object.Version, b.Object.Version) })
+	return events, h.end, true
+}
+
+// size returns the bytes of all entries that are known.
+func (h *history) size() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	size := 0
+	for key, e := range h.latest {
+		size += len(key) + len(e.Object.Value)
+	}
+	return size
+}
+
 // told is an answer to a peer.
 type told struct {
 	changes []byte // packed; nil: none
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -67,7 +67,7 @@
 func (n *Node) Methods() handler.Map {
 	return handler.Map{methodNews: handler.New(n.news), methodStanding: handler.New(n.answerStanding),
 		methodShare: handler.New(n.answerShareEncoded), methodRepeat: handler.New(n.answerRepeat), methodLoads: handler.New(n.answerLoads), methodWords: handler.New(n.answerWords),
-		methodLimits: handler.New(n.answerLimits)}
+		methodLimits: handler.New(n.answerLimits), methodSnapshot: handler.New(n.answerSnapshot)}
 }
 
 // maxWait bounds how long a peer's call is held.
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -18,6 +18,10 @@
 type record struct {
 	Holder  string `json:"holder"`  // unique for each life of a process
 	Address string `json:"address"` // where it answers peers, IP:port
+	// Distribute: daemons that start take snapshots, as all of them together would read too much
+	// from the store.
+	Distribute bool    `json:"distribute,omitempty"`
+	LinkMbps   float64 `json:"link_mbps,omitempty"` // of its machine
 }
 
 // Addresses returns the relays that a listing of the records names.
@@ -33,12 +37,15 @@
 
 // addressOf returns the relay that an object names; empty: none. One that isn't understood
 // is replaced by its zone.
-func addressOf(o objectapi.Object) string {
+func addressOf(o objectapi.Object) string { return readRecord(o).Address }
+
+// readRecord reads a record; one that isn't understood names nobody.
+func readRecord(o objectapi.Object) record {
 	var r record
 	if json.Unmarshal(o.Value, &r) != nil {
-		return ""
+		return record{}
 	}
-	return r.Address
+	return r
 }
 
 // addresses are the relays as listed last. Safe for concurrent use.
@@ -62,12 +69,17 @@
 	if n.o.Listed != nil {
 		n.o.Listed(l)
 	}
-	n.known.mu.Lock()
-	defer n.known.mu.Unlock()
-	n.known.all, n.known.own, n.known.zones = Addresses(l), "", zonesOf(l)
+	n.distributed.Store(slices.ContainsFunc(l.Objects, func(o objectapi.Object) bool { return readRecord(o).Distribute }))
+	var own record
 	if i := slices.IndexFunc(l.Objects, func(o objectapi.Object) bool { return o.Key == n.o.Key }); i >= 0 {
-		n.known.own = addressOf(l.Objects[i])
+		own = readRecord(l.Objects[i])
 	}
+	if n.holding.Load() && (own.Holder != n.o.Holder || !own.Distribute && n.shouldDistribute()) {
+		n.recheck.Store(true)
+	}
+	n.known.mu.Lock()
+	defer n.known.mu.Unlock()
+	n.known.all, n.known.own, n.known.zones = Addresses(l), own.Address, zonesOf(l)
 }
 
 // relays returns the other zones' relays, and the own zone's if it is another daemon.
@@ -91,12 +103,12 @@
 	n.toldOutOfTouch = false
 	n.aloneAt = time.Time{}
 	n.share.lost()
-	n.lookAt = n.now().Add(n.o.Uniform(settleLeast, settleMost))
+	n.lookAt = n.now().Add(n.settle())
 }
 
 // locate finds the zone's relay, or becomes it, when it is time to.
 func (n *Node) locate(ctx context.Context, after uint64) {
-	if n.peer != "" || n.now().Before(n.lookAt) || n.closed.Load() {
+	if n.peer != "" || n.now().Before(n.lookAt) && !n.recheck.Load() || n.closed.Load() {
 		return
 	}
 	if n.suspect != "" {
@@ -150,9 +162,10 @@
 		return
 	}
 	n.listed(l)
+	n.recheck.Store(false)
 	i := slices.IndexFunc(l.Objects, func(o objectapi.Object) bool { return o.Key == n.o.Key })
 	if i < 0 {
-		_, err = n.Feed.Create(ctx, n.o.Key, n.value())
+		_, err = n.Feed.Create(ctx, n.o.Key, n.value(n.distributed.Load()))
 		n.wrote(err)
 		return
 	}
@@ -164,16 +177,34 @@
 	switch {
 	case r.Holder == n.o.Holder:
 		n.hold()
-	case r.Address == "" || r.Address == n.o.Address || r.Address == n.suspect:
-		_, err = n.Feed.Update(ctx, n.o.Key, o.Version, n.value())
+		if !r.Distribute && n.shouldDistribute() {
+			_, err = n.Feed.Update(ctx, n.o.Key, o.Version, n.value(true))
+			n.wrote(err)
+		}
+	case r.Address == "" || r.Address == n.o.Address || r.Address == n.suspect || n.starting && n.suitsBetter(r):
+		_, err = n.Feed.Update(ctx, n.o.Key, o.Version, n.value(n.distributed.Load()))
 		n.wrote(err)
 	default:
 		n.use(r.Address)
 	}
 }
 
-func (n *Node) value() []byte {
-	value, err := json.Marshal(record{n.o.Holder, n.o.Address})
+// suitsBetter tells whether this machine's link suits a relay that hands out snapshots, and that
+// of the one named does not.
+func (n *Node) suitsBetter(r record) bool {
+	return n.distributed.Load() && n.wide() && r.LinkMbps < wideMbps
+}
+
+// shouldDistribute tells whether the daemons that told their loads would together read too much
+// from the store if they started now.
+func (n *Node) shouldDistribute() bool {
+	_, daemons := n.share.loads.daemons(n.now())
+	return distributes(n.history.size(), daemons)
+}
+
+// value is a record that names this daemon.
+func (n *Node) value(distribute bool) []byte {
+	value, err := json.Marshal(record{n.o.Holder, n.o.Address, distribute, n.o.LinkMbps})
 	if err != nil {
 		n.o.Log.Error("relay's record not encoded", zap.Error(err))
 	}
@@ -212,6 +243,6 @@
 	if n.o.Returned != nil {
 		n.o.Returned()
 	}
-	n.peer, n.suspect, n.configSeq, n.proved = address, "", 0, time.Time{}
+	n.peer, n.suspect, n.configSeq, n.proved, n.usedAt = address, "", 0, time.Time{}, n.now()
 	n.share.found(address) // the daemon that plans asks it for no news, but shares with it
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,12 @@
 	// lose a relay together don't all write.
 	settleLeast = 300 * time.Millisecond
 	settleMost  = 1500 * time.Millisecond
+	// wideMbps is the link in Mbit/s from which on a machine is preferred as its zone's relay:
+	// it looks at the record before the others do, within wideMost of a start or within
+	// wideLeast and wideMost of a loss.
+	wideMbps  = 100.0
+	wideLeast = 50 * time.Millisecond
+	wideMost  = 200 * time.Millisecond
 	// againLeast and againMost spread the questions to a relay that is out of touch with
 	// the store: its word ends an outage for its zone.
 	againLeast = 150 * time.Millisecond
@@ -84,6 +90,8 @@
 	Share(ctx context.Context, address string, r ShareRequest) (ShareReply, error)
 	// Repeat asks for a repeat of the relay's pool.
 	Repeat(ctx context.Context, address string, r RepeatRequest) (RepeatReply, error)
+	// Snapshot asks for all entries.
+	Snapshot(ctx context.Context, address string, r SnapshotRequest) (SnapshotReply, error)
 	// Loads asks what the daemons of the relay's zone have in progress.
 	Loads(ctx context.Context, address string) (LoadsReply, error)
 	// Words exchanges what two daemons know of requests that end instances.
@@ -99,7 +107,9 @@
 	Key     string // of the zone's record
 	Holder  string // unique for each life of a process
 	Address string // where this daemon answers peers, IP:port
-	Peers   Transport
+	// LinkMbps is the rate of this machine's link in Mbit/s.
+	LinkMbps float64
+	Peers    Transport
 	// Stale returns the age beyond which a proof of the entries is too old to serve on.
 	Stale func() time.Duration
 	// Direct tells that this daemon must follow the store itself now.
@@ -137,11 +147,16 @@
 	history *history
 	reports *reports
 	share   share
+	copies  copies
 	grants  backpressure.Grants // used while this daemon holds the zone's record
 	holding atomic.Bool         // the record names this daemon, as far as it knows
 	reached atomic.Bool         // the last call to the store for entries succeeded
 	closed  atomic.Bool         // this daemon stops
-	askedAt steady.Time         // when a peer asked last
+	// recheck: the zone's record, as listed last, is not what this daemon, its relay, wants there.
+	recheck atomic.Bool
+	// distributed: a zone's record tells daemons that start to take snapshots.
+	distributed atomic.Bool
+	askedAt     steady.Time // when a peer asked last
 	// answered is when a relay answered last, whatever it said.
 	answered steady.Time
 	via      atomic.Bool // the last call of Follow went through a relay
@@ -162,19 +177,35 @@
 	configSeq      uint64    // last heard from peer
 	proved         time.Time // by the last answer of a relay
 	lookAt         time.Time
-	looked         bool // the zone's record was looked at once
+	looked         bool      // the zone's record was looked at once
+	starting       bool      // the entries are not known yet
+	usedAt         time.Time // since when peer is the relay
 }
 
 // NewNode returns a node that first looks for its zone's relay. Where all daemons start
 // together, they look one after the other, so that most find a relay.
 func NewNode(o Options) *Node {
 	n := &Node{Feed: o.Store, o: o, history: newHistory(), reports: newReports(), lookAt: o.Now(), kick: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
-	if o.Bootstrap {
-		n.lookAt = n.lookAt.Add(o.Uniform(0, settleMost))
+	switch {
+	case o.Bootstrap && n.wide():
+		n.lookAt = n.lookAt.Add(o.Uniform(0, wideMost))
+	case o.Bootstrap:
+		n.lookAt = n.lookAt.Add(o.Uniform(settleLeast, settleMost))
 	}
 	return n
 }
 
+// wide tells whether this machine's link suits a relay.
+func (n *Node) wide() bool { return n.o.LinkMbps >= wideMbps }
+
+// settle returns how long to wait until the zone's record is looked at, after a loss.
+func (n *Node) settle() time.Duration {
+	if n.wide() {
+		return n.o.Uniform(wideLeast, wideMost)
+	}
+	return n.o.Uniform(settleLeast, settleMost)
+}
+
 func (n *Node) now() time.Time { return n.o.Now() }
 
 // Settles returns how long after its start a daemon may be without a relay that is there.
@@ -237,9 +268,17 @@
 	return l, err
 }
 
-// ListStale implements objectapi.Feed.
+// ListStale implements objectapi.Feed. A daemon that starts may get the entries from another one.
 func (n *Node) ListStale(ctx context.Context, kind string) (objectapi.Listing, error) {
-	l, err := n.Feed.ListStale(ctx, kind)
+	var l objectapi.Listing
+	err := error(errNoSnapshot)
+	if kind == n.o.Kind && !n.o.Bootstrap {
+		n.looked = true
+		l, err = n.takeSnapshot(ctx)
+	}
+	if err != nil {
+		l, err = n.Feed.ListStale(ctx, kind)
+	}
 	if kind == n.o.Kind && err == nil {
 		n.history.seeded(l)
 	}
@@ -339,8 +378,20 @@
 // ask asks a relay, which may hold the call for a while. However it fails, this
 // daemon turns to the store before its last proof is stale.
 func (n *Node) ask(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
+	changes, gap, err := n.askNews(ctx, address, after, wait)
+	if err == nil && gap {
+		return n.closeGap(ctx, address, after)
+	}
+	return changes, err
+}
+
+// askNews is ask without recovery; gap: the relay does not know all changes after the revision.
+func (n *Node) askNews(ctx context.Context, address string, after uint64, wait time.Duration) (changes objectapi.Changes, gap bool, err error) {
 	asked := n.now()
 	timeout := firstMargin
+	if n.distributed.Load() {
+		timeout = snapshotTimeout // the answer may wait for copies of the snapshot on the relay's link
+	}
 	if n.proved.IsZero() {
 		wait = 0
 	} else {
@@ -355,10 +406,10 @@
 		From: n.o.Holder, Standing: n.o.Standing(asked), Quarantine: &heard})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		n.answered.Store(n.now())
-		return objectapi.Changes{}, errors.WithType(err, errOutOfTouch)
+		return objectapi.Changes{}, false, errors.WithType(err, errOutOfTouch)
 	}
 	if err != nil {
-		return objectapi.Changes{}, err
+		return objectapi.Changes{}, false, err
 	}
 	held := min(time.Duration(r.Held)*time.Millisecond, n.now().Sub(asked))
 	age := time.Duration(r.EntriesAge)*time.Millisecond - held
@@ -372,9 +423,6 @@
 	if r.ConfigVersion != 0 {
 		n.o.Confirm(r.ConfigVersion, asked.Add(held-time.Duration(r.ConfigAge)*time.Millisecond))
 	}
-	if r.Gap {
-		return objectapi.Changes{}, objectapi.ErrCompacted
-	}
 	events, err := unpack(r.Changes, after)
-	return objectapi.Changes{Events: events, Revision: r.Revision, Age: age}, errors.Trace(err)
+	return objectapi.Changes{Events: events, Revision: r.Revision, Age: age}, r.Gap, errors.Trace(err)
 }
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -245,6 +245,16 @@
 	return RepeatReply{}, errors.New("refused")
 }
 
+// Snapshot implements Transport between the zone's daemons.
+func (z *zone) Snapshot(ctx context.Context, address string, r SnapshotRequest) (SnapshotReply, error) {
+	for _, d := range z.daemons {
+		if d.name == address && !d.dead {
+			return d.answerSnapshot(ctx, r)
+		}
+	}
+	return SnapshotReply{}, errors.New("refused")
+}
+
 // Loads implements Transport between the zone's daemons.
 func (z *zone) Loads(ctx context.Context, address string) (LoadsReply, error) {
 	for _, d := range z.daemons {
