Relay: one that was replaced notices within 5 s

Two relays of a zone stood beside one another for 17 s after the first start of 299 daemons (first ones slow to answer, replaced by others): what a zone pools, repeats, loads and permits, counted apart for that long. The belief of a relay that the record names it was renewed each 20 s only, or never checked while others read the records anyway.

--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -98,3 +99,19 @@
 	_, _, gap = h.after(5)
 	must.False(t, gap)
 }
+
+// A relay that another daemon replaced counted apart what its zone pools for up to 20 s.
+func TestReplacedRelayNoticesByAListingOfTheRecords(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	relay := z.relays()[0]
+	other := z.daemons[0]
+	if other == relay {
+		other = z.daemons[1]
+	}
+	z.record = objectapi.Object{Key: recordKey, Version: z.record.Version + 1, Value: other.value(false)}
+	relay.Node.listed(objectapi.Listing{Objects: []objectapi.Object{z.record}})
+	z.now = z.now.Add(time.Millisecond)
+	_ = relay.step()
+	must.False(t, relay.Holding())
+}
