--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -180,10 +180,10 @@
 }
 
 // copiesPerWindow is how many copies of a size in bytes a daemon hands out within copyWindow, at
-// least one. JSON carries bytes as base64.
+// least two, so that their number grows with each step from source to source. JSON carries bytes as base64.
 func copiesPerWindow(linkMbps float64, size int) int {
 	const bytesPerMbit, base64Growth = 125_000, 4.0 / 3
-	return max(1, int(copyShare*linkMbps*bytesPerMbit*copyWindow.Seconds()/(float64(size)*base64Growth)))
+	return max(2, int(copyShare*linkMbps*bytesPerMbit*copyWindow.Seconds()/(float64(size)*base64Growth)))
 }
 
 // distributes tells whether daemons that start together should take snapshots, as reading the
