Logs: a peer that does not answer exchanges; tests of the embedded system print their logs

"peer does not answer" with how long it was waited for, and "peer answers again", once for each silence: TestPlatformOutage failed with 503 and nothing told whether its peers were heard.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,7 +75,7 @@
 	d := &Daemon{settings: s, log: log, peers: rpc.NewPeers(s.Timing.SyncInterval * 2)}
 	d.control = control.New(cfg, func() cluster.DaemonLoad { return cluster.DaemonLoad{InUse: gate.InUse()} })
 	d.membership = &membership{
-		cfg: cfg, store: counted, control: d.control, peers: d.peers, log: log, started: time.Now(),
+		cfg: cfg, store: counted, control: d.control, peers: d.peers, log: log, answers: newPeerAnswers(log), started: time.Now(),
 		self: revision.Member{Incarnation: incarnation, Peer: s.Listen.Peers, Operator: s.Listen.Operators,
 			Place: s.Daemon.Place, Domain: s.Daemon.Domain},
 		timing: membershipTiming{sync: s.Timing.SyncInterval, lease: s.Timing.AdmissionLease, forgetAfter: s.Timing.ForgetAfter},
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,9 +27,38 @@
 	control *control.Control
 	peers   *rpc.Peers
 	log     *zap.Logger
+	answers peerAnswers
 	started time.Time
 }
 
+// peerAnswers logs when a peer ceases to answer exchanges, and when it answers again. Safe for
+// concurrent use.
+type peerAnswers struct {
+	log    *zap.Logger
+	mu     sync.Mutex
+	silent map[string]time.Time // when the first exchange without an answer was sent, by slot
+}
+
+func newPeerAnswers(log *zap.Logger) peerAnswers {
+	return peerAnswers{log: log, silent: map[string]time.Time{}}
+}
+
+// note takes in how an exchange ended.
+func (a *peerAnswers) note(slot string, sent, ended time.Time, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	since, silent := a.silent[slot]
+	switch {
+	case err != nil && !silent:
+		a.silent[slot] = sent
+		a.log.Info("peer does not answer", zap.String("peer", slot), zap.Int64("waited_ms", ended.Sub(sent).Milliseconds()), zap.Error(err))
+	case err == nil && silent:
+		delete(a.silent, slot)
+		a.log.Info("peer answers again", zap.String("peer", slot), zap.Int64("silent_ms", ended.Sub(since).Milliseconds()),
+			zap.Int64("took_ms", ended.Sub(sent).Milliseconds()))
+	}
+}
+
 type membershipTiming struct {
 	sync        time.Duration
 	lease       time.Duration
@@ -72,6 +102,7 @@
 	sent := time.Now()
 	var reply cluster.SyncReply
 	err := m.peers.Call(ctx, address, cluster.MethodSync, request, &reply)
+	m.answers.note(slot, sent, time.Now(), err)
 	switch {
 	case err == nil && reply.Slot == slot:
 		m.control.Synced(reply, sent)
--- a/internal/embedded/harness_test.go
+++ b/internal/embedded/harness_test.go
@@ -1,16 +1,20 @@
 package embedded
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"pearlanding/internal/catalog"
 	"pearlanding/internal/control"
@@ -26,6 +30,9 @@
 // start brings a system up that serves, and takes it down with the test.
 func start(t *testing.T, o Options) *System {
 	t.Helper()
+	if o.Log == nil {
+		o.Log = logOnFailure(t)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s, err := Start(ctx, o)
 	must.NoError(t, err)
@@ -126,3 +133,26 @@
 }
 
 func ref(kind, name string) catalog.Ref { return catalog.Ref{Kind: catalog.Kind(kind), Name: name} }
+
+// logOnFailure returns a logger whose lines are printed if the test fails.
+func logOnFailure(t *testing.T) *zap.Logger {
+	var mu sync.Mutex
+	var lines bytes.Buffer
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if t.Failed() {
+			t.Log(lines.String())
+		}
+	})
+	write := writerFunc(func(p []byte) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return lines.Write(p)
+	})
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(write), zap.InfoLevel))
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
