--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	current atomic.Pointer[Snapshot]
 	load    func() cluster.DaemonLoad
 	done    chan struct{}
+	now     func() time.Time // replaced by tests
 }
 
 // eventQueue is how many events may wait; senders wait beyond.
@@ -27,7 +28,7 @@
 // New returns a control that knows nothing and so admits nothing. load reports
 // this daemon's own traffic to peers.
 func New(cfg Config, load func() cluster.DaemonLoad) *Control {
-	c := &Control{cfg: cfg, events: make(chan func(*state, time.Time), eventQueue), load: load, done: make(chan struct{})}
+	c := &Control{cfg: cfg, events: make(chan func(*state, time.Time), eventQueue), load: load, done: make(chan struct{}), now: time.Now}
 	c.current.Store(newState(cfg, time.Now()).snapshot(time.Now(), nil))
 	return c
 }
@@ -66,7 +67,7 @@
 		}
 		if changed && rested {
 			c.drain(s)
-			rest.Reset(c.publish(s) * publishShare)
+			rest.Reset(c.restAfter(c.publish(s)))
 			changed, rested = false, false
 		}
 	}
@@ -84,13 +85,20 @@
 	}
 }
 
+// restAfter returns for how long events are gathered after a snapshot that took so long. The
+// admission lease is renewed in snapshots only, so one that took long on a busy machine must not
+// hold the next one up for longer than peers' answers are apart.
+func (c *Control) restAfter(took time.Duration) time.Duration {
+	return min(took*publishShare, c.cfg.SyncInterval)
+}
+
 // publish builds and stores a snapshot and returns how long that took.
 func (c *Control) publish(s *state) time.Duration {
-	start := time.Now()
+	start := c.now()
 	previous := c.current.Load()
 	c.current.Store(s.snapshot(start, previous))
 	close(previous.Changed)
-	return time.Since(start)
+	return c.now().Sub(start)
 }
 
 // post hands an event to the loop; it is dropped when the loop has ended.
