Quarantine: a daemon that lost its relay asks on for refusals

One daemon of four sent a request on that had ended three engines, 1 s after all others refused it. Its relay had answered "not relaying" half a second before, so it made no calls for news, which announce refusals, and without news of its own asked nobody.

--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -151,7 +151,7 @@
 
 // pace is how long to wait without news.
 func (s *Spread) pace() time.Duration {
-	if s.behind() {
+	if s.behind() || s.Node.untold() {
 		return spreadEvery
 	}
 	return spreadIdle
@@ -186,10 +186,13 @@
 // near exchanges with the zone's relay.
 func (s *Spread) near(ctx context.Context) {
 	n := s.Node
+	relay, _ := n.share.last()
 	if !s.behind() {
+		if n.untold() {
+			s.converse(ctx, relay, true) // one that does not answer is looked for by Follow
+		}
 		return
 	}
-	relay, _ := n.share.last()
 	all, _ := n.o.Quarantine.Seq()
 	if relay != "" {
 		n.share.asked(relay, false)
@@ -218,6 +221,10 @@
 	}
 }
 
+// untold tells whether this daemon lost its relay, which may hear of requests that end instances
+// and tells this daemon nothing until it is used again.
+func (n *Node) untold() bool { return !n.Holding() && n.share.untold() }
+
 // Unheard tells whether this daemon's relay does not answer: what must last is then for
 // this daemon to save.
 func (n *Node) Unheard() bool { return n.unheard.Load() }
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -162,3 +162,33 @@
 	}
 	must.SliceContains(t, c.refusing(), "b")
 }
+
+// Guards against a daemon that sends a request on which all others refuse: its relay had just
+// said that it does not relay, and told it nothing until it was asked for news again, up to 1.5 s.
+func TestDaemonThatLostItsRelayHearsOfRefusals(t *testing.T) {
+	c := newCountry()
+	for range 4 { // it knew its relay before
+		c.round()
+	}
+	lost := c.nodes["a2"]
+	lost.share.lost()
+	for i := range 3 {
+		c.end("a1", i)
+		c.others("a2")
+		c.others("a2")
+	}
+	must.SliceNotContains(t, c.refusing(), "a2")
+	s := &Spread{Node: lost, List: func(context.Context) (objectapi.Listing, error) { return c.listing(), nil }}
+	must.Eq(t, spreadEvery, s.pace())
+	s.once(context.Background())
+	must.SliceContains(t, c.refusing(), "a2")
+	lost.share.found("a")
+	must.Eq(t, spreadIdle, s.pace())
+}
+
+// others lets all daemons but one spread once.
+func (c *country) others(but string) {
+	c.dead[but] = true
+	c.round()
+	delete(c.dead, but)
+}
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -65,6 +65,13 @@
 	return s.lastRelay, s.due
 }
 
+// untold tells whether the relay that answered last was lost and none was found since.
+func (s *share) untold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay == "" && s.lastRelay != ""
+}
+
 // asked notes that a relay is asked for its news now, or that this failed.
 func (s *share) asked(relay string, failed bool) {
 	s.mu.Lock()
