Backpressure: the field's names for what daemons exchange

Word, Words, Told, Hear, mayAlone, left became Update, Updates, ReceivedAt, Observe, mayUnleased, remaining; the JSON fields stay, as daemons of two versions serve side by side.

--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -3,6 +3,6 @@
 //
 // A limit that an instance names holds for all daemons together. Grants, at one daemon of each
 // failure domain, hands permits out at a part of the limit; Gate, at every daemon, sends to a
-// limited instance only with a permit. What is known is exchanged as Words. Time is passed in;
+// limited instance only with a permit. What is known is exchanged as Updates. Time is passed in;
 // docs/design/backpressure.md gives the reasons and the sums.
 package backpressure
--- a/internal/backpressure/fleet_test.go
+++ b/internal/backpressure/fleet_test.go
@@ -156,8 +156,8 @@
 		for _, other := range f.zones {
 			for _, relay := range other.relays {
 				if relay != d && !d.gate.Quiet() {
-					words := d.gate.Words(asked)
-					f.later(f.way(), func() { relay.gate.Merge(words, Told{asked, f.now}) })
+					updates := d.gate.Updates(asked)
+					f.later(f.way(), func() { relay.gate.Merge(updates, ReceivedAt{asked, f.now}) })
 				}
 			}
 		}
@@ -166,19 +166,19 @@
 	if len(z.relays) == 0 || d.cut || f.stale && f.rng.IntN(10) == 0 {
 		return
 	}
-	relay, words := z.relays[f.rng.IntN(len(z.relays))], d.gate.Words(asked)
+	relay, updates := z.relays[f.rng.IntN(len(z.relays))], d.gate.Updates(asked)
 	f.later(f.way(), func() {
 		if !slices.Contains(z.relays, relay) {
 			return // it died
 		}
-		relay.gate.Merge(words, Told{f.now.Add(-200 * time.Millisecond), f.now})
+		relay.gate.Merge(updates, ReceivedAt{f.now.Add(-200 * time.Millisecond), f.now})
 		var permits []Permits
 		if known {
 			permits = z.grants[relay].Grant(d.name, relay.gate.Limited(), f.shares(d.zone), f.now)
 		}
-		told := relay.gate.Words(f.now)
+		told := relay.gate.Updates(f.now)
 		f.later(f.way(), func() {
-			d.gate.Merge(told, Told{asked, f.now})
+			d.gate.Merge(told, ReceivedAt{asked, f.now})
 			if known {
 				d.gate.Granted(permits, asked)
 			}
@@ -207,7 +207,7 @@
 			if d.gate != gate {
 				return // its process is another one
 			}
-			gate.Hear(life, Signals{Limit: limit, Conclusive: !refused}, sent, f.now)
+			gate.Observe(life, Signals{Limit: limit, Conclusive: !refused}, sent, f.now)
 			switch {
 			case limit > 0 && d.told.IsZero():
 				d.told = f.now
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -32,7 +32,7 @@
 	leaving map[string]departure
 	// grantedAt is when a question for permits was answered last, with or without any.
 	grantedAt time.Time
-	told      int // how many words were told in turns
+	sent      int // how many older updates were sent in turns
 	changed   chan struct{}
 }
 
@@ -68,8 +68,8 @@
 // Changed is signalled when a limit is named, changed or ended.
 func (g *Gate) Changed() <-chan struct{} { return g.changed }
 
-// Hear takes in what the answer to a request says that was sent at a time and answered now.
-func (g *Gate) Hear(life Life, s Signals, sent, now time.Time) {
+// Observe takes in what the answer to a request says that was sent at a time and answered now.
+func (g *Gate) Observe(life Life, s Signals, sent, now time.Time) {
 	if s.Leaving {
 		g.leaves(life, now)
 	}
@@ -109,7 +109,7 @@
 		return false
 	}
 	l := g.limits[life]
-	return l == nil || l.limit == 0 || l.left(now) > 0 || g.mayAlone(l, now)
+	return l == nil || l.limit == 0 || l.remaining(now) > 0 || g.mayUnleased(l, now)
 }
 
 // Take takes the right to send one request to a life now; false: there is none. permit tells
@@ -124,10 +124,10 @@
 	switch {
 	case l == nil || l.limit == 0:
 		return false, true
-	case l.left(now) > 0:
+	case l.remaining(now) > 0:
 		l.permits[0].count--
 		return true, true
-	case g.mayAlone(l, now):
+	case g.mayUnleased(l, now):
 		l.aloneAt = time.Time{}
 		return true, true
 	}
--- a/internal/backpressure/gate_test.go
+++ b/internal/backpressure/gate_test.go
@@ -27,19 +27,19 @@
 // another connection brought later.
 func TestAnswerToARequestFromBeforeEndsNoLimit(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Limit: 2}, at(0.9), at(1))
-	g.Hear(life, Signals{Conclusive: true}, at(0.95), at(1.1))
+	g.Observe(life, Signals{Limit: 2}, at(0.9), at(1))
+	g.Observe(life, Signals{Conclusive: true}, at(0.95), at(1.1))
 	must.False(t, g.Open(life, at(1.2)))
-	g.Hear(life, Signals{}, at(1.2), at(1.3)) // a refusal that names none
+	g.Observe(life, Signals{}, at(1.2), at(1.3)) // a refusal that names none
 	must.False(t, g.Open(life, at(1.4)))
-	g.Hear(life, Signals{Conclusive: true}, at(1.5), at(1.6))
+	g.Observe(life, Signals{Conclusive: true}, at(1.5), at(1.6))
 	must.True(t, g.Open(life, at(1.6)))
 }
 
 // Guards against a limit of one life that is held against the next one.
 func TestLimitIsOfOneLife(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Limit: 2}, at(0), at(0))
+	g.Observe(life, Signals{Limit: 2}, at(0), at(0))
 	must.False(t, g.Open(life, at(1)))
 	must.True(t, g.Open(Life{"i-1", 8}, at(1)))
 	must.True(t, g.Open(Life{"i-2", 7}, at(1)))
@@ -47,7 +47,7 @@
 
 func TestPermitsAreUsedOnceAndExpire(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Limit: 2}, at(0), at(0))
+	g.Observe(life, Signals{Limit: 2}, at(0), at(0))
 	g.Granted([]Permits{{"i-1", 7, 1}, {"i-9", 7, 5}}, at(1))
 	permit, ok := g.Take(life, at(1.1))
 	must.True(t, permit && ok)
@@ -61,7 +61,7 @@
 // limit, but less than its even part.
 func TestDaemonThatNobodyGrantsPermitsSendsByItsOwnPace(t *testing.T) {
 	g := newGate(71)
-	g.Hear(life, Signals{Limit: 2}, at(0), at(0))
+	g.Observe(life, Signals{Limit: 2}, at(0), at(0))
 	var sent []float64
 	for s := 0.0; s < 1000; s += 0.25 {
 		if _, ok := g.Take(life, at(s)); ok {
@@ -73,18 +73,18 @@
 	must.False(t, g.Open(life, at(1001)), must.Sprint("an answer without permits is an answer"))
 }
 
-// Guards against a word that seems younger each time it is passed on: an end could never
+// Guards against an update that seems younger each time it is passed on: an end could never
 // overtake it.
 func TestWordsDoNotGrowYounger(t *testing.T) {
 	a, b := newGate(2), newGate(2)
-	a.Hear(life, Signals{Limit: 2}, at(0), at(0))
+	a.Observe(life, Signals{Limit: 2}, at(0), at(0))
 	for s := 0.25; s < 60; s += 0.25 {
 		late := at(s).Add(100 * time.Millisecond) // their way
-		b.Merge(a.Words(at(s)), Told{at(s), late})
-		a.Merge(b.Words(late), Told{late, late.Add(100 * time.Millisecond)})
+		b.Merge(a.Updates(at(s)), ReceivedAt{at(s), late})
+		a.Merge(b.Updates(late), ReceivedAt{late, late.Add(100 * time.Millisecond)})
 	}
 	for _, g := range []*Gate{a, b} {
-		g.Hear(life, Signals{Conclusive: true}, at(1), at(60))
+		g.Observe(life, Signals{Conclusive: true}, at(1), at(60))
 		must.True(t, g.Open(life, at(60)))
 	}
 }
@@ -94,14 +94,14 @@
 func TestEndIsToldOn(t *testing.T) {
 	a, b, c := newGate(3), newGate(3), newGate(3)
 	for _, g := range []*Gate{a, c} {
-		g.Hear(life, Signals{Limit: 2}, at(0), at(0))
+		g.Observe(life, Signals{Limit: 2}, at(0), at(0))
 	}
-	a.Hear(life, Signals{Conclusive: true}, at(5), at(5.1))
-	b.Merge(a.Words(at(6)), Told{at(6), at(6)}) // it knew of no limit
-	c.Merge(b.Words(at(7)), Told{at(7), at(7)})
+	a.Observe(life, Signals{Conclusive: true}, at(5), at(5.1))
+	b.Merge(a.Updates(at(6)), ReceivedAt{at(6), at(6)}) // it knew of no limit
+	c.Merge(b.Updates(at(7)), ReceivedAt{at(7), at(7)})
 	must.True(t, c.Open(life, at(7)))
 	for s := 6.0; s < 36; s++ { // whoever is asked goes on to name none
-		a.Hear(life, Signals{Conclusive: true}, at(s), at(s))
+		a.Observe(life, Signals{Conclusive: true}, at(s), at(s))
 	}
 	a.Sweep(at(5).Add(endedFor))
 	must.True(t, a.Quiet())
@@ -111,7 +111,7 @@
 func TestLivesKeptAreBounded(t *testing.T) {
 	g := newGate(9)
 	for i := range maxLives + 10 {
-		g.Hear(Life{fmt.Sprint(i), 0}, Signals{Limit: 1}, at(0), at(float64(i)))
+		g.Observe(Life{fmt.Sprint(i), 0}, Signals{Limit: 1}, at(0), at(float64(i)))
 	}
 	must.MapLen(t, maxLives, g.Limited())
 	must.True(t, g.Open(Life{"0", 0}, at(0)))
@@ -121,7 +121,7 @@
 // Guards against a limit that takes all daemons' requests, or none, when it is told badly.
 func TestLimitsThatDaemonsTellAreBounded(t *testing.T) {
 	g := newGate(9)
-	g.Merge([]Word{{"a", 0, 1e300, 0}, {"b", 0, 1e-300, 0}}, Told{at(0), at(0)})
+	g.Merge([]Update{{"a", 0, 1e300, 0}, {"b", 0, 1e-300, 0}}, ReceivedAt{at(0), at(0)})
 	must.Eq(t, map[Life]float64{{"a", 0}: MostLimit, {"b", 0}: LeastLimit}, g.Limited())
 }
 
@@ -168,9 +168,9 @@
 // Guards against a rest that a later answer, or a shorter rest, ends.
 func TestRestLastsAsLongAsWasAskedFor(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Rest: 3 * time.Second}, at(0), at(0.1))
-	g.Hear(life, Signals{Rest: time.Second}, at(0), at(0.2))
-	g.Hear(life, Signals{Conclusive: true}, at(0.3), at(0.4)) // it was sent before
+	g.Observe(life, Signals{Rest: 3 * time.Second}, at(0), at(0.1))
+	g.Observe(life, Signals{Rest: time.Second}, at(0), at(0.2))
+	g.Observe(life, Signals{Conclusive: true}, at(0.3), at(0.4)) // it was sent before
 	must.False(t, g.Open(life, at(3.0)))
 	_, ok := g.Take(life, at(3.0))
 	must.False(t, ok)
@@ -184,10 +184,10 @@
 // Guards against a daemon that stops for what one instance asks.
 func TestRestIsBounded(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Rest: 365 * 24 * time.Hour}, at(0), at(0))
+	g.Observe(life, Signals{Rest: 365 * 24 * time.Hour}, at(0), at(0))
 	must.True(t, g.Open(life, at(0).Add(MostRest)))
 	for i := range maxLives + 10 {
-		g.Hear(Life{fmt.Sprint(i), 0}, Signals{Rest: time.Second}, at(0), at(float64(i)/1e6))
+		g.Observe(Life{fmt.Sprint(i), 0}, Signals{Rest: time.Second}, at(0), at(float64(i)/1e6))
 	}
 	must.Eq(t, maxLives, g.Resting(at(0.1)))
 }
@@ -196,9 +196,9 @@
 func TestFreeInIsWhenTheFirstTakesRequestsAgain(t *testing.T) {
 	g := newGate(9)
 	a, b, c := Life{"a", 0}, Life{"b", 0}, Life{"c", 0}
-	g.Hear(a, Signals{Rest: 3 * time.Second}, at(0), at(0))
-	g.Hear(b, Signals{Limit: 0.5}, at(0), at(0))
-	g.Hear(c, Signals{Limit: 10, Rest: 5 * time.Second}, at(0), at(0))
+	g.Observe(a, Signals{Rest: 3 * time.Second}, at(0), at(0))
+	g.Observe(b, Signals{Limit: 0.5}, at(0), at(0))
+	g.Observe(c, Signals{Limit: 10, Rest: 5 * time.Second}, at(0), at(0))
 	must.Eq(t, Free{2 * time.Second, false}, g.FreeIn([]Life{a, b, c}, at(0)))
 	must.Eq(t, Free{time.Second, true}, g.FreeIn([]Life{a, b, c}, at(2)))
 	must.Eq(t, Free{5 * time.Second, false}, g.FreeIn([]Life{c}, at(0)))
@@ -209,8 +209,8 @@
 // with time, or under an entry that does not tell its start.
 func TestLifeThatLeavesGetsNoRequestAnyMore(t *testing.T) {
 	g := newGate(9)
-	g.Hear(life, Signals{Leaving: true, Conclusive: true}, at(0), at(0))
-	g.Hear(life, Signals{Conclusive: true}, at(1), at(1))
+	g.Observe(life, Signals{Leaving: true, Conclusive: true}, at(0), at(0))
+	g.Observe(life, Signals{Conclusive: true}, at(1), at(1))
 	g.Sweep(at(1e5))
 	must.False(t, g.Open(life, at(1e5)))
 	must.True(t, g.Closed(life, true, at(1e5)))
@@ -218,7 +218,7 @@
 	must.True(t, g.Open(Life{"i-1", 8}, at(1)), must.Sprint("the next life"))
 	must.Eq(t, Free{}, g.FreeIn([]Life{life}, at(1)), must.Sprint("nobody waits for it"))
 	for i := range maxLives {
-		g.Hear(Life{fmt.Sprint(i), 0}, Signals{Leaving: true}, at(2), at(2))
+		g.Observe(Life{fmt.Sprint(i), 0}, Signals{Leaving: true}, at(2), at(2))
 	}
 	must.MapLen(t, maxLives, g.leaving)
 }
@@ -228,14 +228,14 @@
 func TestMessagesTellNewsAndTheRestInTurns(t *testing.T) {
 	a, b := newGate(2), newGate(2)
 	for i := range 100 {
-		a.Hear(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
+		a.Observe(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
 	}
-	must.Len(t, 100, a.Words(at(1)))
-	a.Hear(Life{"new", 0}, Signals{Limit: 2}, at(10), at(10))
-	for s := 10.0; s < 10+0.25*100/oldWords+1; s += 0.25 {
-		words := a.Words(at(s))
-		must.LessEq(t, oldWords+1, len(words))
-		b.Merge(words, Told{at(s), at(s)})
+	must.Len(t, 100, a.Updates(at(1)))
+	a.Observe(Life{"new", 0}, Signals{Limit: 2}, at(10), at(10))
+	for s := 10.0; s < 10+0.25*100/olderUpdates+1; s += 0.25 {
+		updates := a.Updates(at(s))
+		must.LessEq(t, olderUpdates+1, len(updates))
+		b.Merge(updates, ReceivedAt{at(s), at(s)})
 	}
 	must.MapLen(t, 101, b.Limited())
 }
@@ -245,10 +245,10 @@
 func TestNewRelayIsToldOfOldLimits(t *testing.T) {
 	peer, relay := newGate(2), newGate(2)
 	for i := range 5 {
-		peer.Hear(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
+		peer.Observe(Life{fmt.Sprint(i), 0}, Signals{Limit: 2}, at(0), at(0))
 	}
 	for s := 100.0; s < 101; s += 0.25 {
-		relay.Merge(peer.Words(at(s)), Told{at(s), at(s)})
+		relay.Merge(peer.Updates(at(s)), ReceivedAt{at(s), at(s)})
 	}
 	must.MapLen(t, 5, relay.Limited())
 }
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -24,7 +24,7 @@
 // limit is what is known of one life's limit.
 type limit struct {
 	limit   float64   // 0: it ended
-	at      time.Time // see Word.AgeUS
+	at      time.Time // see Update.AgeUS
 	changed time.Time // when this daemon came to know of the limit, its change or end
 	permits []permits
 	// aloneAt is when this daemon may send without a permit while nobody answers for them;
@@ -123,8 +123,8 @@
 	}
 }
 
-// left drops permits that are used up or over and returns how many are left.
-func (l *limit) left(now time.Time) (n int) {
+// remaining drops permits that are used up or over and returns how many are left.
+func (l *limit) remaining(now time.Time) (n int) {
 	for len(l.permits) > 0 && (l.permits[0].count <= 0 || !now.Before(l.permits[0].until)) {
 		l.permits = l.permits[1:]
 	}
@@ -134,10 +134,10 @@
 	return n
 }
 
-// mayAlone tells whether a daemon that nobody grants permits may send to a limited life; g.mu
+// mayUnleased tells whether a daemon that nobody grants permits may send to a limited life; g.mu
 // is held. The moment is drawn when this is asked first, so that daemons which lose their
 // grantors together don't send together.
-func (g *Gate) mayAlone(l *limit, now time.Time) bool {
+func (g *Gate) mayUnleased(l *limit, now time.Time) bool {
 	if now.Sub(g.grantedAt) < aloneAfter {
 		l.aloneAt = time.Time{}
 		return false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -265,7 +265,7 @@
 	}
 	if in := view.Instances[instance]; in != nil {
 		now := d.Clock.Now()
-		d.gate.Hear(backpressure.Life{Instance: instance, Born: in.Born}, s, now, now)
+		d.gate.Observe(backpressure.Life{Instance: instance, Born: in.Born}, s, now, now)
 	}
 }
 
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -77,7 +77,7 @@
 		if at.Before(answered) {
 			return false
 		}
-		d.gate.Hear(limitedLife, backpressure.Signals{Limit: limit, Conclusive: true}, now, at)
+		d.gate.Observe(limitedLife, backpressure.Signals{Limit: limit, Conclusive: true}, now, at)
 		if _, known := l.told[d]; limit > 0 && !known {
 			l.told[d] = at
 		}
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -58,7 +58,7 @@
 			g.Log.Warn("instance's word of itself not understood", zap.String("decision", "as_if_not_said"), zap.String("instance", t.Instance), zap.String("error", text))
 		}
 	}
-	g.Gate.Hear(lifeOf(t), signals, sent, g.Clock.Now())
+	g.Gate.Observe(lifeOf(t), signals, sent, g.Clock.Now())
 }
 
 // free returns when a request may be sent again that what all instances that are left say of
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -41,7 +41,7 @@
 
 func limit(gate *backpressure.Gate, instance string, perSecond float64) {
 	now := time.Now()
-	gate.Hear(backpressure.Life{Instance: instance}, backpressure.Signals{Limit: perSecond}, now, now)
+	gate.Observe(backpressure.Life{Instance: instance}, backpressure.Signals{Limit: perSecond}, now, now)
 }
 
 // Guards against requests that fail, or wait, for an instance that limits its requests while
@@ -90,7 +90,7 @@
 func rest(gate *backpressure.Gate, lasts time.Duration, instances ...string) {
 	now := time.Now()
 	for _, id := range instances {
-		gate.Hear(backpressure.Life{Instance: id}, backpressure.Signals{Rest: lasts}, now, now)
+		gate.Observe(backpressure.Life{Instance: id}, backpressure.Signals{Rest: lasts}, now, now)
 	}
 }
 
@@ -122,9 +122,9 @@
 			x, _ := pressed(newGate())
 			must.Len(t, 2, x.targets())
 			now := time.Now()
-			x.gateway.Gate.Hear(backpressure.Life{Instance: "elsewhere"}, s, now, now)
+			x.gateway.Gate.Observe(backpressure.Life{Instance: "elsewhere"}, s, now, now)
 			must.Len(t, 2, x.targets())
-			x.gateway.Gate.Hear(backpressure.Life{Instance: "a"}, s, now, now)
+			x.gateway.Gate.Observe(backpressure.Life{Instance: "a"}, s, now, now)
 			must.Len(t, 1, x.targets())
 		})
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -57,7 +57,7 @@
 	_, daemons := n.share.loads.daemons(now)
 	sum, err := n.share.loads.all(now)
 	return ShareReply{Repeats: n.share.pool.Levels(rule, now), Standing: n.share.loads.allStanding(now), Daemons: daemons,
-		Limits: n.o.Gate.Words(now), Quarantine: n.hot()}, sum, err
+		Limits: n.o.Gate.Updates(now), Quarantine: n.hot()}, sum, err
 }
 
 // Exchange tells this daemon's load to the others and learns theirs: through its relay, or
@@ -130,7 +130,7 @@
 		return // the last word counts until it is old; who follows through this relay finds that it is gone
 	}
 	n.share.told(r.Repeats, n.now())
-	n.o.Gate.Merge(r.Limits, backpressure.Told{Earliest: now, Latest: n.now()})
+	n.o.Gate.Merge(r.Limits, backpressure.ReceivedAt{Earliest: now, Latest: n.now()})
 	n.hear(relay, r.Quarantine)
 	n.o.Traffic.Loaded(dispatch.Others{Daemons: r.Daemons, InFlight: without(r.Loads, word.Loads), Standing: toSet(r.Standing)}, n.now())
 }
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -18,14 +18,14 @@
 
 // LimitsRequest tells what the asker knows of limits, and may ask for permits.
 type LimitsRequest struct {
-	From    string              `json:"from"` // the asker, unique for each life of a process
-	Words   []backpressure.Word `json:"words,omitempty"`
-	Permits bool                `json:"permits,omitempty"`
+	From    string                `json:"from"` // the asker, unique for each life of a process
+	Updates []backpressure.Update `json:"words,omitempty"`
+	Permits bool                  `json:"permits,omitempty"`
 }
 
 // LimitsReply is what the daemon knows after it, and the permits for the asker.
 type LimitsReply struct {
-	Words   []backpressure.Word    `json:"words,omitempty"`
+	Updates []backpressure.Update  `json:"words,omitempty"`
 	Permits []backpressure.Permits `json:"permits,omitempty"`
 }
 
@@ -35,8 +35,8 @@
 	if r.Permits && !n.granting() {
 		return LimitsReply{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 	}
-	gate.Merge(r.Words, backpressure.Told{Earliest: now.Add(-shareTimeout), Latest: now})
-	out := LimitsReply{Words: gate.Words(now)}
+	gate.Merge(r.Updates, backpressure.ReceivedAt{Earliest: now.Add(-shareTimeout), Latest: now})
+	out := LimitsReply{Updates: gate.Updates(now)}
 	if r.Permits {
 		out.Permits = n.grants.Grant(r.From, gate.Limited(), n.shares(), now)
 	}
@@ -75,7 +75,7 @@
 	return out
 }
 
-// limits exchanges words of limits and gets permits: of its relay, or as a relay of itself.
+// limits exchanges updates of limits and gets permits: from its relay, or as a relay of itself.
 func (x *Exchange) limits(ctx context.Context) {
 	n, gate := x.Node, x.Node.o.Gate
 	asked := n.now()
@@ -84,7 +84,7 @@
 			gate.Granted(n.grants.Grant(n.o.Holder, gate.Limited(), n.shares(), asked), asked)
 		}
 		if !gate.Quiet() {
-			n.tellLimits(ctx, gate.Words(asked), asked)
+			n.tellLimits(ctx, gate.Updates(asked), asked)
 		}
 		return
 	}
@@ -92,22 +92,22 @@
 	if relay == "" || gate.Quiet() {
 		return
 	}
-	r, err := n.o.Peers.Limits(ctx, relay, LimitsRequest{From: n.o.Holder, Words: gate.Words(asked), Permits: true})
+	r, err := n.o.Peers.Limits(ctx, relay, LimitsRequest{From: n.o.Holder, Updates: gate.Updates(asked), Permits: true})
 	if err != nil {
 		return // without an answer for long the gate has a pace of its own
 	}
-	gate.Merge(r.Words, backpressure.Told{Earliest: asked, Latest: n.now()})
+	gate.Merge(r.Updates, backpressure.ReceivedAt{Earliest: asked, Latest: n.now()})
 	gate.Granted(r.Permits, asked)
 }
 
 // tellLimits exchanges words with all other relays at a time.
-func (n *Node) tellLimits(ctx context.Context, words []backpressure.Word, asked time.Time) {
+func (n *Node) tellLimits(ctx context.Context, words []backpressure.Update, asked time.Time) {
 	var wait sync.WaitGroup
 	for _, address := range n.relays() {
 		wait.Go(func() {
-			r, err := n.o.Peers.Limits(ctx, address, LimitsRequest{From: n.o.Holder, Words: words})
+			r, err := n.o.Peers.Limits(ctx, address, LimitsRequest{From: n.o.Holder, Updates: words})
 			if err == nil { // a relay without an answer is told again
-				n.o.Gate.Merge(r.Words, backpressure.Told{Earliest: asked, Latest: n.now()})
+				n.o.Gate.Merge(r.Updates, backpressure.ReceivedAt{Earliest: asked, Latest: n.now()})
 			}
 		})
 	}
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -16,7 +16,7 @@
 
 // limits lets a daemon hear an answer that names a limit.
 func (d *daemon) limits(perSecond float64) {
-	d.o.Gate.Hear(limited, backpressure.Signals{Limit: perSecond}, d.now(), d.now())
+	d.o.Gate.Observe(limited, backpressure.Signals{Limit: perSecond}, d.now(), d.now())
 }
 
 // sends plays a zone for a while and returns how many requests its daemons may send.
@@ -43,7 +43,7 @@
 		must.Eq(t, map[backpressure.Life]float64{limited: 2}, d.o.Gate.Limited(), must.Sprint(d.name))
 	}
 	must.Between(t, 12, z.sends(10*time.Second), 20)
-	b.o.Gate.Hear(limited, backpressure.Signals{Conclusive: true}, z.now, z.now)
+	b.o.Gate.Observe(limited, backpressure.Signals{Conclusive: true}, z.now, z.now)
 	z.exchange()
 	z.exchange()
 	for _, d := range []*daemon{relay, a, b} {
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -82,7 +82,7 @@
 	Standing []groupRef `json:"standing,omitempty"`
 	Daemons  int        `json:"daemons"` // that told their loads
 	// Limits is what the relay knows of instances that limit their requests.
-	Limits []backpressure.Word `json:"limits,omitempty"`
+	Limits []backpressure.Update `json:"limits,omitempty"`
 	// Quarantine is as in NewsReply.
 	Quarantine uint64 `json:"quarantine,omitempty"`
 }
