Connections: time without a processor is no silence of the replica

The time that a connection may take, and the usual time learnt from it, count by the run clock, as silence of streams does.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -187,7 +187,7 @@
 	d.config.planning = d.planning
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	d.pool = upstream.NewPool(connectTimeout, idleConnection)
-	d.pool.Clock = d.Clock
+	d.pool.Clock, d.pool.RunClock = d.Clock, d.run
 	d.buildQuarantine(s)
 	d.gate = backpressure.NewGate(func() int { return int(d.sharing.Load()) }, d.uniform, d.Log)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_limited", func() float64 { return float64(len(d.gate.Limited())) })
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -272,7 +272,7 @@
 		return objectapi.Listing{}, err
 	}
 	n.copies.keep(reply, n.now())
-	began := time.Now()
+	began := n.now()
 	events, err := unpack(reply.Entries, 0)
 	if err != nil {
 		return objectapi.Listing{}, errors.Trace(err)
@@ -281,7 +281,7 @@
 	for _, e := range events {
 		l.Objects = append(l.Objects, e.Object)
 	}
-	l.Transfer = objectapi.Transfer{Pages: 1, Bytes: len(reply.Entries), Decode: time.Since(began)}
+	l.Transfer = objectapi.Transfer{Pages: 1, Bytes: len(reply.Entries), Decode: n.now().Sub(began)}
 	return l, nil
 }
 
--- a/internal/steady/run_clock.go
+++ b/internal/steady/run_clock.go
@@ -67,3 +67,41 @@
 func (c *RunClock) Late() time.Duration {
 	return c.clock.Now().Sub(c.Now())
 }
+
+// AfterFunc calls f in a goroutine of its own after d of this clock, unless stop is called before.
+func (c *RunClock) AfterFunc(d time.Duration, f func()) (stop func()) {
+	t := &runTimer{}
+	begun := c.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(d, func() {
+		if left := d - c.Now().Sub(begun); left <= 0 {
+			f()
+		} else {
+			t.again(left)
+		}
+	})
+	return t.stop
+}
+
+// runTimer is a timer that is set again until its time has passed by a RunClock.
+type runTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (t *runTimer) again(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer.Reset(d)
+	}
+}
+
+func (t *runTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
--- a/internal/upstream/connect_test.go
+++ b/internal/upstream/connect_test.go
@@ -1,10 +1,15 @@
 package upstream
 
 import (
+	"context"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/steady"
 )
 
 // Load: a host goes dark and answers no connection, while those to others come up in
@@ -27,3 +32,48 @@
 	}
 	must.Eq(t, most, c.limit(most))
 }
+
+// Guards against streams that were cut though their replicas worked: a daemon on a busy machine
+// took the time without a processor for the silence of the replica that a stream was to go on at,
+// gave the connection up, and had no repeat left for another one.
+func TestConnectionIsNotGivenUpWhileTheProcessIsNotScheduled(t *testing.T) {
+	const usual, comesUp = 3 * time.Millisecond, 2 * connectLeast
+	for _, scheduled := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			p := NewPool(time.Second, time.Second)
+			for range connectSamples {
+				p.timer.note(usual)
+			}
+			far, near := net.Pipe()
+			defer far.Close()
+			p.dialer = func(ctx context.Context, _, _ string) (net.Conn, error) {
+				select {
+				case <-time.After(comesUp):
+					return near, nil
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+			p.RunClock = steady.NewRunClock(nil)
+			looks, stop := context.WithCancel(t.Context())
+			go p.RunClock.Run(looks)
+			time.Sleep(time.Millisecond)
+			if !scheduled {
+				stop() // the clock stands, as if the process were not scheduled from now on
+			}
+			began := time.Now()
+			err := p.Probe(t.Context(), "10.0.0.1:80")
+			if scheduled {
+				must.ErrorIs(t, err, ErrNotSent)
+				must.ErrorIs(t, err, errConnectTimeout)
+				must.Less(t, comesUp, time.Since(began))
+			} else {
+				must.NoError(t, err)
+				must.Eq(t, comesUp, time.Since(began))
+			}
+			stop()
+			near.Close()
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,7 +33,11 @@
 	// MaxOpen bounds the connections to one address; 0: no bound. Set before use.
 	MaxOpen int
 	// Clock tells the time; nil: this machine's.
-	Clock  *steady.Clock
+	Clock *steady.Clock
+	// RunClock tells how long a connection takes; nil: as Clock.
+	RunClock *steady.RunClock
+	// dialer connects; replaced by tests.
+	dialer func(ctx context.Context, network, address string) (net.Conn, error)
 	mu     sync.Mutex
 	idle   map[string][]*kept
 	open   map[string]int
@@ -87,7 +91,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(connect, maxIdle time.Duration) *Pool {
-	return &Pool{Connect: connect, MaxIdle: maxIdle, idle: map[string][]*kept{}, open: map[string]int{}}
+	return &Pool{Connect: connect, MaxIdle: maxIdle, dialer: link.Dialer(0).DialContext, idle: map[string][]*kept{}, open: map[string]int{}}
 }
 
 // Opened returns how many connections were ever opened.
@@ -164,16 +168,31 @@
 
 // dial opens a connection that was reserved, or releases it.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	begun := p.Clock.Now()
-	conn, err := link.Dialer(p.timer.limit(p.Connect)).DialContext(ctx, "tcp", address)
+	clock := p.RunClock
+	if clock == nil {
+		clock = steady.NewRunClock(p.Clock)
+	}
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	begun := clock.Now()
+	// A process that is not scheduled does not see that the connection came up.
+	stop := clock.AfterFunc(p.timer.limit(p.Connect), func() { cancel(errConnectTimeout) })
+	defer stop()
+	conn, err := p.dialer(attempt, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if cause := context.Cause(attempt); errors.Is(cause, errConnectTimeout) {
+			err = errors.Annotatef(cause, "dial tcp %s", address)
+		}
 		return nil, errors.WithType(err, ErrNotSent)
 	}
-	p.timer.note(p.Clock.Since(begun))
+	p.timer.note(clock.Now().Sub(begun))
 	return conn, nil
 }
 
+// errConnectTimeout: a connection did not come up in time.
+const errConnectTimeout = errors.ConstError("upstream: connection timed out")
+
 // settleFor is how long a new connection is watched before a request that must not
 // be repeated goes out: some round trips within a region.
 const settleFor = 4 * time.Millisecond
