Relay: its own look at the record stays each 20 s

It is not needed: a relay that peers ask lists the records each 5 s to find the others' relays, and notices by that listing that it was replaced; one that nobody asks pools nothing.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,7 +76,7 @@
 	// that may have none yet, and requests are refused until instances are known.
 	firstMargin = 200 * time.Millisecond
 	// recheckEvery is how often a relay looks whether the record still names it.
-	recheckEvery = 5 * time.Second
+	recheckEvery = 20 * time.Second
 )
 
 // errOutOfTouch: the relay answered, but does not hear from the store, or has just
