--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -238,8 +238,7 @@
 
 // since is after; h.mu is held.
 func (h *history) since(revision uint64) (events []objectapi.Event, end uint64, gap bool) {
-	inHole := func(o hole) bool { return o.from < revision && revision < o.to }
-	if !h.known || revision < h.base || slices.ContainsFunc(h.holes, inHole) {
+	if !h.hasAllAfterLocked(revision) {
 		return nil, 0, true
 	}
 	for _, e := range h.latest {
@@ -280,6 +279,19 @@
 	return size
 }
 
+// hasAllAfter tells whether all changes after a revision are known.
+func (h *history) hasAllAfter(revision uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hasAllAfterLocked(revision)
+}
+
+// hasAllAfterLocked is hasAllAfter; h.mu is held.
+func (h *history) hasAllAfterLocked(revision uint64) bool {
+	inHole := func(o hole) bool { return o.from < revision && revision < o.to }
+	return h.known && revision >= h.base && !slices.ContainsFunc(h.holes, inHole)
+}
+
 // told is an answer to a peer.
 type told struct {
 	changes []byte // packed; nil: none
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -44,7 +44,7 @@
 	snapshotMost  = 3 * time.Second
 )
 
-// errNoSnapshot: the daemon must list from the store.
+// errNoSnapshot: this daemon must list from the store.
 const errNoSnapshot = errors.ConstError("relay: no snapshot to be had")
 
 // SnapshotRequest asks for all entries.
@@ -128,7 +128,7 @@
 func (c *copies) current(h *history, now time.Time) (SnapshotReply, bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.packed.IsZero() && now.Sub(c.packed) < snapshotReuse {
+	if !c.packed.IsZero() && now.Sub(c.packed) < snapshotReuse && h.hasAllAfter(c.snapshot.Revision) {
 		return c.snapshot, true, nil
 	}
 	events, revision, known := h.snapshot()
@@ -217,6 +217,8 @@
 				n.o.Log.Info("entries taken from a snapshot", zap.Int("entries", len(l.Objects)), zap.Int("bytes", l.Transfer.Bytes),
 					zap.Uint64("revision", l.Revision), zap.Int64("after_ms", n.now().Sub(began).Milliseconds()))
 				return l, nil
+			case errors.Is(err, errNoSnapshot):
+				return objectapi.Listing{}, err
 			case n.peer != "" && !answered(err):
 				n.lost(err)
 			case n.peer != "" && n.now().Sub(n.usedAt) > settleLeast:
@@ -290,8 +292,11 @@
 	timed, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	reply, err := n.o.Peers.Snapshot(timed, address, r)
-	if jrpc2.ErrorCode(err) == codeNotRelaying {
-		return reply, errors.WithType(err, errOutOfTouch)
+	switch jrpc2.ErrorCode(err) {
+	case codeNotRelaying:
+		err = errors.WithType(err, errOutOfTouch)
+	case jrpc2.MethodNotFound: // an earlier version, while daemons are replaced
+		err = errors.WithType(err, errNoSnapshot)
 	}
 	return reply, errors.Trace(err)
 }
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/creachadair/jrpc2"
 	"github.com/shoenig/test/must"
 
 	"pearlanding/internal/objectapi"
@@ -116,3 +118,42 @@
 	_ = relay.step()
 	must.False(t, relay.Holding())
 }
+
+// A snapshot that was packed before the relay's own listing leads to a gap at once.
+func TestSnapshotIsNotOlderThanWhatTheRelayKnows(t *testing.T) {
+	var c copies
+	h := newHistory()
+	h.seeded(objectapi.Listing{Revision: 5, Objects: []objectapi.Object{{Key: "e/a", Version: 3}}})
+	s, known, err := c.current(h, start)
+	must.NoError(t, err)
+	must.True(t, known)
+	must.Eq(t, 5, s.Revision)
+	h.seeded(objectapi.Listing{Revision: 9, Objects: []objectapi.Object{{Key: "e/a", Version: 8}}})
+	s, _, err = c.current(h, start.Add(time.Millisecond))
+	must.NoError(t, err)
+	must.Eq(t, 9, s.Revision)
+}
+
+// Daemons of an earlier version know no snapshots: one that starts lists from the store at once
+// and does not take the place of a relay that works.
+func TestStartBesideARelayOfAnEarlierVersion(t *testing.T) {
+	z := newZone(2)
+	z.rounds(t, 6)
+	n := z.node(z.daemons[0])
+	n.distributed.Store(true)
+	n.peer = "old"
+	n.o.Peers = earlierVersion{z}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := n.takeSnapshot(ctx)
+	must.NoError(t, ctx.Err(), must.Sprint("at once"))
+	must.ErrorIs(t, err, errNoSnapshot)
+	must.Eq(t, "old", n.peer)
+}
+
+// earlierVersion answers as a daemon without snapshots.
+type earlierVersion struct{ *zone }
+
+func (earlierVersion) Snapshot(context.Context, string, SnapshotRequest) (SnapshotReply, error) {
+	return SnapshotReply{}, jrpc2.MethodNotFound.Err()
+}
