--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -189,8 +189,10 @@
 	switch {
 	case o.Bootstrap && n.wide():
 		n.lookAt = n.lookAt.Add(o.Uniform(0, wideMost))
-	case o.Bootstrap:
+	case o.Bootstrap && o.LinkMbps > 0:
 		n.lookAt = n.lookAt.Add(o.Uniform(settleLeast, settleMost))
+	case o.Bootstrap: // no link is told for any machine
+		n.lookAt = n.lookAt.Add(o.Uniform(0, settleMost))
 	}
 	return n
 }
