Known red: daemons cut off from all instances refuse callers, detect crashes and declare deaths

Three tests that fail on this code, in virtual time. Refused connections count as crashes of the instances, and a planner that is cut off declares every instance dead.

Daemon.dialInstance lets a test replace the connections to instances; nothing else changes.

--- /dev/null
+++ b/internal/front/cut_from_instances_test.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Daemons that lose their links to all instances while callers, the store and the other daemons
+// still reach them.
+const (
+	// cutServedAfter is how long after the cut began callers of cut daemons are served like others.
+	cutServedAfter = 500 * time.Millisecond
+	cutFor         = 4 * time.Second
+	// cutFailedShare is the share of requests that may fail at cut daemons beyond those at others.
+	cutFailedShare = 1.0 / 50
+)
+
+// cutCase is a fleet some of whose daemons are cut off from all instances.
+type cutCase struct {
+	simFleetOptions
+	cut  int // number of daemons that are cut off
+	how  instanceCut
+	seed uint64
+}
+
+func (c cutCase) String() string {
+	how := [...]string{"connected", "packets vanish", "connections end", "only new ones refused"}[c.how]
+	return fmt.Sprintf("%d of %d, %s, seed %d", c.cut, c.daemons, how, c.seed)
+}
+
+// run plays the case and returns the requests sent to cut daemons and to others from
+// cutServedAfter to the end of the cut, and how many were served.
+func (c cutCase) run(t *testing.T, afterwards func(f *simFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newSimFleet(ctx, t, c.simFleetOptions, c.seed)
+		defer f.stop(cancel)
+		time.Sleep(startupTime)
+		isCut := map[string]bool{}
+		for _, i := range f.rng.Perm(c.daemons)[:c.cut] {
+			isCut[f.daemons[i].Settings().Node] = true
+		}
+		begun := time.Now()
+		for daemon := range isCut {
+			f.instances.setCut(daemon, c.how)
+		}
+		time.Sleep(cutFor)
+		for daemon := range isCut {
+			f.instances.setCut(daemon, noCut)
+		}
+		time.Sleep(simCallerTimeout)
+		from, to := begun.Add(cutServedAfter), begun.Add(cutFor)
+		sent, served, failed := f.servedBetween(from, to, func(d string) bool { return isCut[d] })
+		othersSent, othersServed, _ := f.servedBetween(from, to, func(d string) bool { return !isCut[d] })
+		t.Logf("cut daemons: %d of %d served, the others: %d of %d", served, sent, othersServed, othersSent)
+		must.Positive(t, sent)
+		atOthers := 1.0
+		if othersSent > 0 {
+			atOthers = float64(othersServed) / float64(othersSent)
+		}
+		must.GreaterEq(t, atOthers-cutFailedShare, float64(served)/float64(sent), must.Sprint(strings.Join(failed, "\n")))
+		for id, runs := range f.instances.runs {
+			if strings.HasPrefix(id, "once") {
+				must.Eq(t, 1, runs, must.Sprint(id, " ran more than once"))
+			}
+		}
+		if afterwards != nil {
+			afterwards(f)
+		}
+	})
+}
+
+// Guards against callers that are refused for as long as their daemon is cut off from all
+// instances, while other daemons reach them.
+func TestCallersOfDaemonsCutOffFromAllInstancesAreServed(t *testing.T) {
+	small := simFleetOptions{daemons: 9, zones: 3, instances: 12, callInterval: 60 * time.Millisecond}
+	middle := simFleetOptions{daemons: 71, zones: 3, instances: 40, callInterval: 250 * time.Millisecond}
+	large := simFleetOptions{daemons: 300, zones: 5, instances: 60, callInterval: 700 * time.Millisecond}
+	var cases []cutCase
+	for how := packetsVanish; how < instanceCuts; how++ {
+		cases = append(cases, cutCase{small, 2, how, 1}, cutCase{small, 6, how, 2}, cutCase{small, 8, how, 3},
+			cutCase{middle, 1, how, 4}, cutCase{middle, 70, how, 5}, cutCase{large, 150, how, 6})
+	}
+	cases = append(cases, cutCase{large, 3, packetsVanish, 7}, cutCase{large, 297, packetsVanish, 8}, cutCase{large, 297, connectionsEnd, 9})
+	for _, c := range cases {
+		t.Run(c.String(), func(t *testing.T) { c.run(t, nil) })
+	}
+}
+
+// Guards against requests that are quarantined at all daemons, until an operator releases them,
+// because the instances that ran them refuse connections from daemons that are cut off.
+func TestDaemonsCutOffFromAllInstancesDetectNoCrashes(t *testing.T) {
+	small := simFleetOptions{daemons: 9, zones: 3, instances: 12, callInterval: 60 * time.Millisecond}
+	for _, c := range []cutCase{{small, 7, connectionsEnd, 11}, {small, 9, connectionsEnd, 12}, {small, 3, connectionsEnd, 13}} {
+		t.Run(c.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newSimFleet(ctx, t, c.simFleetOptions, c.seed)
+				defer f.stop(cancel)
+				time.Sleep(startupTime)
+				for _, how := range []instanceCut{connectionsEnd, noCut, connectionsEnd, noCut, connectionsEnd} {
+					for _, i := range f.rng.Perm(c.daemons)[:c.cut] {
+						f.instances.setCut(f.daemons[i].Settings().Node, how)
+					}
+					time.Sleep(time.Second)
+				}
+				for _, d := range f.daemons {
+					suspected, quarantined := d.detector.Evidence.Counts()
+					must.Zero(t, d.detector.Crashes(), must.Sprint(d.Settings().Node, "\n", f.logText()))
+					must.Zero(t, suspected)
+					must.Zero(t, quarantined)
+				}
+			})
+		})
+	}
+}
+
+// A daemon that reaches the instances detects their crashes also while others are cut off.
+func TestCrashesAreDetectedWhileOtherDaemonsAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newSimFleet(ctx, t, simFleetOptions{daemons: 3, zones: 1, instances: 6, callInterval: 60 * time.Millisecond}, 14)
+		defer f.stop(cancel)
+		time.Sleep(startupTime)
+		f.instances.setCut("d1", connectionsEnd)
+		time.Sleep(time.Second)
+		f.instances.crash("i-0")
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, 1, max(f.daemons[0].detector.Crashes(), f.daemons[2].detector.Crashes()))
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -135,6 +135,8 @@
 	// sets it if it is nil. Tests replace both.
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	uniform func(low, high time.Duration) time.Duration
+	// dialInstance connects to instances; nil: by TCP. Tests replace it.
+	dialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Run serves until ctx ends, then stops in order: it reports not ready at once, accepts no
@@ -199,6 +201,9 @@
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	d.pool = upstream.NewPool(connectTimeout, idleConnTimeout)
 	d.pool.Clock, d.pool.RunClock = d.Clock, d.runClock
+	if d.dialInstance != nil {
+		d.pool.Dial = d.dialInstance
+	}
 	d.buildQuarantine(s)
 	d.gate = backpressure.NewGate(func() int { return int(d.loadReporters.Load()) }, d.uniform, d.Log)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_limited", func() float64 { return float64(len(d.gate.Limited())) })
--- /dev/null
+++ b/internal/front/simcallers_test.go
@@ -0,0 +1,202 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/pause"
+	"pearlanding/internal/routes"
+)
+
+const (
+	simCallerTimeout = 4 * time.Second
+	simService       = "service"
+)
+
+// simRoutes are the routes of a simulated fleet, one of each kind.
+func simRoutes() []routes.Route {
+	route := func(name string, kind routes.Kind) routes.Route {
+		return routes.Route{Name: name, Host: "host", Prefix: "/" + name + "/", Kind: kind, Resumable: kind == routes.Stream, Public: true, MaxAttempts: 3,
+			LatencyObjective: 300 * time.Millisecond, EventGapObjective: 200 * time.Millisecond, Split: []routes.WeightedService{{Service: simService, Weight: 1}}}
+	}
+	return []routes.Route{route("stream", routes.Stream), route("once", routes.AtMostOnce), route("lookup", routes.Idempotent)}
+}
+
+// simCall is one request of a caller, who tries only once.
+type simCall struct {
+	daemon string
+	id     string
+	sentAt time.Time
+	header http.Header
+	mu     sync.Mutex
+	status int
+	body   bytes.Buffer
+	doneAt time.Time // zero: not answered yet
+	gap    time.Duration
+	last   time.Time
+	cut    bool // the answer was cut off
+}
+
+func (c *simCall) Header() http.Header { return c.header }
+
+func (c *simCall) WriteHeader(status int) { c.status = status }
+
+func (c *simCall) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.last.IsZero() {
+		c.gap = max(c.gap, now.Sub(c.last))
+	}
+	c.last = now
+	return c.body.Write(p)
+}
+
+func (c *simCall) Flush() {}
+
+// served reports whether the caller received the whole answer.
+func (c *simCall) served() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doneAt.IsZero() || c.cut || c.status != http.StatusOK {
+		return false
+	}
+	if !strings.HasPrefix(c.id, "stream") {
+		return c.body.String() == "ok"
+	}
+	want := ""
+	for event := 1; event <= simStreamEvents; event++ {
+		want += simEventText(c.id, event)
+	}
+	return c.body.String() == want
+}
+
+// simFleet is daemons in several zones, instances and callers.
+type simFleet struct {
+	*simZone
+	instances *instanceNet
+	rng       *rand.Rand
+	mu        sync.Mutex
+	calls     []*simCall
+}
+
+// simFleetOptions describe a fleet.
+type simFleetOptions struct {
+	daemons, zones, instances int
+	// callInterval is the mean time between two requests at one daemon.
+	callInterval time.Duration
+}
+
+// newSimFleet starts a fleet with callers that run until ctx ends.
+func newSimFleet(ctx context.Context, t *testing.T, o simFleetOptions, seed uint64) *simFleet {
+	f := &simFleet{instances: newInstanceNet(), rng: rand.New(rand.NewPCG(seed, 55))}
+	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones,
+		zoneOf: func(daemon string) string {
+			var n int
+			_, _ = fmt.Sscanf(daemon, "d%d", &n)
+			return fmt.Sprint("zone-", n%o.zones)
+		},
+		prepare: f.prepare,
+		started: func(ctx context.Context, d *Daemon) {
+			d.gateway = d.newGateway()
+			go d.newExchange().Run(ctx)
+			go d.newSpread().Run(ctx)
+			go d.sweep(ctx)
+		}}
+	for i := range o.instances {
+		f.store.writeEntry(fmt.Sprint("i-", i))
+	}
+	for i := range o.daemons {
+		d := f.start(ctx, fmt.Sprint("d", i), seed+uint64(i), true)
+		f.daemons = append(f.daemons, d)
+		go f.callRegularly(ctx, i, o.callInterval, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
+	}
+	return f
+}
+
+// stop ends the callers, the daemons and their connections.
+func (f *simFleet) stop(cancel context.CancelFunc) {
+	cancel()
+	time.Sleep(simCallerTimeout)
+	f.instances.close()
+	f.shutdown(cancel)
+}
+
+// prepare gives a daemon the fleet's platform and network.
+func (f *simFleet) prepare(d *Daemon) {
+	d.Platform.Codec = simCodec{}
+	d.Platform.DecodeConfig = func(value []byte) (*routes.Config, error) {
+		c := &routes.Config{Routes: simRoutes(), Services: []routes.Service{{Name: simService}}}
+		_, err := fmt.Sscan(string(value), &c.Version)
+		return c, err
+	}
+	d.Platform.DecodeInstance = func(id string, version uint64, _ []byte) (*fleet.Instance, error) {
+		return &fleet.Instance{ID: id, Address: id, Service: simService, StartedAt: 1, Version: version}, nil
+	}
+	d.dialInstance = f.instances.dialer(d.Settings().Node)
+}
+
+// callRegularly sends requests to one daemon.
+func (f *simFleet) callRegularly(ctx context.Context, daemon int, interval time.Duration, rng *rand.Rand) {
+	kinds := []string{"stream", "stream", "once", "lookup"}
+	for n := 0; ; n++ {
+		pause.For(ctx, time.Duration((0.5+rng.Float64())*float64(interval)))
+		if ctx.Err() != nil {
+			return
+		}
+		f.call(ctx, daemon, fmt.Sprintf("%s-%d-%d", kinds[rng.IntN(len(kinds))], daemon, n))
+	}
+}
+
+// call sends one request, whose kind is the beginning of its id.
+func (f *simFleet) call(ctx context.Context, daemon int, id string) *simCall {
+	d := f.daemons[daemon]
+	c := &simCall{daemon: d.Settings().Node, id: id, sentAt: time.Now(), header: http.Header{}}
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	f.mu.Unlock()
+	kind, _, _ := strings.Cut(id, "-")
+	go func() {
+		ctx, leave := context.WithTimeout(ctx, simCallerTimeout)
+		defer leave()
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://host/"+kind+"/"+id, nil)
+		r.Header.Set("X-Id", id)
+		defer func() {
+			aborted := recover() != nil
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.cut, c.doneAt = aborted, time.Now()
+		}()
+		d.gateway.ServeHTTP(c, r)
+	}()
+	return c
+}
+
+// servedBetween returns how many requests were sent in a span of time to daemons with or without
+// a property, how many of them were served, and the texts of some that were not.
+func (f *simFleet) servedBetween(from, to time.Time, has func(daemon string) bool) (sent, served int, failed []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.calls {
+		if c.sentAt.Before(from) || !c.sentAt.Before(to) || !has(c.daemon) {
+			continue
+		}
+		sent++
+		switch {
+		case c.served():
+			served++
+		case len(failed) < 8:
+			failed = append(failed, fmt.Sprintf("%s at %s, sent %v: status %d, cut %t, %.60q", c.id, c.daemon, c.sentAt.Sub(f.startedAt), c.status, c.cut, c.body.String()))
+		}
+	}
+	return sent, served, failed
+}
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -28,9 +28,14 @@
 	started   func(ctx context.Context, d *Daemon) // called for each process that starts; nil: none
 	startedAt time.Time
 	// mbps, if set, returns the rate of a daemon's link in Mbit/s.
-	mbps  func(daemon string) float64
-	log   []string
-	logMu sync.Mutex
+	mbps func(daemon string) float64
+	// zoneOf returns a daemon's zone; nil: all are in one.
+	zoneOf func(daemon string) string
+	zones  int // number of zones; 0: one
+	// prepare changes a daemon before its parts are built; nil: not.
+	prepare func(d *Daemon)
+	log     []string
+	logMu   sync.Mutex
 }
 
 // simBounds are the bounds that the daemons of a simulated zone must keep, as deployments set them.
@@ -63,6 +68,9 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
 	s := Settings{Node: name, Zone: "zone", Zones: 1, PeerAddress: name, Heartbeat: 1200 * time.Millisecond, Bounds: simBounds, Bootstrap: bootstrap}
+	if z.zoneOf != nil {
+		s.Zone, s.Zones = z.zoneOf(name), z.zones
+	}
 	if z.mbps != nil {
 		s.LinkMbps = z.mbps(name)
 		z.net.setLink(name, s.LinkMbps)
@@ -85,6 +93,9 @@
 		},
 	}
 	d.startedAt = d.Clock.Now()
+	if z.prepare != nil {
+		z.prepare(d)
+	}
 	d.build(s, name)
 	go d.config.Run(ctx)
 	go d.instances.Run(ctx)
