quarantine: a refused connection is no crash while no other instance accepts one

Callers of innocent contents got 502 at all daemons until an operator released them, after a partition of some seconds: a daemon whose open connections are reset and whose new ones are refused took each instance for crashed. The detector concluded from its own unreachability; a daemon that is cut off sees the same of every instance. Now a refusal counts only if another instance accepts a connection right afterwards.

--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"go.uber.org/zap"
+	"math/rand/v2"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/quarantine"
 )
@@ -15,6 +17,7 @@
 	evidence := quarantine.NewEvidence()
 	d.detector = quarantine.NewDetector(evidence, d.pool.Probe, d.Clock.Now, d.Log)
 	d.detector.RunClock = d.runClock
+	d.detector.ReachesOther = d.reachesOtherInstance
 	d.persister = &quarantine.Persister{
 		Feed: d.Platform.Feed, Key: RefusedRequestsKey, Detector: d.detector, Standalone: s.PeerAddress == "",
 		IsWriter: func() bool { return d.relay == nil || d.relay.IsRelay() || d.relay.RelayUnresponsive() },
@@ -25,6 +28,39 @@
 	d.Metrics.GetOrCreateGauge("pearlanding_contents_refused", func() float64 { _, refused := evidence.Counts(); return float64(refused) })
 }
 
+// reachabilityProbes is how many other instances are probed at the same time to find out whether this
+// daemon reaches any: some of them may have crashed together.
+const reachabilityProbes = 3
+
+// reachesOtherInstance reports whether an instance at another address accepts connections from this
+// daemon.
+func (d *Daemon) reachesOtherInstance(ctx context.Context, address string) bool {
+	view := d.instances.View()
+	if view == nil {
+		return false
+	}
+	var others []string
+	for _, in := range view.Instances {
+		if in.Address != address {
+			others = append(others, in.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), reachabilityProbes)]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(others))
+	for _, other := range others {
+		go func() { results <- d.pool.Probe(ctx, other) }()
+	}
+	for range others {
+		if <-results == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // takeRelayListing takes the record of refused requests from a listing of the relays' kind.
 func (d *Daemon) takeRelayListing(l objectapi.Listing) {
 	d.refusedLoaded.Store(true)
--- a/internal/quarantine/detect.go
+++ b/internal/quarantine/detect.go
@@ -34,13 +34,17 @@
 var probeDelays = []time.Duration{2 * time.Millisecond, 40 * time.Millisecond}
 
 // Detector detects the instance crashes that this daemon's own sends run into. A crash is an
-// address that refuses connections right after a connection to it broke off. A partitioned
-// instance or one without power answers nothing, and one that only breaks connections off or
-// corrupts answers accepts new connections; neither counts as a crash.
+// address that refuses connections right after a connection to it broke off, while another
+// instance accepts them. A partitioned instance or one without power answers nothing, and one that
+// only breaks connections off or corrupts answers accepts new connections; neither counts as a
+// crash. Nor does a refusal by every instance: this daemon is partitioned then.
 type Detector struct {
 	Evidence *Evidence
 	Probe    func(ctx context.Context, address string) error // tries to connect
-	Now      func() time.Time
+	// ReachesOther reports whether an instance at another address accepts connections from this
+	// daemon; nil: always.
+	ReachesOther func(ctx context.Context, address string) bool
+	Now          func() time.Time
 	// RunClock counts the time of probes: a process that is not scheduled sees no answer; nil: all
 	// time counts.
 	RunClock *steady.RunClock
@@ -166,7 +170,7 @@
 // verifyCrash probes an instance. If the instance has crashed it records the crash with its
 // suspects, otherwise it drops them.
 func (det *Detector) verifyCrash(incarnation Incarnation, address string) {
-	confirmed := det.refusesConnections(address)
+	confirmed := det.refusesConnections(address) && det.reachesOther(incarnation, address)
 	det.mu.Lock()
 	crash := det.suspectedCrashes[incarnation]
 	if crash == nil || !confirmed {
@@ -213,6 +217,22 @@
 	return false
 }
 
+// reachesOther reports whether another instance accepts connections, without which a refusal shows
+// no crash.
+func (det *Detector) reachesOther(incarnation Incarnation, address string) bool {
+	if det.ReachesOther == nil {
+		return true
+	}
+	ctx, cancel := det.RunClock.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if det.ReachesOther(ctx, address) {
+		return true
+	}
+	det.Log.Info("refused connection not taken for a crash", zap.String("decision", "no_other_instance_accepts_connections"),
+		zap.String("instance", incarnation.Instance), zap.Int64("born", incarnation.StartedAt))
+	return false
+}
+
 // Crashes returns the number of crashes that this daemon detected.
 func (det *Detector) Crashes() uint64 { return det.crashes.Load() }
 
--- a/internal/quarantine/detect_test.go
+++ b/internal/quarantine/detect_test.go
@@ -86,6 +86,33 @@
 	must.Eq(t, 1, det.Crashes())
 }
 
+// Guards against requests that are quarantined because this daemon is partitioned from all
+// instances: each of them refuses its connections.
+func TestRefusalByEveryInstanceIsNoCrash(t *testing.T) {
+	det := newTestDetector(errConnRefused)
+	var reaches atomic.Bool
+	asked := make(chan string, 1)
+	det.ReachesOther = func(_ context.Context, address string) bool {
+		asked <- address
+		return reaches.Load()
+	}
+	for i := range 3 {
+		det.send(i, poison, func() {}).ConnectionLost()
+		must.Eq(t, "address", <-asked)
+		eventually(t, "the suspected crash is dropped", func() bool {
+			det.mu.Lock()
+			defer det.mu.Unlock()
+			return len(det.suspectedCrashes) == 0
+		})
+	}
+	must.Zero(t, det.Crashes())
+	must.Zero(t, det.suspected())
+	reaches.Store(true)
+	det.send(0, poison, func() {}).ConnectionLost()
+	eventually(t, "the request is suspected", func() bool { return det.suspected() == 1 })
+	must.Eq(t, 1, det.Crashes())
+}
+
 // Guards against a crash that is not recorded because the daemon was not scheduled while it probed
 // the address: a fourth engine crashed.
 func TestProbeDoesNotTimeOutWhileTheProcessIsNotScheduled(t *testing.T) {
