formation: an instance is not declared dead while no other one answers

Groups that served were dissolved when the daemon that plans lost its links to the engines: it took each refused or unanswered probe for the end of the instance. Neither tells an instance that ended from a planner that is cut off. Now a death needs an answer from another instance to a probe sent after the failed ones; members that fail together share that check.

TestPlannerThatReachesNoInstanceDeclaresNoneDead declared four of four dead before, refused or silent, and passes now; with other instances in reach dead members are found as before.

--- a/internal/formation/cut_off_test.go
+++ b/internal/formation/cut_off_test.go
@@ -55,6 +55,8 @@
 				d := newFailureDetector(selectiveProber{c.err, c.reaches}, zap.NewNop())
 				d.startProbes(t.Context(), twoGroups(), []string{"a1", "b1"}, time.Now())
 				time.Sleep(2 * time.Second)
+				d.mu.Lock()
+				defer d.mu.Unlock()
 				must.Eq(t, c.dead, len(d.dead))
 			})
 		})
--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +65,19 @@
 	detected   chan struct{}                // signaled when an instance is first declared dead
 	// progressedSince reports whether a group's streams made progress after a time of run; nil: unknown.
 	progressedSince func(group fleet.GroupKey, at time.Time) bool
+	// view is the latest view of startProbes.
+	view atomic.Pointer[fleet.View]
+	// uniform returns a random number in [0, n).
+	uniform func(n int) int
+
+	reachMu sync.Mutex
+	reach   reachCheck // the last one; guarded by reachMu
+}
+
+// reachCheck is the result of probing other instances than one.
+type reachCheck struct {
+	began     time.Time // by run
+	reachable bool
 }
 
 // death holds when an instance was first and last declared dead.
@@ -79,13 +94,14 @@
 func incarnationOf(in *fleet.Instance) incarnation { return incarnation{in.ID, in.StartedAt} }
 
 func newFailureDetector(prober Prober, log *zap.Logger) *failureDetector {
-	return &failureDetector{prober: prober, run: steady.NewRunClock(nil), log: log, lastProbed: map[fleet.GroupKey]time.Time{}, dead: map[incarnation]death{}, detected: make(chan struct{}, 1)}
+	return &failureDetector{prober: prober, run: steady.NewRunClock(nil), log: log, lastProbed: map[fleet.GroupKey]time.Time{}, dead: map[incarnation]death{}, detected: make(chan struct{}, 1), uniform: rand.IntN}
 }
 
 // startProbes starts probes of all members of the groups with the given heads and of members whose
 // entries have lapsed, unless the group was probed less than probeInterval ago. It forgets deaths
 // older than deadTTL.
 func (d *failureDetector) startProbes(ctx context.Context, v *fleet.View, heads []string, now time.Time) {
+	d.view.Store(v)
 	for _, id := range heads {
 		in := v.Instances[id]
 		if in == nil || in.Group.Name == "" || !d.probeDue(in.Group.Key(), now) {
@@ -119,6 +135,8 @@
 
 // probe probes one member until it answers or is declared dead, or until its probes are inconclusive.
 // Silence shows no death if the group made progress meanwhile, which it can't without all its members.
+// Neither silence nor a refused connection shows one while no other instance answers: this daemon may
+// be partitioned from all of them.
 func (d *failureDetector) probe(ctx context.Context, in *fleet.Instance) {
 	var err error
 	start := d.run.Now()
@@ -147,6 +165,11 @@
 			zap.String("group", in.Group.Name), zap.Uint64("epoch", in.Group.Epoch), zap.String("error", err.Error()))
 		return
 	}
+	if !errors.Is(err, ErrOtherIncarnation) && !d.reachesOther(ctx, in, start) {
+		d.log.Info("instance not declared dead", zap.String("decision", "no_other_instance_answers"), zap.String("instance", in.ID),
+			zap.String("group", in.Group.Name), zap.Uint64("epoch", in.Group.Epoch), zap.String("error", err.Error()))
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
@@ -164,6 +187,67 @@
 	d.dead[incarnationOf(in)] = since
 }
 
+// reachabilityProbes is how many other instances are probed at the same time to find out whether this
+// daemon reaches any.
+const reachabilityProbes = 5
+
+// reachesOther reports whether another instance answers a probe, in whatever incarnation. Instances of
+// other groups are preferred, as those of one group may fail together. It returns true if there is no
+// other instance. A check that began after since is shared by all members that fail together.
+func (d *failureDetector) reachesOther(ctx context.Context, in *fleet.Instance, since time.Time) bool {
+	d.reachMu.Lock()
+	defer d.reachMu.Unlock()
+	if d.reach.began.After(since) {
+		return d.reach.reachable
+	}
+	d.reach.began = d.run.Now()
+	d.reach.reachable = d.anyAnswers(ctx, d.othersToProbe(in))
+	return d.reach.reachable
+}
+
+// anyAnswers reports whether any of some instances answers a probe; true if there are none.
+func (d *failureDetector) anyAnswers(ctx context.Context, others []*fleet.Instance) bool {
+	if len(others) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(others))
+	for _, other := range others {
+		go func() { results <- d.probeOnce(ctx, other) }()
+	}
+	for range others {
+		if err := <-results; err == nil || errors.Is(err, ErrOtherIncarnation) {
+			return true
+		}
+	}
+	return false
+}
+
+// othersToProbe returns instances to probe in comparison with an instance, drawn at random.
+func (d *failureDetector) othersToProbe(in *fleet.Instance) []*fleet.Instance {
+	v := d.view.Load()
+	if v == nil {
+		return nil
+	}
+	var sameGroup, others []*fleet.Instance
+	for _, other := range v.Instances {
+		switch {
+		case other.ID == in.ID:
+		case in.Group.Name != "" && other.Group.Key() == in.Group.Key():
+			sameGroup = append(sameGroup, other)
+		default:
+			others = append(others, other)
+		}
+	}
+	for i := range min(len(others), reachabilityProbes) {
+		j := i + d.uniform(len(others)-i)
+		others[i], others[j] = others[j], others[i]
+	}
+	others = append(others[:min(len(others), reachabilityProbes)], sameGroup...)
+	return others[:min(len(others), reachabilityProbes)]
+}
+
 func (d *failureDetector) probeOnce(ctx context.Context, in *fleet.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
