--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -35,11 +35,11 @@
 
 // Serve serves methods to peers on the listener until ctx ends, then closes all connections
 // and returns nil. If it ends earlier it always returns an error, so that a daemon that no
-// peer can reach does not keep running.
-func Serve(ctx context.Context, listener net.Listener, methods handler.Map) error {
+// peer can reach does not keep running. A connection that begins with an upgrade is handed to it.
+func Serve(ctx context.Context, listener net.Listener, methods handler.Map, upgrades ...Upgrade) error {
 	peers := newClosingListener(listener)
 	defer context.AfterFunc(ctx, peers.closeAll)()
-	accept := server.NetAccepter(peers, channel.Line)
+	accept := server.NetAccepter(newUpgradeListener(ctx, peers, upgrades), channel.Line)
 	// closeAll stops the loop, not ctx: a jrpc2 server that is stopped while it reads a request
 	// panics.
 	err := server.Loop(context.WithoutCancel(ctx), accept, server.Static(methods), &server.LoopOptions{
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"pearlanding/internal/link"
 	"pearlanding/internal/steady"
@@ -39,7 +38,10 @@
 	// Clock.
 	RunClock *steady.RunClock
 	// Dial opens a connection; NewPool sets it.
-	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Stale reports whether an idle connection to an address must not be used any more; nil: never.
+	// Set before use.
+	Stale        func(conn net.Conn, address string) bool
 	mu           sync.Mutex
 	idleConns    map[string][]*pooledConn
 	openCount    map[string]int
@@ -67,6 +69,9 @@
 	// after the request was written. The new connection is watched for a moment before the
 	// request is written, so that an upstream with too many connections can reset it first.
 	NewConnection bool
+	// AvoidIdle requests a new connection, because idle ones may have failed with the one that an
+	// earlier send of the same request used.
+	AvoidIdle bool
 	// IsOwnResponse reports whether a response belongs to this request; others are skipped. nil
 	// accepts any response.
 	IsOwnResponse func(status int, h http.Header) bool
@@ -92,6 +97,10 @@
 // ErrWithheld means that Call.Withhold returned true; such an error is ErrNotSent, too.
 const ErrWithheld = errors.ConstError("upstream: request withheld")
 
+// ErrNoPath means that no instance can be reached now, directly or otherwise; such an error is
+// ErrNotSent, too, and says nothing about the upstream. Dial may return it.
+const ErrNoPath = errors.ConstError("upstream: no path to any instance")
+
 // NewPool returns an empty pool with the given MaxConnectTime and MaxIdleTime.
 func NewPool(maxConnectTime, maxIdleTime time.Duration) *Pool {
 	return &Pool{MaxConnectTime: maxConnectTime, MaxIdleTime: maxIdleTime, Dial: link.Dialer(0).DialContext, idleConns: map[string][]*pooledConn{}, openCount: map[string]int{}}
@@ -130,12 +139,12 @@
 
 // acquire returns an idle connection that is still open, or opens one.
 func (p *Pool) acquire(ctx context.Context, call *Call) (*pooledConn, error) {
-	for !call.NewConnection {
+	for !call.NewConnection && !call.AvoidIdle {
 		c := p.popIdle(call.Address)
 		if c == nil {
 			break
 		}
-		if p.Clock.Now().Before(c.reuseUntil) && openAndQuiet(c.Conn) {
+		if p.Clock.Now().Before(c.reuseUntil) && !link.HasUnread(c.Conn) && !p.isStale(c) {
 			return c, nil
 		}
 		p.discard(c)
@@ -155,6 +164,15 @@
 	return c, nil
 }
 
+func (p *Pool) isStale(c *pooledConn) bool { return p.Stale != nil && p.Stale(c.Conn, c.address) }
+
+// ConnectTimeout returns for how long a connection may take to be established now.
+func (p *Pool) ConnectTimeout() time.Duration { return p.connectTimes.timeout(p.MaxConnectTime) }
+
+// idleConn is a connection that is told when its request has ended, and returns whether it may be kept for
+// another one.
+type idleConn interface{ Idle() (keep bool) }
+
 // Probe opens a connection to an address and keeps it for the next request. The error is
 // ErrConnectionLimit, or ErrNotSent together with the dialer's error, such as syscall.ECONNREFUSED if
 // nothing listens there.
@@ -181,7 +199,7 @@
 	defer cancel(nil)
 	start := clock.Now()
 	// Measured by RunClock: a process that is not scheduled can't see the connection established.
-	stop := clock.AfterFunc(p.connectTimes.timeout(p.MaxConnectTime), func() { cancel(errConnectTimeout) })
+	stop := clock.AfterFunc(p.ConnectTimeout(), func() { cancel(errConnectTimeout) })
 	defer stop()
 	conn, err := p.Dial(attempt, "tcp", address)
 	if err != nil {
@@ -210,7 +228,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return openAndQuiet(conn)
+	return !link.HasUnread(conn)
 }
 
 // readBufferBytes fits several events of a stream, or the header of a response.
@@ -264,6 +282,10 @@
 		p.discard(c)
 		return
 	}
+	if idle, ok := c.Conn.(idleConn); ok && !idle.Idle() {
+		p.discard(c)
+		return
+	}
 	c.reuseUntil = p.Clock.Now().Add(keepFor)
 	p.mu.Lock()
 	full := len(p.idleConns[c.address]) >= maxIdlePerAddress
@@ -305,35 +327,6 @@
 	}
 }
 
-// unreadConn is a connection that knows itself whether there is something to read.
-type unreadConn interface {
-	// HasUnread reports whether there is data or the connection's end to read.
-	HasUnread() bool
-}
-
-// openAndQuiet reports whether an idle connection is still open and has no data to read. A
-// closed connection, or one with an unexpected response, must not be used for the next request.
-func openAndQuiet(conn net.Conn) bool {
-	if c, ok := conn.(unreadConn); ok {
-		return !c.HasUnread()
-	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN
-	})
-	return err == nil && noData
-}
-
 // exchange writes the request and reads the header of its response.
 func (c *pooledConn) exchange(call *Call) (*http.Response, error) {
 	if _, err := c.Write(encodeRequest(call)); err != nil {
@@ -441,7 +434,7 @@
 // body, or its end. Safe for concurrent use with reads of the body.
 func HasUnread(resp *http.Response) bool {
 	b, ok := resp.Body.(*pooledBody)
-	return ok && !openAndQuiet(b.conn.Conn)
+	return ok && link.HasUnread(b.conn.Conn)
 }
 
 // Buffered returns how many bytes of the connection can be read without blocking.
