--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,5 +131,32 @@
 	return gone.HeadGraceEnd, removed && gone.InHeadGrace
 }
 
+// Reachable returns the instance with an id, also one that may still serve although its entry was
+// removed; nil if there is none.
+func (v *View) Reachable(id string) *Instance {
+	if in := v.Instances[id]; in != nil {
+		return in
+	}
+	if gone, ok := v.Removed[id]; ok && (gone.Lapsed || gone.InHeadGrace) {
+		return gone.Instance
+	}
+	return nil
+}
+
+// InstanceAt returns the reachable instance at an address; nil if there is none.
+func (v *View) InstanceAt(address string) *Instance {
+	for _, in := range v.Instances {
+		if in.Address == address {
+			return in
+		}
+	}
+	for id, gone := range v.Removed {
+		if gone.Instance.Address == address && v.Reachable(id) != nil {
+			return gone.Instance
+		}
+	}
+	return nil
+}
+
 // SizeOf returns the number of instances in a replica of a model; 0: unknown.
 type SizeOf func(service, model string) int
