front: daemons cut off from all instances serve their callers through others

Cause: a daemon had one path to an instance, and took the loss of the path for failures of the instances.

Connections are now opened through another daemon where the direct path fails or is late. Relays tell who reaches instances. When the direct paths are lost, stalls and failures seen over them are forgotten and not reported, and earlier sends are held against no target; a request sent again does not take an idle connection, which may have failed with the first one. Without any path a request is rejected at once.

--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -327,6 +327,16 @@
 	}
 }
 
+// ForgetFailures forgets all failures and stalls, because the path to the targets failed and not the
+// targets. Running streams that stay silent count as stalled after their stall timeout again.
+func (p *Picker) ForgetFailures(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.records {
+		r.suspectUntil, r.suspicion, r.stalledAt, r.progressAt = time.Time{}, 0, time.Time{}, now
+	}
+}
+
 // Stalls is signalled when a running stream stalled and was moved.
 func (p *Picker) Stalls() <-chan struct{} { return p.stalls }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,7 @@
 	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/steady"
+	"pearlanding/internal/tunnel"
 	"pearlanding/internal/upstream"
 )
 
@@ -113,6 +114,9 @@
 	config        *configFollower
 	instances     *fleet.Follower
 	pool          *upstream.Pool
+	direct        *tunnel.Direct
+	tunnelDialer  *tunnel.Dialer
+	tunnelServer  *tunnel.Server // nil until build
 	picker        *dispatch.Picker
 	budgets       dispatch.Budgets
 	gateway       *gateway.Gateway
@@ -201,9 +205,7 @@
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	d.pool = upstream.NewPool(connectTimeout, idleConnTimeout)
 	d.pool.Clock, d.pool.RunClock = d.Clock, d.runClock
-	if d.dialInstance != nil {
-		d.pool.Dial = d.dialInstance
-	}
+	d.buildTunnels(s)
 	d.buildQuarantine(s)
 	d.gate = backpressure.NewGate(func() int { return int(d.loadReporters.Load()) }, d.uniform, d.Log)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_limited", func() float64 { return float64(len(d.gate.Limited())) })
@@ -260,6 +262,7 @@
 	run(work, d.config.Run)
 	run(work, d.instances.Run)
 	run(work, d.sweep)
+	run(work, d.watchDirectPaths)
 	run(work, func(ctx context.Context) { d.calls.logCounts(ctx, d.Log) })
 	run(work, d.persister.Run)
 	run(work, d.forwardEvidence)
@@ -312,6 +315,7 @@
 		pause.For(ctx, sweepInterval)
 		now := d.Clock.Now()
 		d.pool.CloseExpired(now)
+		d.tunnelDialer.Sweep()
 		d.picker.Sweep(d.runClock.Now())
 		d.detector.Prune()
 		d.gate.Sweep(now)
@@ -321,7 +325,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Picker: d.picker, Budgets: &d.budgets, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
@@ -403,6 +407,9 @@
 	if d.relay != nil {
 		d.relay.Close()
 	}
+	if d.tunnelServer != nil {
+		d.tunnelServer.Close()
+	}
 	d.Log.Info("stopping", zap.String("decision", "not_ready"))
 	grace := d.Settings().Bounds.Grace
 	if grace <= 0 {
@@ -415,5 +422,8 @@
 	stopTimer := d.runClock.AfterFunc(d.Clock.Until(begun.Add(grace-stopMargin)), cancel)
 	defer stopTimer()
 	err := server.Shutdown(ctx)
+	if d.tunnelServer != nil {
+		d.tunnelServer.Drain(ctx)
+	}
 	d.Log.Info("stopped", zap.Duration("took", d.Clock.Since(begun)), zap.Error(err))
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -102,6 +102,7 @@
 		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, OnRelayUsed: d.config.storeRecovered,
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
 		StalledInstances: d.stalledOrEndedHeads,
+		ReachesInstances: d.direct.Usable,
 		Bootstrap:        s.Bootstrap, Quarantine: d.detector, Gate: d.gate, OnRecordsListed: d.takeRelayListing,
 		Uniform: d.uniform, Now: d.Clock.Now, RunClock: d.runClock, Log: d.Log,
 	})
@@ -110,6 +111,9 @@
 // stalledOrEndedHeads lists the heads that this daemon's streams show to be stalled or to have
 // ended: a process that ends breaks its streams off, and none of them stalls.
 func (d *Daemon) stalledOrEndedHeads(time.Time) []string {
+	if d.direct.Lost() {
+		return nil // all of them are silent
+	}
 	out := append(d.picker.RecentlyStalled(d.runClock.Now()), d.detector.RecentlyCrashed()...)
 	slices.Sort(out)
 	return slices.Compact(out)
@@ -118,7 +122,11 @@
 // progress returns the groups whose running streams stalled for this daemon recently, and those
 // whose streams deliver events. The picker runs on the run clock, so the time passed in is ignored.
 func (d *Daemon) progress(time.Time) (stalled, progressing []fleet.GroupKey) {
-	return d.picker.GroupProgress(d.runClock.Now())
+	stalled, progressing = d.picker.GroupProgress(d.runClock.Now())
+	if d.direct.Lost() {
+		stalled = nil // all of them are silent
+	}
+	return stalled, progressing
 }
 
 // takeLoads applies the loads that all other daemons reported.
@@ -176,7 +184,7 @@
 // answerPeers serves other daemons until ctx ends.
 func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
-	if err := rpc.Serve(ctx, l, d.relay.Methods()); err != nil {
+	if err := rpc.Serve(ctx, l, d.relay.Methods(), d.upgrades()...); err != nil {
 		d.Log.Error("peer server failed", zap.Error(err))
 	}
 }
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -33,8 +33,14 @@
 const reachabilityProbes = 3
 
 // reachesOtherInstance reports whether an instance at another address accepts connections from this
-// daemon.
+// daemon, by any path.
 func (d *Daemon) reachesOtherInstance(ctx context.Context, address string) bool {
+	return d.anyOtherInstance(ctx, address, d.pool.Probe)
+}
+
+// anyOtherInstance reports whether a probe of any of reachabilityProbes instances at other addresses
+// succeeds.
+func (d *Daemon) anyOtherInstance(ctx context.Context, address string, probe func(ctx context.Context, address string) error) bool {
 	view := d.instances.View()
 	if view == nil {
 		return false
@@ -51,7 +57,7 @@
 	defer cancel()
 	results := make(chan error, len(others))
 	for _, other := range others {
-		go func() { results <- d.pool.Probe(ctx, other) }()
+		go func() { results <- probe(ctx, other) }()
 	}
 	for range others {
 		if <-results == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,9 @@
 	// BorrowRetry takes a retry for a service from the budgets of other daemons when this daemon's
 	// budget is exhausted. nil if there are no other daemons.
 	BorrowRetry func(ctx context.Context, service string) bool
+	// PathsLostAt returns when all direct paths to instances were last lost, by RunClock; zero: never. A
+	// failure of an earlier send says nothing about its target. nil: never.
+	PathsLostAt func() time.Time
 	// CanBorrowRetry reports whether other daemons probably have a retry for a service. nil if there
 	// are no other daemons.
 	CanBorrowRetry func(service string) bool
@@ -131,6 +134,18 @@
 	}
 }
 
+// suspect records that a target failed a send, unless the send began before the paths were lost.
+func (g *Gateway) suspect(t *dispatch.Target, sentAt time.Time) {
+	if !g.pathsLostSince(sentAt) {
+		g.Picker.Suspect(t, g.runClockNow())
+	}
+}
+
+// pathsLostSince reports whether the paths to instances were lost after a time of RunClock.
+func (g *Gateway) pathsLostSince(at time.Time) bool {
+	return g.PathsLostAt != nil && g.PathsLostAt().After(at)
+}
+
 // exchange is the state of one request in progress.
 type exchange struct {
 	gateway           *Gateway
@@ -153,7 +168,9 @@
 	reservedRetry     atomic.Pointer[retryReservation] // for the next send
 	currentRetry      *retryReservation                // that the current send uses; nil if it is no retry
 	mayHaveRun        bool                             // an instance may have run the request
+	noPath            bool                             // the last send found no path to any instance
 	brokenSends       int                              // sends whose connection ended before a complete response
+	unanswered        atomic.Bool                      // a send broke off or was silent for too long
 	status            int
 	reason            string        // why the request was refused or aborted; empty if a response was passed on
 	headerSent        bool          // to the caller
@@ -300,6 +317,9 @@
 	if x.attempts.Exhausted(x.route.MaxAttempts) {
 		return nil, "attempts_spent"
 	}
+	if x.noPath {
+		return nil, "no_path_to_instances"
+	}
 	now := x.gateway.Clock.Now()
 	// ctx may end too late, because timers do not run while the machine is suspended.
 	if !now.Before(x.deadline) {
@@ -384,6 +404,7 @@
 // send is one send of the request to a target.
 type send struct {
 	target   *dispatch.Target
+	begunAt  time.Time        // by RunClock
 	logIndex int              // in exchange.sends
 	tracked  *quarantine.Send // by the quarantine until its Done is called
 }
@@ -398,7 +419,7 @@
 	x.attempts.CountSend()
 	x.sends = append(x.sends, sendLog{target: t, startedAfter: x.gateway.Clock.Since(x.arrivedAt)})
 	tracked := x.gateway.Quarantine.StartSend(quarantine.Incarnation{Instance: t.Instance, StartedAt: t.StartedAt}, t.Address, x.workspace, x.digest, onQuarantine)
-	return &send{target: t, logIndex: len(x.sends) - 1, tracked: tracked}
+	return &send{target: t, begunAt: x.gateway.runClockNow(), logIndex: len(x.sends) - 1, tracked: tracked}
 }
 
 // do sends the request once and returns the response after reading its header.
@@ -407,7 +428,7 @@
 	now := x.gateway.Clock.Now()
 	call := &upstream.Call{
 		Address: t.Address, Method: x.req.Method, RequestTarget: x.req.RequestTarget, Host: x.req.Host, Body: x.req.Body,
-		NewConnection: !x.route.Retryable(),
+		NewConnection: !x.route.Retryable(), AvoidIdle: x.unanswered.Load(),
 		Header: x.gateway.Codec.UpstreamHeader(x.req, SendOptions{Instance: t.Instance, Remaining: x.deadline.Sub(now),
 			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now)}),
 		Withhold:      x.withholdFunc(t),
@@ -416,6 +437,7 @@
 	resp, err := x.gateway.Pool.Do(ctx, call)
 	if err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrConnectionLimit)) {
 		x.keepRetry()
+		x.noPath = errors.Is(err, upstream.ErrNoPath)
 		if errors.Is(context.Cause(ctx), errNotNeeded) {
 			x.attempts.UncountSend()
 			delete(x.triedInstances, t.Instance)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -200,7 +200,7 @@
 		return nil
 	}
 	defer x.releaseRetry()
-	x.noteStall(t)
+	x.noteStall(h.from.send)
 	for ctx.Err() == nil && !quarantined() {
 		next, _ := x.chooseTarget(ctx)
 		if next == nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -58,6 +58,7 @@
 			if !otherTargetReady() || !x.reserveRetry(attempt) {
 				return stallCheckInterval
 			}
+			x.unanswered.Store(true)
 			cancel(errTooSlow)
 			return 0
 		})
@@ -80,8 +81,8 @@
 // must not be sent again; the caller has been answered then.
 func (x *exchange) plainSendFailed(attempt context.Context, s *send, err error) bool {
 	x.recordEnd(s, endCause(attempt, err))
-	if !errors.Is(err, upstream.ErrWithheld) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
-		x.gateway.Picker.Suspect(s.target, x.gateway.runClockNow())
+	if !errors.Is(err, upstream.ErrWithheld) && !errors.Is(err, upstream.ErrNoPath) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
+		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrConnectionLimit) {
 		return false
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -29,5 +29,6 @@
 // recordBrokenSend records that a send's connection ended before a complete response.
 func (x *exchange) recordBrokenSend(s *send) {
 	x.brokenSends++
+	x.unanswered.Store(true)
 	s.tracked.ConnectionLost()
 }
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -197,22 +197,27 @@
 // recordFailure records a send whose stream did not complete.
 func (x *exchange) recordFailure(s *streamSend, f sendFailure) {
 	x.recordEnd(s.send, f.cause)
-	if !errors.Is(f.err, upstream.ErrWithheld) && !f.canceled {
-		x.gateway.Picker.Suspect(s.target, x.gateway.runClockNow())
+	if !errors.Is(f.err, upstream.ErrWithheld) && !errors.Is(f.err, upstream.ErrNoPath) && !f.canceled {
+		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if !errors.Is(f.err, upstream.ErrNotSent) && !errors.Is(f.err, upstream.ErrConnectionLimit) {
 		x.mayHaveRun = true
 	}
 	if f.brokeOff() {
 		x.brokenSends++
+		x.unanswered.Store(true)
 	}
 }
 
-// noteStall records that a replica is silent for too long.
-func (x *exchange) noteStall(t *dispatch.Target) {
+// noteStall records that the replica of a send is silent for too long, unless the paths were lost since.
+func (x *exchange) noteStall(s *send) {
+	x.unanswered.Store(true)
+	if x.gateway.pathsLostSince(s.begunAt) {
+		return
+	}
 	now := x.gateway.runClockNow()
-	x.gateway.Picker.NoteStall(t, now)
-	x.gateway.Picker.Suspect(t, now)
+	x.gateway.Picker.NoteStall(s.target, now)
+	x.gateway.Picker.Suspect(s.target, now)
 }
 
 // firstEventWatch cancels a send whose first event takes too long, if another replica can take
@@ -262,7 +267,7 @@
 			x.releaseRetry()
 			return 0
 		}
-		x.noteStall(s.target)
+		x.noteStall(s.send)
 		s.cancelSend(errStalled)
 		return 0
 	})
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,8 @@
 	now := n.now()
 	n.share.loads.note(n.shareRequest(now), now)
 	zoneDaemons, _ := n.share.loads.countDaemons(now)
-	return LoadsReply{n.share.loads.zoneTotal(now), n.share.loads.stalledGroups(now), zoneDaemons}, nil
+	return LoadsReply{n.share.loads.zoneTotal(now), n.share.loads.stalledGroups(now), zoneDaemons,
+		n.sampleTunnelPeers(n.share.loads.tunnelPeers(now), "")}, nil
 }
 
 // shareRequest returns this daemon's report of its own requests, without spare retry credit.
@@ -27,7 +29,30 @@
 	if len(stalled) > maxReported {
 		stalled = nil // with so many, this daemon is probably cut off itself
 	}
-	return ShareRequest{From: n.opts.Holder, Loads: n.opts.Traffic.InFlight(), StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
+	return ShareRequest{From: n.opts.Holder, Address: n.tunnelAddress(), Loads: n.opts.Traffic.InFlight(), StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
+}
+
+// maxTunnelPeers bounds the daemons that a message names as peers for tunnels.
+const maxTunnelPeers = 8
+
+// tunnelAddress returns the address at which this daemon opens tunnels for others, empty if it reaches
+// no instances.
+func (n *Node) tunnelAddress() string {
+	if n.opts.ReachesInstances == nil || !n.opts.ReachesInstances() {
+		return ""
+	}
+	return n.opts.Address
+}
+
+// sampleTunnelPeers draws at most maxTunnelPeers of some addresses at random, except one.
+func (n *Node) sampleTunnelPeers(all []string, except string) []string {
+	all = slices.DeleteFunc(all, func(a string) bool { return a == except })
+	count := min(len(all), maxTunnelPeers)
+	for i := range count {
+		j := i + int(n.opts.Uniform(0, time.Duration(len(all)-i)))
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:count]
 }
 
 // answerShare answers a peer.
@@ -51,7 +76,9 @@
 		return ShareReply{}, totalLoad{}, jrpc2.Errorf(codeNotRelaying, "not relaying")
 	}
 	now, rule := n.now(), n.opts.Traffic.RetryPoolRule()
-	n.share.loads.note(r, now)
+	if n.share.loads.note(r, now) {
+		n.ReportNow() // daemons of other zones may have lost them, too
+	}
 	if len(r.StalledInstances) > 0 {
 		n.reports.note(r.From, r.StalledInstances, now)
 	}
@@ -59,7 +86,7 @@
 	_, daemons := n.share.loads.countDaemons(now)
 	sum, err := n.share.loads.total(now)
 	return ShareReply{Retries: n.share.pool.Levels(rule, now), StalledGroups: n.share.loads.allStalledGroups(now), Daemons: daemons,
-		Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq()}, sum, err
+		Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), r.Address)}, sum, err
 }
 
 // LoadExchange sends this daemon's load to the others and receives theirs: through its relay, or,
@@ -89,6 +116,10 @@
 			x.runOnce(ctx)
 			tick.Reset(shareInterval)
 			pause.For(ctx, minReportInterval)
+		case <-x.Node.reportRequested:
+			x.runOnce(ctx)
+			tick.Reset(shareInterval)
+			pause.For(ctx, minReportInterval)
 		}
 	}
 }
@@ -137,9 +168,30 @@
 	n.share.setLevels(r.Retries, n.now())
 	n.opts.Gate.Merge(r.Limits, backpressure.ReceivedAt{Earliest: now, Latest: n.now()})
 	n.noteClusterWideSeq(relay, r.QuarantineSeq)
+	n.setTunnelPeers(r.TunnelPeers)
 	n.opts.Traffic.OnLoads(dispatch.PeerReports{Daemons: r.Daemons, InFlight: subtract(r.Loads, request.Loads), StalledGroups: toSet(r.StalledGroups)}, n.now())
 }
 
+// ReportNow makes this daemon exchange loads at once, because it or another one reaches instances no more.
+func (n *Node) ReportNow() {
+	select {
+	case n.reportRequested <- struct{}{}:
+	default: // already signalled
+	}
+}
+
+// setTunnelPeers records the daemons that reach instances.
+func (n *Node) setTunnelPeers(peers []string) { n.tunnelPeers.Store(&peers) }
+
+// TunnelPeers returns addresses of daemons that probably reach instances. If none is known, these are the
+// relays of all zones.
+func (n *Node) TunnelPeers() []string {
+	if peers := n.tunnelPeers.Load(); peers != nil && len(*peers) > 0 {
+		return *peers
+	}
+	return n.otherRelays()
+}
+
 // refreshRelays lists the relays if the last listing is older than relayListInterval.
 func (x *LoadExchange) refreshRelays(ctx context.Context, now time.Time) {
 	if now.Sub(x.listedAt) <= relayListInterval {
@@ -167,15 +219,18 @@
 	wait.Wait()
 	remote := map[string]int{}
 	var stalled []groupRef
+	var peers []string
 	daemons := 0
 	for _, r := range replies {
+		peers = append(peers, r.TunnelPeers...)
 		daemons += r.Daemons
 		addTo(remote, r.Loads)
 		stalled = append(stalled, r.StalledGroups...)
 	}
 	now := n.now()
-	n.share.loads.setRemote(remote, stalled, daemons)
+	n.share.loads.setRemote(remote, stalled, daemons, peers)
 	n.share.loads.note(n.shareRequest(now), now)
+	n.setTunnelPeers(n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), n.opts.Address))
 	_, all := n.share.loads.countDaemons(now)
 	n.opts.Traffic.OnLoads(dispatch.PeerReports{Daemons: all, InFlight: n.share.loads.totalExcept(n.opts.Holder, now), StalledGroups: toSet(n.share.loads.allStalledGroups(now))}, now)
 }
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -18,6 +18,7 @@
 	remote        map[string]int          // sum over the daemons of other zones
 	remoteStalled []groupRef              // groups stalled for other zones
 	remoteDaemons int                     // number of daemons in other zones
+	remotePeers   []string                // daemons of other zones that reach instances
 	cached        totalLoad               // sum over all daemons
 }
 
@@ -33,24 +34,48 @@
 type daemonReport struct {
 	inFlight        map[string]int
 	stalled, active []groupRef
+	address         string // if it reaches instances
 	receivedAt      time.Time
 }
 
-// note records a daemon's report.
-func (l *loads) note(r ShareRequest, now time.Time) {
+// note records a daemon's report, and returns whether the daemon reaches instances no more.
+func (l *loads) note(r ShareRequest, now time.Time) (lostInstances bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	lostInstances = r.Address == "" && l.byDaemon[r.From].address != ""
 	if l.byDaemon == nil {
 		l.byDaemon = map[string]daemonReport{}
 	}
-	l.byDaemon[r.From] = daemonReport{r.Loads, r.StalledGroups, r.ActiveGroups, now}
+	l.byDaemon[r.From] = daemonReport{r.Loads, r.StalledGroups, r.ActiveGroups, r.Address, now}
+	return lostInstances
 }
 
 // setRemote records what the relays of other zones reported.
-func (l *loads) setRemote(remote map[string]int, stalled []groupRef, daemons int) {
+func (l *loads) setRemote(remote map[string]int, stalled []groupRef, daemons int, peers []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remote, l.remoteStalled, l.remoteDaemons = remote, stalled, daemons
+	l.remote, l.remoteStalled, l.remoteDaemons, l.remotePeers = remote, stalled, daemons, peers
+}
+
+// tunnelPeers returns the addresses of this zone's daemons that reach instances, in no particular
+// order.
+func (l *loads) tunnelPeers(now time.Time) (out []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, last := range l.byDaemon {
+		if last.address != "" && now.Sub(last.receivedAt) <= loadValidFor {
+			out = append(out, last.address)
+		}
+	}
+	return out
+}
+
+// allTunnelPeers is tunnelPeers with those of other zones.
+func (l *loads) allTunnelPeers(now time.Time) []string {
+	own := l.tunnelPeers(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append(own, l.remotePeers...)
 }
 
 // countDaemons returns how many daemons of this zone reported recently, and how many of all
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,6 +123,8 @@
 	OnRelayUsed func()
 	// Traffic connects this daemon's requests to what the zone shares.
 	Traffic Traffic
+	// ReachesInstances reports whether this daemon can open tunnels to instances for others; nil: no.
+	ReachesInstances func() bool
 	// Gate keeps what this daemon knows of instances that limit their request rate.
 	Gate *backpressure.Gate
 	// Quarantine is what this daemon knows of requests that crash instances; nil: nothing.
@@ -168,11 +170,14 @@
 	// relayAnsweredAt is when a relay answered last, even with an error.
 	relayAnsweredAt steady.Time
 	viaRelay        atomic.Bool // the last call of Follow went through a relay
+	// tunnelPeers are addresses of daemons that reach instances, as last told.
+	tunnelPeers atomic.Pointer[[]string]
 
 	relayUnresponsive atomic.Bool // the last quarantine sync with the relay failed or found no relay
 	syncStates        syncStates
 	knownRelays       knownRelays   // of all zones, as last listed
 	syncRequested     chan struct{} // signalled when there are quarantine updates to send or to request
+	reportRequested   chan struct{} // signalled when loads are to be exchanged at once
 	polled            chan struct{} // signalled when a peer polls after none did for recentContact
 
 	// State of the goroutine that calls Follow.
@@ -195,7 +200,7 @@
 // together, random delays spread the first reads of the record, so that most daemons find a
 // relay.
 func NewNode(o Options) *Node {
-	n := &Node{Feed: o.Store, opts: o, history: newHistory(), reports: newReports(), nextSearchAt: o.Now(), syncRequested: make(chan struct{}, 1), polled: make(chan struct{}, 1)}
+	n := &Node{Feed: o.Store, opts: o, history: newHistory(), reports: newReports(), nextSearchAt: o.Now(), syncRequested: make(chan struct{}, 1), reportRequested: make(chan struct{}, 1), polled: make(chan struct{}, 1)}
 	switch {
 	case o.Bootstrap && n.hasFastLink():
 		n.nextSearchAt = n.nextSearchAt.Add(o.Uniform(0, maxFastSearchDelay))
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -53,6 +53,9 @@
 	// StalledInstances are the instances whose running streams recently stopped making progress
 	// for the daemon.
 	StalledInstances []string `json:"standing,omitempty"`
+	// Address is where the daemon serves peers if it can open tunnels to instances for them; empty:
+	// it can't.
+	Address string `json:"address,omitempty"`
 }
 
 // groupRef identifies one formation of a group.
@@ -89,6 +92,8 @@
 	Limits []backpressure.Update `json:"limits,omitempty"`
 	// QuarantineSeq is as in PollReply.
 	QuarantineSeq uint64 `json:"quarantine,omitempty"`
+	// TunnelPeers are addresses of daemons of all zones that reach instances, drawn at random.
+	TunnelPeers []string `json:"tunnel_peers,omitempty"`
 }
 
 // encodedShare is a ShareReply on the wire whose loads are already encoded.
@@ -113,4 +118,6 @@
 	Loads         map[string]int `json:"loads,omitempty"`
 	StalledGroups []groupRef     `json:"standing,omitempty"`
 	Daemons       int            `json:"daemons"`
+	// TunnelPeers are as in ShareReply, of this zone.
+	TunnelPeers []string `json:"tunnel_peers,omitempty"`
 }
