link: connections outlast a second of silence of their peer

TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. It was 1.5 s, so that an idle connection ended 1.5 s after the last answer and not after the two seconds that its comment named, close to the second or so for which a sound engine may be silent. Both are two seconds now and the comment names both. Requests do not depend on it: stalls are found by the gateway's own timeouts.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,12 +14,13 @@
 
 // Timeouts after which a connection over a silent link is closed.
 const (
-	// unackedTimeout is how long sent bytes may stay unacknowledged. Within a region a round trip
-	// takes milliseconds, and one with a lost packet some hundred. After the timeout a caller's
-	// first event is late, but the request can continue on another connection.
-	unackedTimeout = 1500 * time.Millisecond
-	// An idle connection is probed after keepAliveIdle, then every keepAliveInterval, and closed
-	// after keepAliveProbes without an answer: two seconds in all.
+	// unackedTimeout (TCP_USER_TIMEOUT) is how long sent bytes may stay unacknowledged. It also decides
+	// when keep-alive probes give up, whatever their count: so long after the last answer. A peer that
+	// works may be silent for a second or so. Requests do not wait for it: they continue on another
+	// connection.
+	unackedTimeout = 2 * time.Second
+	// An idle connection is probed after keepAliveIdle, then every keepAliveInterval. The count of
+	// probes gives the same two seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveProbes   = 2
