formation: epochs rise although the store came back from a copy

A holder now begins above the highest epoch that entries tell and above what earlier holders stored in the lease's record; it stores its own there before the first order, and ends its term if an entry shows a later one's epochs. Within an era nothing changes, as terms rise.

--- a/internal/formation/lease.go
+++ b/internal/formation/lease.go
@@ -38,6 +38,8 @@
 	// Resent lists the instances whose joins were recently sent again or are about to be: a
 	// second copy may still be carried out after the instance left the group.
 	Resent []string `json:"doubled,omitempty"`
+	// EpochTerm is the highest EpochTerm of any holder, see Lease.RecordEpochTerm.
+	EpochTerm uint64 `json:"epoch_term,omitempty"`
 }
 
 // maxResent bounds leaseRecord.Resent. Joins of further instances are not sent again until
@@ -65,7 +67,8 @@
 	renewedAt        time.Time  // when the last confirmed renewal was sent
 	mu               sync.Mutex // guards resent
 	// resent is when NoteResend was last called, by instance.
-	resent map[string]time.Time
+	resent    map[string]time.Time
+	epochTerm atomic.Uint64 // to be recorded
 }
 
 // leaseState is what other goroutines read of the lease. Step publishes it.
@@ -75,6 +78,7 @@
 	recorded         map[string]bool // instances that the stored record lists
 	inheritedResends map[string]bool // those that it listed when the lease was acquired
 	otherHolderSeen  bool            // the record names another daemon
+	epochTerm        uint64          // the stored record's
 }
 
 // Term returns the term if this daemon holds the lease at now, otherwise 0.
@@ -123,6 +127,24 @@
 	return nil
 }
 
+// RecordEpochTerm makes the record hold an epoch term from the next renewal on, and reports whether the stored
+// one does. The epochs of a term begin at its lease's revision. After the store came back from a copy that may
+// be below epochs that instances have seen, and the planner takes a higher one, which no later holder may use
+// again.
+func (l *Lease) RecordEpochTerm(term uint64) (recorded bool) {
+	l.epochTerm.Store(max(l.epochTerm.Load(), term))
+	s := l.state.Load()
+	return s != nil && s.epochTerm >= term
+}
+
+// InheritedEpochTerm returns the highest epoch term in the stored record, 0 if it has none.
+func (l *Lease) InheritedEpochTerm() uint64 {
+	if s := l.state.Load(); s != nil {
+		return s.epochTerm
+	}
+	return 0
+}
+
 // Acquired reports whether this daemon acquired the lease and has not learned that it lost it. The
 // lease may have lapsed; the next renewal then shows whether another daemon has acquired it.
 func (l *Lease) Acquired() bool {
@@ -151,7 +173,7 @@
 			recorded = setOf(l.record.Resent)
 		}
 		otherHolder := l.record.Holder != "" && l.record.Holder != l.Holder
-		l.state.Store(&leaseState{l.term, l.renewedAt, recorded, l.inheritedResends, otherHolder})
+		l.state.Store(&leaseState{l.term, l.renewedAt, recorded, l.inheritedResends, otherHolder, l.record.EpochTerm})
 	}()
 	ctx, cancel := context.WithTimeout(ctx, 2*leaseCallTimeout)
 	defer cancel()
@@ -198,7 +220,7 @@
 // create acquires a lease that does not exist in the store.
 func (l *Lease) create(ctx context.Context) {
 	sentAt := l.Clock.Now()
-	l.record = leaseRecord{Holder: l.Holder, Count: 1}
+	l.record = leaseRecord{Holder: l.Holder, Count: 1, EpochTerm: l.epochTerm.Load()}
 	version, err := l.Feed.Create(ctx, l.Key, l.encode())
 	l.recordAcquisition(version, sentAt, err)
 }
@@ -210,7 +232,7 @@
 	for instance := range l.inheritedResends {
 		l.NoteResend(instance, sentAt)
 	}
-	l.record = leaseRecord{Holder: l.Holder, Count: l.record.Count + 1, Resent: l.record.Resent}
+	l.record = leaseRecord{Holder: l.Holder, Count: l.record.Count + 1, Resent: l.record.Resent, EpochTerm: l.record.EpochTerm}
 	version, err := l.Feed.Update(ctx, l.Key, l.version, l.encode())
 	l.recordAcquisition(version, sentAt, err)
 }
@@ -242,6 +264,7 @@
 	previous := l.record
 	l.record.Count++
 	l.record.Resent = l.recentResends(sentAt)
+	l.record.EpochTerm = max(l.record.EpochTerm, l.epochTerm.Load())
 	timed, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	version, err := l.Feed.Update(timed, l.Key, l.version, l.encode())
@@ -288,7 +311,7 @@
 		return
 	}
 	l.state.Store(nil)
-	l.record = leaseRecord{Count: l.record.Count + 1, Resent: l.record.Resent}
+	l.record = leaseRecord{Count: l.record.Count + 1, Resent: l.record.Resent, EpochTerm: l.record.EpochTerm}
 	_, err := l.Feed.Update(ctx, l.Key, l.version, l.encode())
 	l.drop("lease released", err)
 }
--- a/internal/formation/lease_test.go
+++ b/internal/formation/lease_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/routes"
 )
 
 // singleObjectStore is a store with one object.
@@ -91,3 +92,30 @@
 }
 
 var start = time.Unix(1000, 0)
+
+// Guards against epochs below those that instances have seen, after the store came back from a copy and its
+// revisions fell, and against epochs that two holders give.
+func TestEpochsRiseAfterTheStoreWasRestored(t *testing.T) {
+	seen := twoGroups()
+	for _, in := range seen.Instances {
+		in.Group.Epoch = 100*epochsPerTerm + 5
+	}
+	must.Eq(t, 120, epochTermFor(objectapi.MakeRevision(0, 120), 0, seen), must.Sprint("revisions rise within an era"))
+	must.Eq(t, 101, epochTermFor(objectapi.MakeRevision(1, 60), 0, seen))
+	must.Eq(t, 131, epochTermFor(objectapi.MakeRevision(1, 60), 130, seen), must.Sprint("an earlier holder used 130"))
+
+	store := &singleObjectStore{}
+	first := newLease(store, "first")
+	first.Step(t.Context())
+	must.False(t, first.RecordEpochTerm(101), must.Sprint("not stored yet"))
+	first.Step(t.Context())
+	must.True(t, first.RecordEpochTerm(101))
+	first.Release(t.Context())
+	second := newLease(store, "second")
+	second.Step(t.Context())
+	must.Eq(t, 101, second.InheritedEpochTerm())
+
+	p := NewPlanner(simService, 60, nil, start)
+	p.Plan(seen, &routes.Engine{}, start)
+	must.True(t, p.Exhausted(), must.Sprint("the term ends if an instance has seen later epochs"))
+}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/steady"
@@ -65,6 +66,7 @@
 	logged           map[string]summary  // last one logged, by service
 	results          chan orderResult
 	term             uint64
+	epochTerm        uint64       // of the epochs in this term; 0: not decided yet
 	lastNeglectCheck time.Time    // when the view was last checked for neglected work
 	checked          pendingInput // input of the last check
 	workPending      bool         // whether that input shows work for a planner
@@ -263,12 +265,18 @@
 		return
 	}
 	if term != m.term {
-		m.term, m.planners, m.termStart = term, map[string]*Planner{}, now
+		m.term, m.epochTerm, m.planners, m.termStart = term, 0, map[string]*Planner{}, now
 		m.RefreshView()
 	}
 	if !m.viewCurrent(now) {
 		return
 	}
+	if m.epochTerm == 0 {
+		m.epochTerm = epochTermFor(term, m.Lease.InheritedEpochTerm(), view)
+	}
+	if m.epochTerm > objectapi.WithinEra(term) && !m.Lease.RecordEpochTerm(m.epochTerm) {
+		return // a later holder must know of it before it is used
+	}
 	m.counts.observeView(view, now)
 	defer m.observePlan(now)
 	m.detector.startProbes(ctx, view, m.Suspects(now), now)
@@ -280,7 +288,7 @@
 		}
 		p := m.planners[s.Name]
 		if p == nil {
-			p = NewPlanner(s.Name, term, m.Lease.InheritedResends(), now)
+			p = NewPlanner(s.Name, m.epochTerm, m.Lease.InheritedResends(), now)
 			m.planners[s.Name] = p
 		}
 		p.MayResend, p.BeforeFirstRequest, p.LoadWindow = m.Lease.ResendRecorded, m.BeforeFirstRequest(), m.LoadWindow()
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/routes"
 )
 
@@ -49,6 +50,7 @@
 	Service    string
 	term       uint64    // of the lease
 	epochsUsed uint64    // in this term
+	outranked  bool      // an instance has seen epochs of a later term
 	started    time.Time // when the planner was created
 	// inheritedResends are the instances to which the previous planner may have sent joins twice.
 	inheritedResends map[string]bool
@@ -102,9 +104,34 @@
 // epochsPerTerm is the number of epochs in one term.
 const epochsPerTerm = 1 << 16
 
-// Exhausted reports whether half of the term's epochs are used. The term should then end, as
-// the next one has epochs of its own.
-func (p *Planner) Exhausted() bool { return p.epochsUsed >= epochsPerTerm/2 }
+// epochTermFor returns the term whose epochs a holder of the lease uses: the revision at which it acquired
+// the lease, or more if instances have seen higher epochs or inherited is not lower. Revisions fall when the
+// store comes back from a copy, and instances refuse epochs below those that they have seen.
+func epochTermFor(leaseTerm, inherited uint64, v *fleet.View) uint64 {
+	term := objectapi.WithinEra(leaseTerm)
+	if inherited > 0 {
+		term = max(term, inherited+1)
+	}
+	if seen := highestEpoch(v); seen > 0 {
+		term = max(term, seen/epochsPerTerm+1)
+	}
+	return term
+}
+
+// highestEpoch returns the highest epoch that an entry tells.
+func highestEpoch(v *fleet.View) (epoch uint64) {
+	for _, in := range v.Instances {
+		epoch = max(epoch, in.Group.Epoch)
+	}
+	for _, gone := range v.Removed {
+		epoch = max(epoch, gone.Instance.Group.Epoch)
+	}
+	return epoch
+}
+
+// Exhausted reports whether half of the term's epochs are used, or an instance has seen those of a later
+// term. The term should then end, as the next one has epochs of its own.
+func (p *Planner) Exhausted() bool { return p.epochsUsed >= epochsPerTerm/2 || p.outranked }
 
 // nextEpoch returns an epoch above those of all earlier terms and, until the term's epochs run
 // out, above those of this one.
@@ -115,6 +142,7 @@
 
 // Plan returns the orders to send now.
 func (p *Planner) Plan(v *fleet.View, engine *routes.Engine, now time.Time) []Order {
+	p.outranked = highestEpoch(v)/epochsPerTerm > p.term
 	return slices.Collect(p.orders(v, engine, now))
 }
 
--- a/internal/objectapi/objectapi.go
+++ b/internal/objectapi/objectapi.go
@@ -33,7 +33,8 @@
 	ErrTooLarge = errors.ConstError("objectapi: value too large")
 )
 
-// Object is one versioned value. Version is the platform-wide revision of its last write.
+// Object is one versioned value. Version is the platform-wide revision of its last write; see MakeRevision
+// for stores that come back from a copy.
 type Object struct {
 	Key     string          `json:"key"`
 	Version uint64          `json:"version"`
