front, platform: a configuration is ordered by the store's era, too

Each place compared revisions that had begun again lower.

A restored copy of an earlier configuration, told by the operator's own version, neither comes into force nor proves anything; relays tell a daemon that started since what their peers apply.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -10,6 +10,7 @@
 
 	"pearlanding/internal/gateway"
 	"pearlanding/internal/objectapi"
+	"pearlanding/internal/relay"
 	"pearlanding/internal/routes"
 	"pearlanding/internal/steady"
 )
@@ -60,18 +61,22 @@
 // Its reads also probe whether the store answers: a read is answered at once, whether anything
 // changed or not. The next read does not wait for an unanswered one, which may be lost.
 type configFollower struct {
-	clock       *steady.Clock // nil: this machine's
-	feed        objectapi.Feed
-	key         string
-	decode      func(value []byte) (*routes.Config, error)
-	log         *zap.Logger
-	version     uint64 // of the store's object that is in force
+	clock   *steady.Clock // nil: this machine's
+	feed    objectapi.Feed
+	key     string
+	decode  func(value []byte) (*routes.Config, error)
+	log     *zap.Logger
+	version uint64 // of the store's object that is in force
+	// newest is the highest version that the operator gave a configuration, as far as this daemon and its
+	// peers know. A store that came back from a copy may hold an earlier one until the operator has
+	// written again.
+	newest      uint64
 	unreachable bool
 	bounds      func() Bounds
 	changed     func() // called after another configuration came into force
-	// onRead, if set, is called after every successful read with the object's version and the time
-	// as of which that version is proved current. serving, if set, reports whether peers rely on
-	// these reads.
+	// onRead, if set, is called after every read that proves a configuration, with the object's version
+	// and the time as of which that version is proved current. serving, if set, reports whether peers
+	// rely on these reads.
 	onRead  func(version uint64, provedAt time.Time)
 	serving func() bool
 	// planning, if set, reports whether this daemon forms the groups.
@@ -85,7 +90,10 @@
 	confirmations    chan confirmation
 	recovered        chan struct{} // another daemon reported that the store answers again
 	current          atomic.Pointer[gateway.Config]
-	schedule         readSchedule // owned by Run
+	inForce          atomic.Pointer[relay.ConfigStamp]
+	peerStamps       peerStamps
+	stampsChanged    chan struct{} // signalled when peers know more; nil: they tell nothing
+	schedule         readSchedule  // owned by Run
 }
 
 // confirmation is another daemon's report that the configuration's object had a version at a
@@ -143,6 +151,8 @@
 		case <-f.clock.Resumed(): // the timer did not run during the suspension
 		case <-f.recovered:
 			f.schedule.unanswered = 0
+		case <-f.stampsChanged:
+			f.checkStamps()
 		case c := <-f.confirmations:
 			f.applyConfirmation(c)
 		case r := <-results:
@@ -253,7 +263,7 @@
 // confirmation is of another version or not newer than the proof.
 func (f *configFollower) renewProof(c confirmation) bool {
 	current := f.Current()
-	if c.version != f.version || current.Table == nil || !c.provedAt.After(current.ProvedAt) {
+	if c.version != f.version || current.Table == nil || !c.provedAt.After(current.ProvedAt) || current.Version() < f.newestBefore(f.version) {
 		return false
 	}
 	f.current.Store(&gateway.Config{Table: current.Table, ProvedAt: c.provedAt})
@@ -274,9 +284,6 @@
 		}
 		return
 	}
-	if f.onRead != nil {
-		f.onRead(o.Version, provedAt)
-	}
 	if f.unreachable {
 		f.unreachable = false
 		f.log.Info("store reached again", zap.Uint64("version", o.Version), zap.Int64("asked_ms_ago", f.clock.Since(provedAt).Milliseconds()))
@@ -286,7 +293,10 @@
 		f.log.Warn("older configuration ignored", zap.Uint64("version", o.Version), zap.Uint64("in_force", f.version))
 		return
 	case o.Version == f.version:
-		f.renewProof(confirmation{o.Version, provedAt})
+		if f.newestBefore(o.Version) <= f.Current().Version() {
+			f.noteProof(o.Version, gateway.Config{Table: f.Current().Table, ProvedAt: provedAt})
+			f.renewProof(confirmation{o.Version, provedAt})
+		}
 		return
 	}
 	c, err := f.decode(o.Value)
@@ -295,8 +305,14 @@
 		return
 	}
 	before := f.Current()
+	if newest := f.newestBefore(o.Version); c.Version < newest {
+		f.log.Warn("restored configuration ignored", zap.String("decision", "keep_configuration"), zap.Uint64("object_version", o.Version),
+			zap.Uint64("config_version", c.Version), zap.Uint64("newest_known", newest))
+		return
+	}
 	f.version = o.Version
 	f.current.Store(&gateway.Config{Table: routes.Compile(c), ProvedAt: provedAt})
+	f.noteProof(o.Version, f.Current())
 	f.log.Info("configuration in force", zap.Uint64("object_version", o.Version), zap.Uint64("config_version", c.Version),
 		zap.String("source", string(source)), zap.Int64("proved_ms_ago", f.clock.Since(provedAt).Milliseconds()),
 		zap.Uint64("before", before.Version()), zap.Int64("before_proved_ms_ago", f.clock.Since(before.ProvedAt).Milliseconds()),
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -199,7 +199,7 @@
 	d.calls.clock = d.Clock
 	d.Platform.Feed = d.calls
 	d.config = &configFollower{clock: d.Clock, feed: d.Platform.Feed, key: d.Platform.ConfigKey, decode: d.Platform.DecodeConfig, log: d.Log,
-		bounds: func() Bounds { return d.Settings().Bounds }, confirmations: make(chan confirmation, 1), recovered: make(chan struct{}, 1), maxProbeInterval: d.maxProbeInterval}
+		bounds: func() Bounds { return d.Settings().Bounds }, confirmations: make(chan confirmation, 1), recovered: make(chan struct{}, 1), stampsChanged: make(chan struct{}, 1), maxProbeInterval: d.maxProbeInterval}
 	d.lease = &formation.Lease{Clock: d.Clock, Feed: d.Platform.Feed, Key: leaseKey, Holder: holder, Log: d.Log}
 	d.config.planning = d.planning
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -99,7 +99,7 @@
 	return relay.NewNode(relay.Options{
 		Traffic: relay.Traffic{TakeSpareRetries: d.budgets.TakeSpareRetries, InFlight: d.picker.InFlight, GroupProgress: d.progress, Stalls: d.picker.Stalls(), OnLoads: d.takeLoads, RetryPoolRule: d.poolRule},
 		Store:   d.Platform.Feed, Kind: d.Platform.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.PeerAddress, LinkMbps: s.LinkMbps,
-		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, OnRelayUsed: d.config.storeRecovered,
+		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, ConfigInForce: d.config.stamp, OnConfigStamp: d.config.noteStamp, OnRelayUsed: d.config.storeRecovered,
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
 		StalledInstances: d.stalledOrEndedHeads,
 		ReachesInstances: d.direct.Usable,
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -73,10 +73,12 @@
 }
 
 // applyListing merges a current listing. Earlier changes are kept if all objects were known: the
-// objects missing from the listing were removed since.
-func (h *history) applyListing(l objectapi.Listing, asked time.Time) {
+// objects missing from the listing were removed since. It returns whether the store has come back from a copy
+// since the last change.
+func (h *history) applyListing(l objectapi.Listing, asked time.Time) (restored bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	restored = h.known && objectapi.Era(l.Revision) > objectapi.Era(h.end)
 	if !h.complete || l.Revision < h.end {
 		h.reset(l.Objects, l.Revision, true)
 	} else {
@@ -84,6 +86,7 @@
 	}
 	h.provedAt = laterOf(h.provedAt, asked)
 	h.invalidate()
+	return restored
 }
 
 // mergeListing records what changed up to a listing; h.mu is held.
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -42,6 +42,8 @@
 	// QuarantineSeq is the last quarantine sequence number that the caller received; nil: the
 	// caller wants none.
 	QuarantineSeq *uint64 `json:"quarantine,omitempty"`
+	// ConfigInForce is the configuration that the caller applies.
+	ConfigInForce ConfigStamp `json:"config_in_force,omitzero"`
 }
 
 // PollReply is what a relay knows. Ages are in milliseconds before the reply was made, rounded
@@ -61,6 +63,15 @@
 	// QuarantineSeq numbers the quarantine updates that all daemons must have: a daemon that
 	// last received another number requests them.
 	QuarantineSeq uint64 `json:"quarantine,omitempty"`
+	// ConfigInForce is the configuration that the relay applies.
+	ConfigInForce ConfigStamp `json:"config_in_force,omitzero"`
+}
+
+// ConfigStamp identifies a configuration: by the version of its object, and by the version that the
+// operator gave it. The zero value means none.
+type ConfigStamp struct {
+	Object   uint64 `json:"object"`
+	Operator uint64 `json:"operator"`
 }
 
 // ageMS returns the age of a proof in whole milliseconds, rounded up so that a proof never
@@ -89,6 +100,7 @@
 	}
 	n.polledAt.Store(received)
 	n.reports.note(r.From, r.StalledInstances, received)
+	n.noteConfigStamp(r.ConfigInForce)
 	timer := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, maxPollWait))
 	defer timer.Stop()
 	for expired := false; ; {
@@ -134,13 +146,28 @@
 func (n *Node) makePollReply(received, entries time.Time, config configProof, changes packedChanges) PollReply {
 	now := n.now()
 	out := PollReply{HeldMS: now.Sub(received).Milliseconds(), Gap: changes.gap, Changes: changes.changes, Revision: changes.end, EntriesAgeMS: ageMS(now, entries),
-		ConfigSeq: config.seq, ConfigVersion: config.version, QuarantineSeq: n.clusterWideSeq()}
+		ConfigSeq: config.seq, ConfigVersion: config.version, QuarantineSeq: n.clusterWideSeq(), ConfigInForce: n.configInForce()}
 	if config.version != 0 {
 		out.ConfigAgeMS = ageMS(now, config.provedAt)
 	}
 	return out
 }
 
+// configInForce returns the configuration that this daemon applies.
+func (n *Node) configInForce() ConfigStamp {
+	if n.opts.ConfigInForce == nil {
+		return ConfigStamp{}
+	}
+	return n.opts.ConfigInForce()
+}
+
+// noteConfigStamp passes on which configuration another daemon applies.
+func (n *Node) noteConfigStamp(s ConfigStamp) {
+	if n.opts.OnConfigStamp != nil && s != (ConfigStamp{}) {
+		n.opts.OnConfigStamp(s)
+	}
+}
+
 // clusterWideSeq returns the sequence number of the last quarantine update that all daemons
 // must have.
 func (n *Node) clusterWideSeq() uint64 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,6 +118,10 @@
 	// OnConfigProof is called with a version of the configuration's object and a time at which the
 	// object had that version.
 	OnConfigProof func(version uint64, proved time.Time)
+	// ConfigInForce returns the configuration that this daemon applies, and OnConfigStamp is called with
+	// those of others; nil: they are not exchanged.
+	ConfigInForce func() ConfigStamp
+	OnConfigStamp func(s ConfigStamp)
 	// OnRelayUsed, if set, is called when this daemon begins to use a relay, be it a lost one that
 	// answers again or another one: such a relay should reach the store.
 	OnRelayUsed func()
@@ -284,7 +288,9 @@
 	if kind == n.opts.Kind {
 		n.storeReached.Store(err == nil)
 		if err == nil {
-			n.history.applyListing(l, asked)
+			if n.history.applyListing(l, asked) {
+				n.recheckRecord.Store(true) // what was written to the record may be lost
+			}
 		}
 	}
 	return l, err
@@ -493,7 +499,7 @@
 	defer cancel()
 	lastSeq := n.share.lastSeq(address)
 	r, err := n.opts.Peers.Poll(timed, address, PollRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds(),
-		From: n.opts.Holder, StalledInstances: n.opts.StalledInstances(asked), QuarantineSeq: &lastSeq})
+		From: n.opts.Holder, StalledInstances: n.opts.StalledInstances(asked), QuarantineSeq: &lastSeq, ConfigInForce: n.configInForce()})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		n.relayAnsweredAt.Store(n.now())
 		return objectapi.Changes{}, false, errors.WithType(err, errOutOfTouch)
@@ -510,6 +516,7 @@
 	n.relayAnsweredAt.Store(n.now())
 	n.share.setRelay(address)
 	n.noteClusterWideSeq(address, r.QuarantineSeq)
+	n.noteConfigStamp(r.ConfigInForce)
 	if r.ConfigVersion != 0 {
 		n.opts.OnConfigProof(r.ConfigVersion, asked.Add(held-time.Duration(r.ConfigAgeMS)*time.Millisecond))
 	}
