fleet: instances that left do not return with the store's copy

The copy from which a store comes back holds instances that left since, as if they served: requests would be sent to them until the entries lapse. An incarnation that drained stays so; one that was removed stays removed for five seconds, after which copies of ended instances have lapsed, and the entries are listed again if any was ignored.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -124,6 +124,9 @@
 			if f.state.Expire(now) {
 				f.publish(now)
 			}
+			if f.state.RelistDue(now) {
+				f.Refresh()
+			}
 		case <-f.sizesChanged:
 			f.state.InvalidateView()
 			if v := f.View(); v != nil {
--- a/internal/fleet/known_state.go
+++ b/internal/fleet/known_state.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"pearlanding/internal/objectapi"
 )
 
 // Times for instances whose entries were removed.
@@ -32,6 +34,7 @@
 	removed           map[string]RemovedInstance
 	endedIncarnations map[string][]int64 // start times of the ended incarnations of an id
 	revision          uint64
+	restored          restoredStore
 	lastView          *View // published most recently
 }
 
@@ -56,6 +59,7 @@
 // Replace applies a whole listing. provedAt is when the known state was last proved.
 func (b *KnownState) Replace(instances []*Instance, revision uint64, provedAt, now time.Time) {
 	present := make(map[string]bool, len(instances))
+	b.restored.observe(revision, now)
 	for _, in := range instances {
 		present[in.ID] = true
 		b.Put(in)
@@ -77,9 +81,17 @@
 	if old != nil && old.Version > in.Version || slices.Contains(b.endedIncarnations[in.ID], in.StartedAt) {
 		return
 	}
+	if b.ignoreCopy(in) {
+		return
+	}
 	if old == nil {
 		old = b.removed[in.ID].Instance
 	}
+	if old != nil && old.Draining && !in.Draining && old.StartedAt == in.StartedAt && objectapi.Era(old.Version) < objectapi.Era(in.Version) {
+		draining := *in // the store's copy is from before the instance began to leave
+		draining.Draining = true
+		in = &draining
+	}
 	if old != nil && old.StartedAt != in.StartedAt && old.StartedAt != 0 {
 		b.endedIncarnations[in.ID] = append(b.endedIncarnations[in.ID], old.StartedAt)
 	}
@@ -137,6 +149,10 @@
 // Advance records that all changes up to a revision have been applied.
 func (b *KnownState) Advance(revision uint64) { b.revision = max(b.revision, revision) }
 
+// RelistDue reports, once after each return of the store from a copy, that a listing is needed: entries
+// were ignored that may be those of living instances.
+func (b *KnownState) RelistDue(now time.Time) bool { return b.restored.relistDue(now) }
+
 // Revision returns the store's revision up to which all changes are known.
 func (b *KnownState) Revision() uint64 { return b.revision }
 
@@ -144,6 +160,7 @@
 // view changed by it.
 func (b *KnownState) Expire(now time.Time) bool {
 	changed := false
+	b.restored.now = now
 	for id, gone := range b.removed {
 		if gone.Lapsed && now.Sub(gone.At) > lapsedMemberTimeout || gone.InHeadGrace && !now.Before(gone.HeadGraceEnd) {
 			gone.Lapsed, gone.InHeadGrace, changed = false, false, true
