--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,6 +110,8 @@
 	runClock *steady.RunClock
 	// MetricsAddress is the address that serves /metrics; empty: not served.
 	MetricsAddress string
+	// DialInstance connects to an instance; nil: by TCP. Tests replace it.
+	DialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 
 	config        *configFollower
 	instances     *fleet.Follower
@@ -139,8 +141,6 @@
 	// sets it if it is nil. Tests replace both.
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	uniform func(low, high time.Duration) time.Duration
-	// dialInstance connects to instances; nil: by TCP. Tests replace it.
-	dialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Run serves until ctx ends, then stops in order: it reports not ready at once, accepts no
--- a/internal/front/simcallers_test.go
+++ b/internal/front/simcallers_test.go
@@ -149,7 +149,7 @@
 	d.Platform.DecodeInstance = func(id string, version uint64, _ []byte) (*fleet.Instance, error) {
 		return &fleet.Instance{ID: id, Address: id, Service: simService, StartedAt: 1, Version: version}, nil
 	}
-	d.dialInstance = f.instances.dialer(d.Settings().Node)
+	d.DialInstance = f.instances.dialer(d.Settings().Node)
 }
 
 // callRegularly sends requests to one daemon.
--- a/internal/front/tunnels.go
+++ b/internal/front/tunnels.go
@@ -31,8 +31,8 @@
 // lets other daemons use this one for that.
 func (d *Daemon) buildTunnels(s Settings) {
 	dialInstance, dialPeer := link.Dialer(0).DialContext, link.Dialer(0).DialContext
-	if d.dialInstance != nil {
-		dialInstance = d.dialInstance
+	if d.DialInstance != nil {
+		dialInstance = d.DialInstance
 	}
 	if d.dial != nil {
 		dialPeer = d.dial
