formation: no plans by a view of the copy from which the store came back

Engines write their entries again within some seconds. No plans are made for five seconds from the first view of a new era, nor after the start of a process in an era above 0, which can't know when the store came back.

--- a/internal/fleet/restored_store.go
+++ b/internal/fleet/restored_store.go
@@ -6,9 +6,10 @@
 	"pearlanding/internal/objectapi"
 )
 
-// copyLapse is how long after the store came back from a copy the copy's entries of instances that have ended
-// may exist: they lapse after three heartbeats.
-const copyLapse = 5 * time.Second
+// CopyLapse is how long after the store came back from a copy the copy's entries may differ from what the
+// instances would write: living ones write again within that time, and the entries of others lapse after three
+// heartbeats.
+const CopyLapse = 5 * time.Second
 
 // restoredStore is what a known state knows of the store's last return from a copy. The copy holds
 // entries of instances that have left since, as if they served.
@@ -22,7 +23,7 @@
 }
 
 // observe records the era of a revision, and returns whether the store has come back from a copy within
-// copyLapse.
+// CopyLapse.
 func (r *restoredStore) observe(revision uint64, now time.Time) (recently bool) {
 	if now.After(r.now) {
 		r.now = now
@@ -33,12 +34,12 @@
 		}
 		r.era, r.known = era, true
 	}
-	return !r.since.IsZero() && r.now.Sub(r.since) < copyLapse
+	return !r.since.IsZero() && r.now.Sub(r.since) < CopyLapse
 }
 
 // relistDue reports, once, that copies have lapsed of which some were ignored.
 func (r *restoredStore) relistDue(now time.Time) bool {
-	if !r.skipped || r.relisted || now.Sub(r.since) < copyLapse {
+	if !r.skipped || r.relisted || now.Sub(r.since) < CopyLapse {
 		return false
 	}
 	r.relisted = true
--- a/internal/fleet/restored_store_test.go
+++ b/internal/fleet/restored_store_test.go
@@ -41,7 +41,7 @@
 			must.True(t, b.View(restored).Instances["leaves"].Draining)
 			must.Eq(t, objectapi.MakeRevision(1, 40), b.Revision())
 			must.False(t, b.RelistDue(restored.Add(time.Second)))
-			later := restored.Add(copyLapse)
+			later := restored.Add(CopyLapse)
 			must.True(t, b.RelistDue(later))
 			must.False(t, b.RelistDue(later), must.Sprint("once"))
 			b.Replace([]*Instance{entry("stays", objectapi.MakeRevision(1, 1)), entry("left", objectapi.MakeRevision(1, 50))}, objectapi.MakeRevision(1, 60), later, later)
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -74,6 +74,7 @@
 	// neglected is set while work has been pending for more than neglectAfter.
 	neglected atomic.Bool
 	termStart time.Time // when this daemon noticed that it holds the lease in this term
+	era       viewEra
 }
 
 // orderResult is the outcome of an order sent in a term.
@@ -245,6 +246,26 @@
 	return confirmedAt.After(m.termStart) && now.Sub(confirmedAt) < maxViewAge
 }
 
+// viewEra is since when views are of the store's present era.
+type viewEra struct {
+	era   uint64
+	since time.Time // zero: there was no view yet
+}
+
+// observe records a view.
+func (e *viewEra) observe(v *fleet.View, now time.Time) {
+	if era := objectapi.Era(v.Revision); e.since.IsZero() || era > e.era {
+		e.era, e.since = era, now
+	}
+}
+
+// settled reports whether views show what the instances themselves have written, and not the copy from which
+// the store came back: by that copy, members of groups that formed since are free. When the store came back
+// before this daemon's first view is not known.
+func (e *viewEra) settled(now time.Time) bool {
+	return e.era == 0 || now.Sub(e.since) >= fleet.CopyLapse
+}
+
 // plan runs the planners of all model services and sends their orders, if this daemon holds the
 // lease. Otherwise it checks for neglected work.
 func (m *Manager) plan(ctx context.Context, now time.Time) {
@@ -253,6 +274,7 @@
 	if view == nil || table == nil {
 		return
 	}
+	m.era.observe(view, now)
 	if term == 0 {
 		// The planners are kept: a lease that is confirmed late has the same term, and
 		// their epochs must not be used twice.
@@ -268,7 +290,7 @@
 		m.term, m.epochTerm, m.planners, m.termStart = term, 0, map[string]*Planner{}, now
 		m.RefreshView()
 	}
-	if !m.viewCurrent(now) {
+	if !m.viewCurrent(now) || !m.era.settled(now) {
 		return
 	}
 	if m.epochTerm == 0 {
--- a/internal/formation/manager_test.go
+++ b/internal/formation/manager_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/objectapi"
 	"pearlanding/internal/routes"
 )
 
@@ -91,3 +93,22 @@
 	must.True(t, m.recordResults(orderResult{order: Order{Op: OpOpen}}, time.Time{}))
 	must.False(t, m.recordResults(orderResult{order: Order{Op: OpLeave}, outcome: Unanswered}, time.Time{}), must.Sprint("it may not have left"))
 }
+
+// Guards against groups formed of members of others, by a view of the copy from which the store came back: in it
+// the members of groups that formed since are free.
+func TestNoPlansWhileViewsShowTheStoresCopy(t *testing.T) {
+	var e viewEra
+	view := func(era uint64) *fleet.View { return &fleet.View{Revision: objectapi.MakeRevision(era, 5)} }
+	e.observe(view(0), start)
+	must.True(t, e.settled(start))
+	restored := start.Add(time.Minute)
+	e.observe(view(1), restored)
+	e.observe(view(1), restored.Add(time.Second))
+	must.False(t, e.settled(restored.Add(fleet.CopyLapse-1)))
+	must.True(t, e.settled(restored.Add(fleet.CopyLapse)))
+
+	var started viewEra
+	started.observe(view(2), start)
+	must.False(t, started.settled(start), must.Sprint("the store may have come back just before the start"))
+	must.True(t, started.settled(start.Add(fleet.CopyLapse)))
+}
