--- a/internal/front/cut_from_instances_test.go
+++ b/internal/front/cut_from_instances_test.go
@@ -70,6 +70,7 @@
 		if othersSent > 0 {
 			atOthers = float64(othersServed) / float64(othersSent)
 		}
+		must.StrContains(t, f.logText(), `"peer":"d`, must.Sprint("the log tells the path"))
 		must.GreaterEq(t, atOthers-cutFailedShare, float64(served)/float64(sent), must.Sprint(strings.Join(failed, "\n")))
 		for id, runs := range f.instances.runs {
 			if strings.HasPrefix(id, "once") {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -446,6 +446,7 @@
 	}
 	x.attempts.CountReached()
 	if err == nil {
+		x.sends[s.logIndex].peer = upstream.Peer(resp)
 		x.gateway.observeSignals(t, resp, now)
 		x.gateway.countUnread(resp.Header)
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -16,6 +16,7 @@
 	startedAfter time.Duration // time from the request's arrival
 	took         time.Duration
 	outcome      string // how the send ended
+	peer         string // daemon through which the response came; empty: none
 	stream       bool   // the fields below are set
 	events       int    // received
 	// silent is the time since the last event of this send or, before the first one, since the send.
@@ -35,6 +36,9 @@
 	enc.AddInt64("at_ms", s.startedAfter.Milliseconds())
 	enc.AddInt64("took_ms", s.took.Milliseconds())
 	enc.AddString("end", s.outcome)
+	if s.peer != "" {
+		enc.AddString("peer", s.peer)
+	}
 	if s.stream {
 		enc.AddInt("events", s.events)
 		enc.AddInt64("silent_ms", s.silent.Milliseconds())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -437,6 +437,19 @@
 	return ok && link.HasUnread(b.conn.Conn)
 }
 
+// tunneledConn is a connection through another daemon.
+type tunneledConn interface{ Peer() string }
+
+// Peer returns the address of the daemon through which a response comes, empty if it comes directly.
+func Peer(resp *http.Response) string {
+	if b, ok := resp.Body.(*pooledBody); ok {
+		if c, ok := b.conn.Conn.(tunneledConn); ok {
+			return c.Peer()
+		}
+	}
+	return ""
+}
+
 // Buffered returns how many bytes of the connection can be read without blocking.
 func Buffered(resp *http.Response) int {
 	if b, ok := resp.Body.(*pooledBody); ok {
