--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -27,6 +28,7 @@
 // addRun adds the command that runs soaks.
 func addRun(app *kingpin.Application) {
 	cmd := app.Command("run", "Run soaks.").Default()
+	binary := cmd.Flag("binary", "Another program whose front command runs the daemons, such as pearlanding; its daemons are not cut off from the engines.").ExistingFile()
 	dir := cmd.Flag("dir", "Directory for settings and logs.").Required().ExistingDir()
 	first := cmd.Flag("seed", "First seed.").Default("1").Uint64()
 	seeds := cmd.Flag("seeds", "Number of seeds.").Default("1").Uint64()
@@ -34,11 +36,11 @@
 	daemons := cmd.Flag("daemons", "Number of daemons.").Default("4").Int()
 	callers := cmd.Flag("callers", "Number of callers.").Default("12").Int()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		binary, err := os.Executable()
+		own, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		return runSoaks(soak.Options{Binary: binary, Dir: *dir, Seed: *first, Duration: *duration, Daemons: *daemons, Callers: *callers}, *seeds)
+		return runSoaks(soak.Options{Binary: cmp.Or(*binary, own), CutsEngines: *binary == "", Dir: *dir, Seed: *first, Duration: *duration, Daemons: *daemons, Callers: *callers}, *seeds)
 	})
 }
 
