quarantine: what the store lost is saved again

After the store came back from a copy, contents quarantined since the copy were saved again only with the next change: a start of all daemons would have sent them to engines once more. Found by looking for who relies on what was written before a return. A listing of a new era makes a daemon take nothing for saved, and the zone's relay writes what memory holds.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -103,6 +103,7 @@
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
 		StalledInstances: d.stalledOrEndedHeads,
 		ReachesInstances: d.direct.Usable,
+		OnStoreRestored:  d.detector.Evidence.ForgetSaved,
 		Bootstrap:        s.Bootstrap, Quarantine: d.detector, Gate: d.gate, OnRecordsListed: d.takeRelayListing,
 		Uniform: d.uniform, Now: d.Clock.Now, RunClock: d.runClock, Log: d.Log,
 	})
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -115,6 +115,20 @@
 }
 
 // A quarantine, and two crashes of three, survive a restart of all processes in the store.
+// Guards against a quarantine that ends with the processes that remember it, after the store came back from a copy
+// without what was saved.
+func TestLostQuarantineIsSavedAgain(t *testing.T) {
+	e := NewEvidence()
+	for i := range 3 {
+		e.RecordCrash(incarnationOf(i), at(float64(i)), suspectsAt(at(float64(i)), poison))
+	}
+	e.MarkSaved(e.Snapshot(at(4)), at(4))
+	must.False(t, e.HasUnsaved())
+	e.ForgetSaved()
+	must.True(t, e.HasUnsaved())
+	must.Eq(t, []Digest{poison}, e.QuarantinedDigests())
+}
+
 func TestSnapshotSurvivesRestartOfAllProcesses(t *testing.T) {
 	e := NewEvidence()
 	twice := digestOf("twice", 0)
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -103,6 +103,15 @@
 	return r.clusterWide() && !r.quarantined() && len(r.crashes) > r.stored.crashes
 }
 
+// ForgetSaved notes that the store may have lost what was saved: it came back from a copy.
+func (e *Evidence) ForgetSaved() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.records {
+		r.stored = storedState{}
+	}
+}
+
 // Snapshot returns what the store should hold, in order of digest; wall is the time of day to
 // note as the time of the change.
 func (e *Evidence) Snapshot(wall time.Time) Snapshot {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,6 +122,8 @@
 	// those of others; nil: they are not exchanged.
 	ConfigInForce func() ConfigStamp
 	OnConfigStamp func(s ConfigStamp)
+	// OnStoreRestored, if set, is called when a listing shows that the store came back from a copy.
+	OnStoreRestored func()
 	// OnRelayUsed, if set, is called when this daemon begins to use a relay, be it a lost one that
 	// answers again or another one: such a relay should reach the store.
 	OnRelayUsed func()
@@ -290,6 +292,9 @@
 		if err == nil {
 			if n.history.applyListing(l, asked) {
 				n.recheckRecord.Store(true) // what was written to the record may be lost
+				if n.opts.OnStoreRestored != nil {
+					n.opts.OnStoreRestored()
+				}
 			}
 		}
 	}
