--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -61,16 +61,12 @@
 // Its reads also probe whether the store answers: a read is answered at once, whether anything
 // changed or not. The next read does not wait for an unanswered one, which may be lost.
 type configFollower struct {
-	clock   *steady.Clock // nil: this machine's
-	feed    objectapi.Feed
-	key     string
-	decode  func(value []byte) (*routes.Config, error)
-	log     *zap.Logger
-	version uint64 // of the store's object that is in force
-	// newest is the highest version that the operator gave a configuration, as far as this daemon and its
-	// peers know. A store that came back from a copy may hold an earlier one until the operator has
-	// written again.
-	newest      uint64
+	clock       *steady.Clock // nil: this machine's
+	feed        objectapi.Feed
+	key         string
+	decode      func(value []byte) (*routes.Config, error)
+	log         *zap.Logger
+	version     uint64 // of the store's object that is in force
 	unreachable bool
 	bounds      func() Bounds
 	changed     func() // called after another configuration came into force
@@ -90,10 +86,12 @@
 	confirmations    chan confirmation
 	recovered        chan struct{} // another daemon reported that the store answers again
 	current          atomic.Pointer[gateway.Config]
-	inForce          atomic.Pointer[relay.ConfigStamp]
-	peerStamps       peerStamps
-	stampsChanged    chan struct{} // signalled when peers know more; nil: they tell nothing
-	schedule         readSchedule  // owned by Run
+	// inForce identifies the configuration in force, peerStamps those that peers apply; see
+	// restored_config.go.
+	inForce       atomic.Pointer[relay.ConfigStamp]
+	peerStamps    peerStamps
+	stampsChanged chan struct{} // signalled when peers know more; nil: they tell nothing
+	schedule      readSchedule  // owned by Run
 }
 
 // confirmation is another daemon's report that the configuration's object had a version at a
--- a/internal/rpc/upgrade.go
+++ b/internal/rpc/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -88,13 +89,10 @@
 // peekLine returns the first line, or what was read of it when the buffer was full or the connection
 // ended. The reader returns it again.
 func peekLine(r *bufio.Reader) []byte {
-	line, _ := r.Peek(1) // an error shows in the next read
 	for {
-		line, _ = r.Peek(r.Buffered())
-		for i, b := range line {
-			if b == '\n' {
-				return line[:i+1]
-			}
+		line, _ := r.Peek(r.Buffered()) // what is buffered can be read
+		if end := bytes.IndexByte(line, '\n'); end >= 0 {
+			return line[:end+1]
 		}
 		if len(line) == maxUpgradeBytes {
 			return line
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -93,22 +93,24 @@
 	return r.run(ctx)
 }
 
-// race is one dial by several paths.
+// race is one dial by several paths. One goroutine owns it.
 type race struct {
 	dialer           *Dialer
 	network, address string
-	peerFirst        bool
-	tryDirect        bool // the direct path was not tried yet and may be
-	peers            []string
-	lost             bool // all direct paths are
-	running          int
-	background       int // of these, paths that are not waited for
-	results          chan attempt
-	cancelPeers      context.CancelFunc
-	peerCtx          context.Context
-	directErr        error
-	lastErr          error
-	verdict          error // what a peer that reaches other instances told about this one
+	lost             bool     // all direct paths are
+	peerFirst        bool     // a peer is asked before the direct path is tried
+	tryDirect        bool     // the direct path was not tried yet and may be
+	peers            []string // that were not asked yet; nil: none were drawn
+
+	running     int // paths that are being tried
+	background  int // of these, paths that are not waited for
+	results     chan attempt
+	peerCtx     context.Context
+	cancelPeers context.CancelFunc
+
+	directErr error // of the direct path
+	lastErr   error
+	verdict   error // what a peer that reaches other instances told about this one
 }
 
 // plan decides on the order of the paths.
