formation: an entry's impossible epoch does not decide on the term's

An entry that names an epoch above what a number in JSON holds would have made the next epochs wrap around.

--- a/internal/formation/lease_test.go
+++ b/internal/formation/lease_test.go
@@ -104,6 +104,9 @@
 	must.Eq(t, 101, epochTermFor(objectapi.MakeRevision(1, 60), 0, seen))
 	must.Eq(t, 131, epochTermFor(objectapi.MakeRevision(1, 60), 130, seen), must.Sprint("an earlier holder used 130"))
 
+	seen.Instances["a1"].Group.Epoch = 1<<64 - 1
+	must.Eq(t, 101, epochTermFor(objectapi.MakeRevision(1, 60), 0, seen), must.Sprint("no instance has seen that"))
+
 	store := &singleObjectStore{}
 	first := newLease(store, "first")
 	first.Step(t.Context())
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -118,13 +118,21 @@
 	return term
 }
 
-// highestEpoch returns the highest epoch that an entry tells.
+// maxEpoch is the highest epoch that an entry is believed: a number in JSON holds no more than 53 bits.
+const maxEpoch = 1 << 53
+
+// highestEpoch returns the highest epoch up to maxEpoch that an entry tells.
 func highestEpoch(v *fleet.View) (epoch uint64) {
+	observe := func(in *fleet.Instance) {
+		if in.Group.Epoch <= maxEpoch {
+			epoch = max(epoch, in.Group.Epoch)
+		}
+	}
 	for _, in := range v.Instances {
-		epoch = max(epoch, in.Group.Epoch)
+		observe(in)
 	}
 	for _, gone := range v.Removed {
-		epoch = max(epoch, gone.Instance.Group.Epoch)
+		observe(gone.Instance)
 	}
 	return epoch
 }
