pause: no timer for a duration that has passed

Both crashes of the race detector's runtime in runtime.(*timer).maybeRunChan today were in pause.For with a duration of -2^63 ns, the time until a zero time. A duration that is not positive returns at once, as it did after the timer. Whether the crash comes again elsewhere is not known; it stays listed.

--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// For blocks until d has elapsed or ctx is done, whichever comes first.
+// For blocks until d has elapsed or ctx is done, whichever comes first. It returns at once if d is not
+// positive.
 func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
