relay: a gap in a relay's changes is closed by the store, not by a listing

Callers: requests reached instances that had left up to 2.9 s before, where the bound is 2 s (virtual time, 40 daemons of a large fleet, the relay's process restarts within 150 ms).

Cause: a relay that restarted knows the changes since its own listing. A daemon that is further behind gets a gap for an answer. Daemons that have run since the fleet started, and found their restarted relay at the old address, had read the record only before it said so: they returned "history compacted" and listed all entries together, with the view from before until the store's link had carried all of it.

The daemon lists only if the store no longer has them. That is one call of a few entries instead of a listing.

--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -256,21 +256,20 @@
 	}
 }
 
-// closeGap returns the changes after a revision that a relay no longer knows completely, by
-// means of a snapshot. Otherwise every daemon of the zone would list from the store after the
-// relay was replaced by one that knows less. Without a snapshot in time the store itself is asked
-// for the changes. objectapi.ErrCompacted: this daemon must list.
+// closeGap returns the changes after a revision that a relay no longer knows completely: by means
+// of a snapshot where these are distributed, otherwise, or without a snapshot in time, from the
+// store. Listing all entries instead would leave this daemon with its old view while the whole
+// zone reads them over the store's link. objectapi.ErrCompacted: the store does not know the
+// changes either, and this daemon must list.
 func (n *Node) closeGap(ctx context.Context, relay string, after uint64) (objectapi.Changes, error) {
-	if !n.distributeSnapshots.Load() {
-		return objectapi.Changes{}, objectapi.ErrCompacted
-	}
-	timed, cancel := context.WithTimeout(ctx, n.limitByProof(maxSnapshotTime, n.now()))
-	defer cancel()
-	changes, closed := n.changesBySnapshot(timed, relay, after)
-	if !closed {
-		return n.followStoreOnce(ctx, after, fleet.ProofWait)
+	if n.distributeSnapshots.Load() {
+		timed, cancel := context.WithTimeout(ctx, n.limitByProof(maxSnapshotTime, n.now()))
+		defer cancel()
+		if changes, closed := n.changesBySnapshot(timed, relay, after); closed {
+			return changes, nil
+		}
 	}
-	return changes, nil
+	return n.followStoreOnce(ctx, after, fleet.ProofWait)
 }
 
 // changesBySnapshot returns the changes after a revision as the difference from a snapshot and the
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -73,9 +73,10 @@
 	relay.history.mu.Lock()
 	relay.history.base = relay.history.end // like a relay that has just listed
 	relay.history.mu.Unlock()
-	lists, staleLists := z.lists, z.staleLists
+	lists, staleLists, follows := z.lists, z.staleLists, z.follows[peer]
 	must.NoError(t, peer.step())
 	must.True(t, peer.FollowsRelay())
+	must.Eq(t, follows, z.follows[peer])
 	must.Eq(t, lists, z.lists)
 	must.Eq(t, staleLists, z.staleLists)
 	must.Eq(t, relay.state, peer.state)
@@ -118,6 +119,29 @@
 	})
 }
 
+// Guards against requests to an instance that left longer ago than the bound: after their relay was
+// replaced by one that knows less, daemons that take no snapshots listed all entries together and
+// kept their old view meanwhile. In a large fleet these were the daemons that had read their zone's
+// record only before it told them to take snapshots.
+func TestGapIsClosedByTheStoreWithoutAListing(t *testing.T) {
+	z := newZone(2)
+	z.change("a", false)
+	z.stepAll(t, 6)
+	relay, peer := z.daemons[0], z.daemons[1]
+	if !relay.IsRelay() {
+		relay, peer = peer, relay
+	}
+	z.change("a", true)
+	must.NoError(t, relay.step())
+	relay.history.mu.Lock()
+	relay.history.base = relay.history.end // like a relay that has just listed
+	relay.history.mu.Unlock()
+	lists := z.lists
+	must.NoError(t, peer.step())
+	must.Eq(t, z.state(), peer.state)
+	must.Eq(t, lists, z.lists)
+}
+
 func TestDiffIncludesRemovals(t *testing.T) {
 	h := newHistory()
 	h.seed(objectapi.Listing{Revision: 5, Objects: []objectapi.Object{{Key: "e/a", Version: 3}, {Key: "e/b", Version: 4}}})
