fleet: a pause after changes ends by the clock and does not add up delays

Callers: a daemon on a busy machine that follows the store itself learns of leaving instances later than its pause says, and sends them requests meanwhile.

Cause: the pause summed up the nominal lengths of its steps of 200 ms.

Evidence: by reading the code, and in virtual time with timers that end after three times their duration.

Change: the pause ends when UpdatePause has elapsed by the clock, so that only the delay after its last step counts.

Test: TestPauseAfterChangesDoesNotAddUpDelays, red before: 2.1 s for a pause of 0.7 s and one delay of 0.4 s.

--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -61,13 +62,18 @@
 }
 
 func startFollower(t *testing.T) (*Follower, *scriptedFeed) {
+	t.Helper()
+	return startFollowerWithClock(t, testClock())
+}
+
+func startFollowerWithClock(t *testing.T, clock *steady.Clock) (*Follower, *scriptedFeed) {
 	t.Helper()
 	feed := &scriptedFeed{lists: make(chan objectapi.Listing), follows: make(chan followCall)}
 	decode := func(id string, version uint64, _ []byte) (*Instance, error) {
 		return &Instance{ID: id, Service: "s", Version: version}, nil
 	}
 	f := NewFollower(feed, "entries", decode, NewKnownState(heartbeat, sizes), zap.NewNop())
-	f.Clock = testClock()
+	f.Clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.Run(ctx); close(ended) }()
@@ -129,6 +135,26 @@
 	must.MapContainsKey(t, f.View().Instances, "b")
 }
 
+// Guards against pauses that grow with the delays of a busy machine: the pause after changes summed
+// up the lengths of its steps, so a process that was scheduled late after each of them learned of
+// leaving instances later by all of these delays together.
+func TestPauseAfterChangesDoesNotAddUpDelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slowdown = 3 // a timer ends after three times its duration
+		start := time.Now()
+		elapsed := func() time.Duration { return slowdown * time.Since(start) }
+		clock := steady.NewClockFrom(func() (time.Time, time.Duration) { return start.Round(0).Add(elapsed()), elapsed() }, elapsed)
+		f, feed := startFollowerWithClock(t, clock)
+		feed.lists <- objectapi.Listing{Revision: 5}
+		(<-feed.follows).answer <- followAnswer{events: []objectapi.Event{{Object: object("a", 6)}}, revision: 6}
+		began := f.Clock.Now()
+		<-feed.follows
+		longestDelay := (slowdown - 1) * pauseCheckInterval
+		must.LessEq(t, defaultUpdatePause+longestDelay, f.Clock.Since(began))
+		must.GreaterEq(t, defaultUpdatePause, f.Clock.Since(began))
+	})
+}
+
 func TestViewIsRebuiltWhenSizesChange(t *testing.T) {
 	modelSize := 0
 	feed := &scriptedFeed{lists: make(chan objectapi.Listing), follows: make(chan followCall)}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -55,17 +55,19 @@
 	}
 }
 
-// pauseAfterChanges pauses after a call that brought changes, for no longer than UpdatePause
-// returns at any moment of the pause.
+// pauseAfterChanges pauses after a call that brought changes, until UpdatePause has elapsed by the
+// clock. UpdatePause is evaluated again during the pause, as it may return less meanwhile.
 func (f *Follower) pauseAfterChanges(ctx context.Context) {
 	updatePause := func() time.Duration { return defaultUpdatePause }
 	if f.UpdatePause != nil {
 		updatePause = f.UpdatePause
 	}
-	for waited := time.Duration(0); waited < updatePause() && ctx.Err() == nil; {
-		step := min(pauseCheckInterval, updatePause()-waited)
-		pause.For(ctx, step)
-		waited += step
+	for began := f.Clock.Now(); ctx.Err() == nil; {
+		remaining := updatePause() - f.Clock.Since(began)
+		if remaining <= 0 {
+			return
+		}
+		pause.For(ctx, min(pauseCheckInterval, remaining))
 	}
 }
 
