relay: a daemon that lost its relay pauses no longer than a relay after changes

Cause: the pause after a call that brought changes is 0.4 of the bound for a daemon that follows the store itself. That suits a daemon without peers. One that lost its relay also has to search for another one, possibly twice, after the pause and before its next call, and all daemons of a zone lose theirs together.

Change: until another relay is found, the pause is that of a relay, 0.15 of the bound. Calls to the store while changes go on and all daemons are without a relay, computed for a bound of 3 s: 9, 71, 300, 793 daemons 20, 158, 667, 1,762 a second (8, 59, 250, 661 before); a tenth of that for a tenth of them; one daemon 2.2 (0.8). Weighed: tokens that refill, so that the first calls after quiet are not followed by a pause: with changes all the time, as while groups form, they are used up and the pause is as long as before.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -20,8 +20,8 @@
 	// plannerUpdatePause is the pause of the planner: each of its steps waits for the changes
 	// that the step before caused.
 	plannerUpdatePause = 200 * time.Millisecond
-	// updatePauseShare of the bound on leaving instances is the pause of the other daemons; an
-	// equal share is for a slow answer.
+	// updatePauseShare of the bound on leaving instances is the pause of daemons that have neither
+	// peers nor a relay and have lost none; an equal share is for a slow answer.
 	updatePauseShare = 0.4
 	// defaultUpdatePause applies where there is no such bound.
 	defaultUpdatePause = 700 * time.Millisecond
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -123,7 +123,7 @@
 func (n *Node) dropRelay(err error) {
 	n.opts.Log.Info("relay lost", zap.String("decision", "follow_the_store"), zap.String("relay", n.relayAddress), zap.Error(err))
 	n.suspect, n.relayAddress, n.provedAt, n.failedAt = n.relayAddress, "", time.Time{}, n.now()
-	n.loggedOutOfTouch = false
+	n.withoutRelay, n.loggedOutOfTouch = true, false
 	n.storeReachedSince = time.Time{}
 	n.share.clearRelay()
 	n.SyncNow() // it announces no quarantine updates to this daemon from now on
@@ -257,7 +257,7 @@
 	if !n.isRelay.Swap(true) {
 		n.opts.Log.Info("became the zone's relay", zap.String("decision", "follow_the_store_for_the_zone"), zap.String("address", n.opts.Address))
 	}
-	n.suspect = ""
+	n.suspect, n.withoutRelay = "", false
 	n.knownRelays.setOwn(n.opts.Address)
 	n.nextSearchAt = n.now().Add(recheckInterval)
 	n.SyncNow() // relays of other zones may have updates that this daemon needs
@@ -272,6 +272,6 @@
 	if n.opts.OnRelayUsed != nil {
 		n.opts.OnRelayUsed()
 	}
-	n.relayAddress, n.suspect, n.configSeq, n.provedAt, n.relayUsedSince = address, "", 0, time.Time{}, n.now()
+	n.relayAddress, n.suspect, n.withoutRelay, n.configSeq, n.provedAt, n.relayUsedSince = address, "", false, 0, time.Time{}, n.now()
 	n.share.setRelay(address) // the planner does not poll it, but shares loads with it
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -190,6 +190,7 @@
 	relayAddress string    // empty: none that is known to work
 	suspect      string    // the relay that failed; empty: none
 	failedAt     time.Time // when the suspect failed
+	withoutRelay bool      // a relay was lost, and no other one has been found since
 	// loggedOutOfTouch is set once it was logged that the suspect answers but does not reach the
 	// store.
 	loggedOutOfTouch  bool
@@ -245,10 +246,12 @@
 }
 
 // PauseAfterChanges returns how long to pause between receiving changes and asking for more. 0: this daemon
-// neither serves peers nor follows a relay.
+// neither serves peers nor follows a relay, and has not lost one. A daemon that lost its relay pauses
+// no longer than that relay did: it also has to search for another one before its next call.
+// It must be called by the goroutine that calls Follow.
 func (n *Node) PauseAfterChanges() time.Duration {
 	switch {
-	case n.ServesPeers():
+	case n.ServesPeers(), n.withoutRelay:
 		return n.staleFraction(relayPauseFraction)
 	case n.FollowsRelay():
 		return n.staleFraction(peerPauseFraction)
