front: the test of a crash beside daemons that are cut off has a request to lose

Cause: TestCrashesAreDetectedWhileOtherDaemonsAreCutOff failed by chance (1 crash expected, 0 seen). A request whose answer has brought events for 0.3 s is no suspect of a crash, and targets are chosen at random: in the failed runs all that the two daemons had in progress at the instance were such streams, so there was no crash for them to detect (their lines name each of them).

Change: the instance ends just after it began to run a request of a daemon that reaches it. The check is the same.

--- a/internal/front/cut_from_instances_test.go
+++ b/internal/front/cut_from_instances_test.go
@@ -169,6 +169,20 @@
 	}
 }
 
+// awaitYoungRequest sends requests to a daemon until an instance has just begun to run one of them.
+// An answer that has brought events for a while makes its request no suspect of a crash.
+func (f *simFleet) awaitYoungRequest(ctx context.Context, daemon int, instance string) {
+	for n := range 1000 {
+		id := fmt.Sprint("once-young-", n)
+		f.call(ctx, daemon, id)
+		time.Sleep(simCallTime / 2)
+		if f.instances.runsAt(id, instance) {
+			return
+		}
+	}
+	f.t.Fatalf("no request reached instance %q", instance)
+}
+
 // A daemon that reaches the instances detects their crashes also while others are cut off.
 func TestCrashesAreDetectedWhileOtherDaemonsAreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -178,6 +192,7 @@
 		time.Sleep(startupTime)
 		f.instances.setCut("d1", connectionsEnd)
 		time.Sleep(time.Second)
+		f.awaitYoungRequest(ctx, 0, "i-0")
 		f.instances.crash("i-0")
 		time.Sleep(200 * time.Millisecond)
 		must.Eq(t, 1, max(f.daemons[0].detector.Crashes(), f.daemons[2].detector.Crashes()))
--- a/internal/front/siminstances_test.go
+++ b/internal/front/siminstances_test.go
@@ -48,9 +48,10 @@
 	healed  map[string]chan struct{}
 	ended   map[string]bool // instances whose process has ended
 	conns   map[*instanceConn]struct{}
-	runs    map[string]int // how often instances began to run a request, by its id
-	working map[string]int // answers that instances work on, by request id
-	dials   map[string]int // connections from a daemon that were tried since the last cut
+	runs    map[string]int    // how often instances began to run a request, by its id
+	working map[string]int    // answers that instances work on, by request id
+	ranAt   map[string]string // the instance that began to run a request last, by the request's id
+	dials   map[string]int    // connections from a daemon that were tried since the last cut
 	// answer, if set, is called when an instance receives a request. If it returns true, the
 	// request is not answered.
 	answer func(c *instanceConn, r *http.Request) bool
@@ -58,7 +59,7 @@
 
 func newInstanceNet() *instanceNet {
 	return &instanceNet{cuts: map[string]instanceCut{}, healed: map[string]chan struct{}{}, ended: map[string]bool{}, conns: map[*instanceConn]struct{}{},
-		runs: map[string]int{}, working: map[string]int{}, dials: map[string]int{}}
+		runs: map[string]int{}, working: map[string]int{}, ranAt: map[string]string{}, dials: map[string]int{}}
 }
 
 // setCut cuts a daemon off from all instances, or connects it again.
@@ -112,6 +113,13 @@
 	}
 }
 
+// runsAt reports whether an instance was the last to begin to run a request.
+func (n *instanceNet) runsAt(id, instance string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ranAt[id] == instance
+}
+
 // close ends all connections.
 func (n *instanceNet) close() {
 	n.mu.Lock()
@@ -306,6 +314,7 @@
 	n.mu.Lock()
 	n.runs[id]++
 	n.working[id]++
+	n.ranAt[id] = c.instance
 	n.mu.Unlock()
 	defer func() {
 		n.mu.Lock()
