relay: a gap without a change of an entry is closed once

A daemon in this state takes part of its relay's link from the other daemons of its zone and decodes all entries all the time, until the next entry changes.

Cause: the store's revision rises with every write, of any kind. A relay that has just listed knows the changes from the store's revision on; a peer that is at the last change of an entry is before it, in a gap that holds no change of an entry. The gap was closed, but without events the follower and the history did not advance, as the revision of an empty watch is not used.

Change: the result of closing a gap says that the next call follows from its revision. Where the store closes it, that is the revision which the relay named as it reported the gap: the store was asked after it, so nothing changed before. A relay of an earlier version names none; then it is as before.

TestFollowerResumesAfterAGapWithoutChanges is new.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -161,7 +161,7 @@
 	for _, e := range r.changes.Events {
 		f.applyEvent(e, now)
 	}
-	if len(r.changes.Events) > 0 {
+	if len(r.changes.Events) > 0 || r.changes.ClosesGap {
 		f.state.Advance(r.changes.Revision)
 	}
 	if r.stale {
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -26,10 +26,11 @@
 }
 
 type followAnswer struct {
-	events   []objectapi.Event
-	revision uint64
-	age      time.Duration
-	err      error
+	events    []objectapi.Event
+	revision  uint64
+	closesGap bool
+	age       time.Duration
+	err       error
 }
 
 func (f *scriptedFeed) ListKind(ctx context.Context, _ string) (objectapi.Listing, error) {
@@ -55,7 +56,7 @@
 	}
 	select {
 	case a := <-call.answer:
-		return objectapi.Changes{Events: a.events, Revision: a.revision, Age: a.age}, a.err
+		return objectapi.Changes{Events: a.events, Revision: a.revision, ClosesGap: a.closesGap, Age: a.age}, a.err
 	case <-ctx.Done():
 		return objectapi.Changes{}, ctx.Err()
 	}
@@ -112,6 +113,18 @@
 	must.MapNotContainsKey(t, f.View().Instances, "a")
 }
 
+func TestFollowerResumesAfterAGapWithoutChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, feed := startFollower(t)
+		feed.lists <- objectapi.Listing{Revision: 5}
+		(<-feed.follows).answer <- followAnswer{revision: 7}
+		call := <-feed.follows
+		must.Eq(t, 5, call.after)
+		call.answer <- followAnswer{revision: 9, closesGap: true}
+		must.Eq(t, 9, (<-feed.follows).after)
+	})
+}
+
 func TestFollowerRelistsAfterCompaction(t *testing.T) {
 	f, feed := startFollower(t)
 	feed.lists <- objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 5}
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -42,6 +42,9 @@
 	Events []Event // may be empty
 	// Revision is the revision to follow from next.
 	Revision uint64
+	// ClosesGap is set if the next call must follow from Revision even if there are no events: a relay
+	// does not know all changes before it.
+	ClosesGap bool
 	// Age is how long before this Follow call the request to the store was sent that returned
 	// these changes; negative if it was sent later, zero if the store answered directly. It
 	// may be overestimated, never underestimated.
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -154,7 +154,7 @@
 		h.reset(nil, after, false)
 	}
 	h.provedAt = laterOf(h.provedAt, proved)
-	if len(c.Events) == 0 {
+	if len(c.Events) == 0 && !c.ClosesGap {
 		return
 	}
 	for _, e := range c.Events {
@@ -236,8 +236,8 @@
 }
 
 // changesAfter returns the latest change of each object that changed after a revision, in order
-// of revision, and the revision that the changes lead to. gap: not all changes after the
-// revision are known.
+// of revision, and the revision that the changes lead to. gap: not all changes after the revision
+// are known, and end is a later revision, after which they are; 0: nothing is known.
 func (h *history) changesAfter(revision uint64) (events []objectapi.Event, end uint64, gap bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -247,7 +247,7 @@
 // changesAfterLocked is changesAfter; h.mu is held.
 func (h *history) changesAfterLocked(revision uint64) (events []objectapi.Event, end uint64, gap bool) {
 	if !h.hasAllAfterLocked(revision) {
-		return nil, 0, true
+		return nil, h.knownFromLocked(revision), true
 	}
 	for _, e := range h.latest {
 		// A listing's later pages can show changes beyond the end; these are sent later, when
@@ -301,10 +301,25 @@
 	return h.known && revision >= h.base && !slices.ContainsFunc(h.unknownSpans, isWithin)
 }
 
+// knownFromLocked returns the next revision after one in a gap from which on all changes are known;
+// 0: none. h.mu is held.
+func (h *history) knownFromLocked(revision uint64) uint64 {
+	if !h.known {
+		return 0
+	}
+	revision = max(revision, h.base)
+	for _, span := range h.unknownSpans {
+		if span.from < revision && revision < span.to {
+			revision = span.to
+		}
+	}
+	return revision
+}
+
 // packedChanges is an answer to a peer.
 type packedChanges struct {
 	changes []byte // nil: none
-	end     uint64 // revision that the changes lead to
+	end     uint64 // revision that the changes lead to, or after a gap
 	gap     bool
 }
 
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -51,9 +51,11 @@
 // caller counts the ages back from then.
 type PollReply struct {
 	// HeldMS is for how many milliseconds the relay held the request, rounded down.
-	HeldMS       int64  `json:"held_ms,omitempty"`
-	Gap          bool   `json:"gap,omitempty"`     // the changes are no longer known; list instead
-	Changes      []byte `json:"changes,omitempty"` // the latest change of each object, packed
+	HeldMS  int64  `json:"held_ms,omitempty"`
+	Gap     bool   `json:"gap,omitempty"`     // not all changes are known any more
+	Changes []byte `json:"changes,omitempty"` // the latest change of each object, packed
+	// Revision is what the changes lead to. After a gap it is a revision from which on all changes
+	// are known; 0: none, or a relay of an earlier version.
 	Revision     uint64 `json:"revision"`
 	EntriesAgeMS int64  `json:"entries_age_ms"`
 	// ConfigVersion is the version of the configuration's object; 0: not read yet.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -472,7 +472,7 @@
 func (n *Node) askRelay(ctx context.Context, address string, after uint64, wait time.Duration) (objectapi.Changes, error) {
 	changes, gap, err := n.pollRelay(ctx, address, after, wait)
 	if err == nil && gap {
-		return n.closeGap(ctx, address, after)
+		return n.closeGap(ctx, address, after, changes.Revision)
 	}
 	return changes, err
 }
@@ -489,7 +489,7 @@
 }
 
 // pollRelay makes one call to a relay. gap: the relay does not know all changes after the
-// revision.
+// revision, and those of the result lead to a later one, after which it knows them; 0: none.
 func (n *Node) pollRelay(ctx context.Context, address string, after uint64, wait time.Duration) (changes objectapi.Changes, gap bool, err error) {
 	asked := n.now()
 	timeout := firstCallTimeout
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -259,9 +259,9 @@
 // closeGap returns the changes after a revision that a relay no longer knows completely: by means
 // of a snapshot where these are distributed, otherwise, or without a snapshot in time, from the
 // store. Listing all entries instead would leave this daemon with its old view while the whole
-// zone reads them over the store's link. objectapi.ErrCompacted: the store does not know the
-// changes either, and this daemon must list.
-func (n *Node) closeGap(ctx context.Context, relay string, after uint64) (objectapi.Changes, error) {
+// zone reads them over the store's link. The relay knows all changes from knownFrom on; 0: none.
+// objectapi.ErrCompacted: the store does not know the changes either, and this daemon must list.
+func (n *Node) closeGap(ctx context.Context, relay string, after, knownFrom uint64) (objectapi.Changes, error) {
 	if n.distributeSnapshots.Load() {
 		timed, cancel := context.WithTimeout(ctx, n.limitByProof(maxSnapshotTime, n.now()))
 		defer cancel()
@@ -269,7 +269,12 @@
 			return changes, nil
 		}
 	}
-	return n.followStoreOnce(ctx, after, fleet.ProofWait)
+	changes, err := n.followStoreOnce(ctx, after, fleet.ProofWait)
+	if err == nil && len(changes.Events) == 0 && knownFrom > after {
+		// The store was asked after the relay had answered: nothing changed up to knownFrom.
+		changes.Revision, changes.ClosesGap = knownFrom, true
+	}
+	return changes, err
 }
 
 // changesBySnapshot returns the changes after a revision as the difference from a snapshot and the
@@ -289,7 +294,7 @@
 	}
 	n.history.noteSkipped(after, l.Revision)
 	changes.Events = append(missed, changes.Events...)
-	changes.Revision = max(changes.Revision, l.Revision)
+	changes.Revision, changes.ClosesGap = max(changes.Revision, l.Revision), true
 	return changes, true
 }
 
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -242,3 +242,39 @@
 func (earlierVersion) Snapshot(context.Context, string, SnapshotRequest) (SnapshotReply, error) {
 	return SnapshotReply{}, jrpc2.MethodNotFound.Err()
 }
+
+// Guards against a gap that is closed again with each call: the store's revision rises with every
+// write, so a gap can hold no change of an entry, and the follower then did not advance beyond it.
+func TestGapWithoutChangesIsClosedOnce(t *testing.T) {
+	for _, snapshots := range []bool{false, true} {
+		t.Run(fmt.Sprint("snapshots ", snapshots), func(t *testing.T) {
+			z := newZone(2)
+			z.change("a", false)
+			z.stepAll(t, 6)
+			relay, peer := z.daemons[0], z.daemons[1]
+			if !relay.IsRelay() {
+				relay, peer = peer, relay
+			}
+			for _, d := range z.daemons {
+				d.distributeSnapshots.Store(snapshots)
+			}
+			z.changeConfig()
+			relay.history.mu.Lock()
+			relay.history.base, relay.history.end = z.revision, z.revision // like a relay that has just listed
+			relay.history.mu.Unlock()
+			follows, fetched := z.follows[peer], z.snapshots
+			for range 20 {
+				must.NoError(t, peer.step())
+			}
+			must.True(t, peer.FollowsRelay())
+			must.LessEq(t, 1, z.follows[peer]-follows)
+			must.LessEq(t, 1, z.snapshots-fetched)
+			_, _, known := peer.history.snapshot()
+			must.True(t, known)
+			z.change("b", false)
+			must.NoError(t, relay.step())
+			must.NoError(t, peer.step())
+			must.Eq(t, z.state(), peer.state)
+		})
+	}
+}
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -35,6 +35,7 @@
 	follows       map[*daemon]int // calls of Follow that reached the store
 	lists         int             // listings at full cost
 	staleLists    int             // stale listings
+	snapshots     int             // calls for a snapshot
 	writes        int
 	daemons       []*daemon
 	lastWait      time.Duration // wait of the last call of Follow
@@ -202,7 +203,7 @@
 	for _, e := range c.Events {
 		applyEvent(d.state, e)
 	}
-	if len(c.Events) > 0 {
+	if len(c.Events) > 0 || c.ClosesGap {
 		d.revision = max(d.revision, c.Revision)
 	}
 	if at := asked.Add(-c.Age); at.After(d.provedAt) {
@@ -247,6 +248,7 @@
 
 // Snapshot implements Transport between the zone's daemons.
 func (z *zone) Snapshot(ctx context.Context, address string, r SnapshotRequest) (SnapshotReply, error) {
+	z.snapshots++
 	for _, d := range z.daemons {
 		if d.name == address && !d.dead {
 			return d.answerSnapshot(ctx, r)
