--- a/internal/front/relay_loss_large_test.go
+++ b/internal/front/relay_loss_large_test.go
@@ -63,6 +63,7 @@
 func TestDeparturesAreKnownInTimeWhenTheRelayRestartsInALargeFleet(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				worst, description := relayLoss{departures: 10, restartAfter: 150 * time.Millisecond}.worstDelay(t, seed)
 				must.LessEq(t, simBounds.Drain, worst, must.Sprint(description))
@@ -81,6 +82,7 @@
 func TestDeparturesInASeriesAreKnownSoonAfterTheRelayEndsInALargeFleet(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				worst, description := relayLoss{departures: 20}.worstDelay(t, seed)
 				must.LessEq(t, time.Duration(relayedShare*float64(simBounds.Drain)), worst, must.Sprint(description))
