--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -488,8 +488,8 @@
 	return min(timeout, max(provedAt.Add(n.opts.StaleAfter()).Sub(now), n.staleFraction(minCallFraction)))
 }
 
-// pollRelay makes one call to a relay. gap: the relay does not know all changes after the
-// revision, and those of the result lead to a later one, after which it knows them; 0: none.
+// pollRelay makes one call to a relay. gap: the relay does not know all changes after the revision;
+// the result's Revision is then one after which it does, or 0.
 func (n *Node) pollRelay(ctx context.Context, address string, after uint64, wait time.Duration) (changes objectapi.Changes, gap bool, err error) {
 	asked := n.now()
 	timeout := firstCallTimeout
