Demand by model is measured and exchanged with the loads

Cause: the planner knows only the configured share of each model, and a daemon only its own sends; nothing tells what callers ask of all daemons. Result: go test ./internal/demand ./internal/relay passes; not used by any decision yet.

--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/fleet"
 )
 
@@ -25,6 +26,8 @@
 	Daemons       int                     // daemons that reported, including this one
 	InFlight      map[string]int          // requests in flight of the other daemons, by instance
 	StalledGroups map[fleet.GroupKey]bool // groups that several daemons see stalled and no daemon sees progressing
+	Demand        []demand.Rate           // what callers ask of all daemons, including this one
+	Age           time.Duration           // mean age of the reports when they were received
 }
 
 // SetPeerReports stores what the other daemons reported, as of now. The caller must not change others
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/backpressure"
+	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/formation"
@@ -121,6 +122,8 @@
 	tunnelServer  *tunnel.Server // nil until build
 	picker        *dispatch.Picker
 	budgets       dispatch.Budgets
+	demand        demand.Counter
+	fleetDemand   atomic.Pointer[fleetDemand] // as last reported
 	gateway       *gateway.Gateway
 	calls         *countedFeed
 	relay         *relay.Node // nil: this daemon has no address for peers
@@ -325,7 +328,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -97,7 +97,7 @@
 		return relay.RelayAddresses(l), err
 	}}
 	return relay.NewNode(relay.Options{
-		Traffic: relay.Traffic{TakeSpareRetries: d.budgets.TakeSpareRetries, InFlight: d.picker.InFlight, GroupProgress: d.progress, Stalls: d.picker.Stalls(), OnLoads: d.takeLoads, RetryPoolRule: d.poolRule},
+		Traffic: relay.Traffic{TakeSpareRetries: d.budgets.TakeSpareRetries, InFlight: d.picker.InFlight, Demand: d.demand.Rates, GroupProgress: d.progress, Stalls: d.picker.Stalls(), OnLoads: d.takeLoads, RetryPoolRule: d.poolRule},
 		Store:   d.Platform.Feed, Kind: d.Platform.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.PeerAddress, LinkMbps: s.LinkMbps,
 		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, ConfigInForce: d.config.stamp, OnConfigStamp: d.config.noteStamp, OnRelayUsed: d.config.storeRecovered,
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
@@ -133,6 +133,7 @@
 // takeLoads applies the loads that all other daemons reported.
 func (d *Daemon) takeLoads(others dispatch.PeerReports, _ time.Time) {
 	d.loadReporters.Store(int64(others.Daemons))
+	d.fleetDemand.Store(&fleetDemand{others.Demand, d.Clock.Now()})
 	d.picker.SetPeerReports(others, d.runClock.Now())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/backpressure"
+	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/pause"
@@ -61,6 +62,8 @@
 	Metrics  *Metrics
 	Log      *zap.Logger
 	Budgets  *dispatch.Budgets
+	// Demand counts what callers ask of each model; nil: it is not counted.
+	Demand *demand.Counter
 	// Gate tracks the rate limits, backoffs and departures that instances announce.
 	Gate *backpressure.Gate
 	// Quarantine tracks which requests crash instances. Later requests with the same content are
@@ -160,6 +163,7 @@
 	route             *routes.Route
 	service           *routes.Service
 	workspace         string
+	priority          int // of the workspace or, if that has none, of the route; 0 is the most urgent
 	deadline          time.Time
 	view              *fleet.View
 	triedInstances    map[string]bool
@@ -211,6 +215,7 @@
 	defer cancel()
 	x.budget().CountRequest(x.gateway.Limits().RetryBudget, x.arrivedAt)
 	x.priorWait = x.gateway.callerWaits.Elapsed(x.route.Name, x.req.CallerTimeout)
+	x.countDemand()
 	if x.route.Kind == routes.Stream {
 		x.serveStream(ctx)
 	} else {
@@ -234,6 +239,7 @@
 		}
 		return x.refuse(http.StatusNotFound, "no_route", 0)
 	}
+	x.priority = x.route.Priority
 	if !x.route.Public && table.RequiresAPIKey() && !x.authorize(age, bounds) {
 		return false
 	}
@@ -278,6 +284,9 @@
 		return x.refuse(http.StatusUnauthorized, "unknown_key", 0)
 	}
 	x.workspace = ws.Name
+	if ws.Priority != nil {
+		x.priority = *ws.Priority
+	}
 	return true
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,7 @@
 	}
 	x.admission = x.gateway.Picker.Admit(x.targets(), x.req.Model, x.route.LatencyObjective, x.gateway.runClockNow())
 	if !x.admission.Admitted {
+		x.countRefusedDemand()
 		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", dispatch.RetryAfter(dispatch.Overload))
 		return
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -19,8 +19,9 @@
 	now := n.now()
 	n.share.loads.note(n.shareRequest(now), now)
 	zoneDaemons, _ := n.share.loads.countDaemons(now)
-	return LoadsReply{n.share.loads.zoneTotal(now), n.share.loads.stalledGroups(now), zoneDaemons,
-		n.sampleTunnelPeers(n.share.loads.tunnelPeers(now), "")}, nil
+	rates, age := n.share.loads.zoneDemand(now)
+	return LoadsReply{Loads: n.share.loads.zoneTotal(now), StalledGroups: n.share.loads.stalledGroups(now), Daemons: zoneDaemons,
+		Demand: rates, LoadsAgeMS: age.Milliseconds(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.tunnelPeers(now), "")}, nil
 }
 
 // shareRequest returns this daemon's report of its own requests, without spare retry credit.
@@ -29,7 +30,7 @@
 	if len(stalled) > maxReported {
 		stalled = nil // with so many, this daemon is probably cut off itself
 	}
-	return ShareRequest{From: n.opts.Holder, Address: n.tunnelAddress(), Loads: n.opts.Traffic.InFlight(), StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
+	return ShareRequest{From: n.opts.Holder, Address: n.tunnelAddress(), Loads: n.opts.Traffic.InFlight(), Demand: n.opts.Traffic.demand(now), StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
 }
 
 // maxTunnelPeers bounds the daemons that a message names as peers for tunnels.
@@ -86,7 +87,7 @@
 	_, daemons := n.share.loads.countDaemons(now)
 	sum, err := n.share.loads.total(now)
 	return ShareReply{Retries: n.share.pool.Levels(rule, now), StalledGroups: n.share.loads.allStalledGroups(now), Daemons: daemons,
-		Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), r.Address)}, sum, err
+		Demand: sum.demand, LoadsAgeMS: now.Sub(sum.reportedAt).Milliseconds(), Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), r.Address)}, sum, err
 }
 
 // LoadExchange sends this daemon's load to the others and receives theirs: through its relay, or,
@@ -169,7 +170,8 @@
 	n.opts.Gate.Merge(r.Limits, backpressure.ReceivedAt{Earliest: now, Latest: n.now()})
 	n.noteClusterWideSeq(relay, r.QuarantineSeq)
 	n.setTunnelPeers(r.TunnelPeers)
-	n.opts.Traffic.OnLoads(dispatch.PeerReports{Daemons: r.Daemons, InFlight: subtract(r.Loads, request.Loads), StalledGroups: toSet(r.StalledGroups)}, n.now())
+	n.opts.Traffic.OnLoads(dispatch.PeerReports{Daemons: r.Daemons, InFlight: subtract(r.Loads, request.Loads), StalledGroups: toSet(r.StalledGroups),
+		Demand: r.Demand, Age: time.Duration(r.LoadsAgeMS) * time.Millisecond}, n.now())
 }
 
 // ReportNow makes this daemon exchange loads at once, because it or another one reaches instances no more.
@@ -217,20 +219,14 @@
 		})
 	}
 	wait.Wait()
-	remote := map[string]int{}
-	var stalled []groupRef
-	var peers []string
-	daemons := 0
-	for _, r := range replies {
-		peers = append(peers, r.TunnelPeers...)
-		daemons += r.Daemons
-		addTo(remote, r.Loads)
-		stalled = append(stalled, r.StalledGroups...)
-	}
 	now := n.now()
-	n.share.loads.setRemote(remote, stalled, daemons, peers)
+	n.share.loads.setRemote(replies, now)
 	n.share.loads.note(n.shareRequest(now), now)
 	n.setTunnelPeers(n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), n.opts.Address))
 	_, all := n.share.loads.countDaemons(now)
-	n.opts.Traffic.OnLoads(dispatch.PeerReports{Daemons: all, InFlight: n.share.loads.totalExcept(n.opts.Holder, now), StalledGroups: toSet(n.share.loads.allStalledGroups(now))}, now)
+	reports := dispatch.PeerReports{Daemons: all, InFlight: n.share.loads.totalExcept(n.opts.Holder, now), StalledGroups: toSet(n.share.loads.allStalledGroups(now))}
+	if sum, err := n.share.loads.total(now); err == nil {
+		reports.Demand, reports.Age = sum.demand, now.Sub(sum.reportedAt)
+	}
+	n.opts.Traffic.OnLoads(reports, now)
 }
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pearlanding/internal/demand"
 )
 
 // loads holds the requests in flight that daemons reported. Safe for concurrent use.
@@ -19,6 +21,8 @@
 	remoteStalled []groupRef              // groups stalled for other zones
 	remoteDaemons int                     // number of daemons in other zones
 	remotePeers   []string                // daemons of other zones that reach instances
+	remoteDemand  []demand.Rate           // sum over the daemons of other zones
+	remoteAt      time.Time               // mean time of the reports of other zones
 	cached        totalLoad               // sum over all daemons
 }
 
@@ -28,11 +32,14 @@
 	computedAt time.Time
 	loads      map[string]int
 	encoded    json.RawMessage // loads, encoded for the wire
+	demand     []demand.Rate
+	reportedAt time.Time // mean time of the reports
 }
 
 // daemonReport is the last report of one daemon.
 type daemonReport struct {
 	inFlight        map[string]int
+	demand          []demand.Rate
 	stalled, active []groupRef
 	address         string // if it reaches instances
 	receivedAt      time.Time
@@ -46,15 +53,25 @@
 	if l.byDaemon == nil {
 		l.byDaemon = map[string]daemonReport{}
 	}
-	l.byDaemon[r.From] = daemonReport{r.Loads, r.StalledGroups, r.ActiveGroups, r.Address, now}
+	l.byDaemon[r.From] = daemonReport{r.Loads, r.Demand, r.StalledGroups, r.ActiveGroups, r.Address, now}
 	return lostInstances
 }
 
-// setRemote records what the relays of other zones reported.
-func (l *loads) setRemote(remote map[string]int, stalled []groupRef, daemons int, peers []string) {
+// setRemote records what the relays of other zones reported, received now.
+func (l *loads) setRemote(replies []LoadsReply, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remote, l.remoteStalled, l.remoteDaemons, l.remotePeers = remote, stalled, daemons, peers
+	l.remote, l.remoteStalled, l.remoteDaemons, l.remotePeers, l.remoteDemand = map[string]int{}, nil, 0, nil, nil
+	age := time.Duration(0)
+	for _, r := range replies {
+		addTo(l.remote, r.Loads)
+		l.remoteStalled = append(l.remoteStalled, r.StalledGroups...)
+		l.remoteDaemons += r.Daemons
+		l.remotePeers = append(l.remotePeers, r.TunnelPeers...)
+		l.remoteDemand = demand.Sum(l.remoteDemand, r.Demand)
+		age += time.Duration(r.Daemons) * time.Duration(r.LoadsAgeMS) * time.Millisecond
+	}
+	l.remoteAt = now.Add(-age / time.Duration(max(l.remoteDaemons, 1)))
 }
 
 // tunnelPeers returns the addresses of this zone's daemons that reach instances, in no particular
@@ -159,6 +176,29 @@
 	return l.zoneTotalLocked("", now)
 }
 
+// zoneDemandLocked returns the demand at this zone's daemons, and the mean age of their reports;
+// l.mu is held.
+func (l *loads) zoneDemandLocked(now time.Time) ([]demand.Rate, time.Duration) {
+	lists := make([][]demand.Rate, 0, len(l.byDaemon))
+	age, n := time.Duration(0), 0
+	for _, last := range l.byDaemon {
+		if now.Sub(last.receivedAt) > loadValidFor {
+			continue
+		}
+		lists = append(lists, last.demand)
+		age += now.Sub(last.receivedAt)
+		n++
+	}
+	return demand.Sum(lists...), age / time.Duration(max(n, 1))
+}
+
+// zoneDemand returns the demand at this zone's daemons, and the mean age of their reports.
+func (l *loads) zoneDemand(now time.Time) ([]demand.Rate, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.zoneDemandLocked(now)
+}
+
 // total returns the sum over all daemons.
 func (l *loads) total(now time.Time) (totalLoad, error) {
 	l.mu.Lock()
@@ -172,7 +212,14 @@
 	if err != nil {
 		return totalLoad{}, errors.Annotate(err, "loads")
 	}
-	l.cached = totalLoad{now, sum, encoded}
+	zoneDemand, age := l.zoneDemandLocked(now)
+	reportedAt := now.Add(-age)
+	if l.remoteDaemons > 0 {
+		zone := len(l.byDaemon)
+		remoteShare := float64(l.remoteDaemons) / float64(zone+l.remoteDaemons)
+		reportedAt = reportedAt.Add(time.Duration(remoteShare * float64(l.remoteAt.Sub(reportedAt))))
+	}
+	l.cached = totalLoad{now, sum, encoded, demand.Sum(zoneDemand, l.remoteDemand), reportedAt}
 	return l.cached, nil
 }
 
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
 )
@@ -16,6 +17,8 @@
 	TakeSpareRetries func(now time.Time) map[string]float64
 	// InFlight returns the daemon's requests in flight, by instance.
 	InFlight func() map[string]int
+	// Demand returns what callers ask of this daemon; nil: nothing is reported.
+	Demand func(now time.Time) []demand.Rate
 	// GroupProgress returns the groups whose running streams recently stopped making progress, and
 	// those whose streams deliver events.
 	GroupProgress func(now time.Time) (stalled, active []fleet.GroupKey)
@@ -27,6 +30,14 @@
 	RetryPoolRule func() dispatch.RetryPoolRule
 }
 
+// demand returns what callers ask of this daemon.
+func (t *Traffic) demand(now time.Time) []demand.Rate {
+	if t.Demand == nil {
+		return nil
+	}
+	return t.Demand(now)
+}
+
 // zoneShare is a daemon's part in what its zone shares. Safe for concurrent use.
 type zoneShare struct {
 	pool  dispatch.RetryPool // used while peers poll this daemon
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pearlanding/internal/backpressure"
+	"pearlanding/internal/demand"
 	"pearlanding/internal/fleet"
 )
 
@@ -53,6 +54,8 @@
 	// StalledInstances are the instances whose running streams recently stopped making progress
 	// for the daemon.
 	StalledInstances []string `json:"standing,omitempty"`
+	// Demand is what callers ask of the daemon.
+	Demand []demand.Rate `json:"demand,omitempty"`
 	// Address is where the daemon serves peers if it can open tunnels to instances for them; empty:
 	// it can't.
 	Address string `json:"address,omitempty"`
@@ -88,6 +91,10 @@
 	// StalledGroups are the groups that are stalled for several daemons.
 	StalledGroups []groupRef `json:"standing,omitempty"`
 	Daemons       int        `json:"daemons"` // number of daemons that reported their loads
+	// Demand is what callers ask of all daemons, the caller included.
+	Demand []demand.Rate `json:"demand,omitempty"`
+	// LoadsAgeMS is the mean age of the reports in Loads and Demand when the reply was made.
+	LoadsAgeMS int64 `json:"loads_age_ms,omitempty"`
 	// Limits are the limits known to the relay.
 	Limits []backpressure.Update `json:"limits,omitempty"`
 	// QuarantineSeq is as in PollReply.
@@ -118,6 +125,9 @@
 	Loads         map[string]int `json:"loads,omitempty"`
 	StalledGroups []groupRef     `json:"standing,omitempty"`
 	Daemons       int            `json:"daemons"`
+	// Demand is what callers ask of the zone's daemons. LoadsAgeMS is as in ShareReply.
+	Demand     []demand.Rate `json:"demand,omitempty"`
+	LoadsAgeMS int64         `json:"loads_age_ms,omitempty"`
 	// TunnelPeers are as in ShareReply, of this zone.
 	TunnelPeers []string `json:"tunnel_peers,omitempty"`
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -122,6 +122,24 @@
 	return time.Duration(float64(max(e.StepsPerPass, 1)) * step * m.TimeFactor)
 }
 
+// Work returns the time of one full replica that a request takes: its share of the steps that
+// generate its tokens, and the reading of its prompt. Token counts of 0 stand for the means of the
+// service. It is 0 if the timing is not configured.
+func (e *Engine) Work(m Model, promptTokens, answerTokens int) time.Duration {
+	if promptTokens <= 0 {
+		promptTokens = e.MeanPromptTokens
+	}
+	if answerTokens <= 0 {
+		answerTokens = e.MeanAnswerTokens
+	}
+	perToken := float64(e.StepTime)/float64(max(e.Slots, 1)) + float64(e.StepTimePerRequest)
+	work := float64(answerTokens) * perToken
+	if e.PrefillTokensPerSecond > 0 {
+		work += float64(promptTokens) / e.PrefillTokensPerSecond * float64(time.Second)
+	}
+	return time.Duration(work * m.TimeFactor)
+}
+
 // Service is a set of upstream instances. Engine is nil for a plain service, in which any instance
 // serves any request.
 type Service struct {
