Streams that are queued at a working group are not moved

Change: while other daemons have several requests at a group and do not report it as stalled, a silent stream counts as queued there. Once a stall is reported it moves at once, as before.

--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -48,6 +48,19 @@
 	return now.Sub(p.othersAt) < stallReportTTL && p.others.StalledGroups[t.Group]
 }
 
+// minBusyStreams is how many requests of other daemons at a group show that its death would have been
+// reported: by two daemons with running streams there. With fewer, all of them may still be queued.
+const minBusyStreams = 8
+
+// reportedBusy reports whether other daemons have so many requests at the target's group that they
+// would report it if it were stalled, and do not. p.mu is held. A request that is silent there is
+// queued. Moved to another replica, it would wait in that one's queue, and the retry that it took
+// would be missing for streams of groups that died.
+func (p *Picker) reportedBusy(t *Target, now time.Time) bool {
+	return now.Sub(p.othersAt) < stallReportTTL && p.others.Daemons > maxOwnLoadDaemons &&
+		p.others.InFlight[t.Instance] >= minBusyStreams && !p.others.StalledGroups[t.Group]
+}
+
 // GroupProgress returns the groups whose running streams stalled recently at this daemon, and those
 // whose running streams make progress.
 func (p *Picker) GroupProgress(now time.Time) (stalled, progressing []fleet.GroupKey) {
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -176,6 +176,8 @@
 		return Progressing
 	case p.reportedStalled(t, now):
 		return Unhealthy
+	case p.reportedBusy(t, now):
+		return Progressing
 	}
 	return Unknown
 }
