Admit and place streams by the predicted load of all daemons

Cause: admission judged by a daemon's own streams. Each of 79 daemons sends some five requests a second to 16 replicas, sees no queue and admits everything; requests then wait for seconds in the engines' queues.

Change: Picker.Place predicts the load of each replica from the last report, its age, what completes meanwhile, what the other daemons send since (each daemon records what the common rules make them send) and the demand, and refuses what exceeds the capacity, by priority. The choice is weighted by how far replicas are below the common level. Up to 16 daemons, and without reports, demand or configured timing, decisions are as before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,9 +12,21 @@
 type Admission struct {
 	Admitted bool
 	Replicas int           // targets that could serve the stream
-	Expected time.Duration // lowest expected wait for a first event at any of them
+	Expected time.Duration // lowest expected wait for a first event at any of them, by own streams or predicted
 	Floor    time.Duration // fastest recent first event
-	Limit    time.Duration // upper bound of Expected for admission; 0: no objective
+	Limit    time.Duration // upper bound of Expected for admission, or what the objective leaves; 0: no objective
+
+	Reason     AdmissionReason // of a refusal
+	RetryAfter time.Duration   // for a refused caller
+
+	// The following fields are set if the loads of all daemons were used.
+	ByFleet  bool
+	Age      time.Duration // of the reports
+	Load     float64       // predicted requests at the least loaded replicas, with this one
+	Level    float64       // up to which replicas are filled with requests like this one
+	Share    float64       // of requests like this one that can be admitted
+	Late     bool          // the first event is late even at an idle replica
+	Reserved bool          // admitted from the reserve for less urgent requests
 }
 
 // Admit decides on a new stream of a model. The stream is refused if its first event would be
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -35,7 +35,9 @@
 func (p *Picker) SetPeerReports(others PeerReports, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.othersRates = currentRates(&p.others, &others, now.Sub(p.othersAt))
 	p.others, p.othersAt = others, now
+	p.followReports(now)
 }
 
 // stallReportTTL is how long other daemons' report of a stalled group is used.
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -74,16 +74,20 @@
 	stats    map[string]*modelStats   // by model
 	others   PeerReports              // reports of the other daemons
 	othersAt time.Time                // when they were received
-	stalls   chan struct{}
+	// othersRates is the demand at the other daemons.
+	othersRates map[modelKey][]priorityRate
+	flows       map[modelKey]*fleetFlow
+	stalls      chan struct{}
 	// Scratch space of Pick, reused because there may be thousands of targets.
 	all, healthy []scoredTarget
 	pair         [2]scoredTarget
 	ties         []int
+	fleet        fleetModel // of Place
 }
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a random number in [0, n).
 func NewPicker(zone string, uniform func(n int) int) *Picker {
-	return &Picker{zone: zone, uniform: uniform, records: map[incarnation]*record{}, floors: map[string]time.Duration{}, stats: map[string]*modelStats{}, stalls: make(chan struct{}, 1)}
+	return &Picker{zone: zone, uniform: uniform, records: map[incarnation]*record{}, floors: map[string]time.Duration{}, stats: map[string]*modelStats{}, flows: map[modelKey]*fleetFlow{}, stalls: make(chan struct{}, 1)}
 }
 
 // Pick returns the least loaded target that was not tried, nil if there is none. The request
@@ -96,9 +100,7 @@
 	if best == nil {
 		return nil
 	}
-	r := p.record(best.target.incarnation())
-	r.inFlight++
-	r.usedAt, r.stallTimeout, r.group = now, max(best.target.StallTimeout, minStallTimeout), best.target.Group
+	p.noteChosen(best.target, now)
 	return best.target
 }
 
--- a/internal/dispatch/picker_bench_test.go
+++ b/internal/dispatch/picker_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/fleet"
 )
 
@@ -34,3 +35,28 @@
 		})
 	}
 }
+
+// BenchmarkPlace measures one choice and admission with the loads and the demand of all daemons known.
+func BenchmarkPlace(b *testing.B) {
+	for _, replicas := range []int{16, 100, 750} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			p := NewPicker("z0", rand.New(rand.NewPCG(1, 2)).IntN)
+			others := PeerReports{Daemons: 300, InFlight: map[string]int{}, Demand: []demand.Rate{{Key: demand.Key{Service: "s", Model: "m"}, Requests: 20 * float64(replicas)}}}
+			targets := make([]Target, replicas)
+			for i := range targets {
+				id := fmt.Sprintf("i-%05d", i)
+				targets[i] = Target{Instance: id, StartedAt: 1, Zone: fmt.Sprint("z", i%3), Group: fleet.GroupKey{Name: "g" + id, Epoch: 1}}
+				others.InFlight[id] = i % 30
+			}
+			p.SetPeerReports(others, now)
+			req := urgentRequest()
+			b.ReportAllocs()
+			for b.Loop() {
+				if t, _ := p.Place(targets, nil, req, now); t != nil {
+					p.Release(t)
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -29,6 +29,7 @@
 	stalledAt        time.Time      // when a running stream was last moved because of a stall
 	group            fleet.GroupKey // group that the target led at the last send
 	usedAt           time.Time
+	deferredAt       time.Time // when a stream was last sent that waits there behind more urgent ones
 }
 
 // stalled reports whether the running streams of the target are silent beyond the stall timeout.
@@ -56,6 +57,18 @@
 	return d
 }
 
+// deferredTTL is how long a stream that waits behind more urgent ones may wait there.
+const deferredTTL = time.Second
+
+// observed reports whether expectedWait shows the queue of the replica: streams of this daemon wait
+// there or began recently, all in their turn.
+func (r *record) observed(now time.Time) bool {
+	if now.Sub(r.deferredAt) < deferredTTL {
+		return false
+	}
+	return len(r.waiting) > 0 || now.Sub(r.lastFirstEventAt) < firstEventTTL
+}
+
 // oldestWait returns how long the oldest waiting stream has waited.
 func (r *record) oldestWait(now time.Time) time.Duration {
 	if len(r.waiting) == 0 {
--- a/internal/dispatch/stalltimeout.go
+++ b/internal/dispatch/stalltimeout.go
@@ -63,6 +63,7 @@
 	meanFirstEvent time.Duration // moving average of the wait for a first event; 0: none observed
 	// The longest pauses between events, in the current window and in the previous one.
 	current, previous pauseWindow
+	usual             usualRequest
 }
 
 // pauseWindow is a number of pauses and the longest of them.
