Carry out admission by the load of all daemons

Streams are placed by Picker.Place at each send. One that is not admitted is refused at once with the verdict's reason and Retry-After, also after an engine rejected it as not run, unless an instance may have run it or its caller has part of the answer. Completed streams teach the picker what a model's requests cost. The log line has the inputs; metrics count refusals by reason and priority and compare predicted with actual first events.

Where the loads of all daemons are not used, admission, its reason and its Retry-After are as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -347,7 +347,7 @@
 		}
 	}
 	t = x.pickTarget()
-	if t == nil && x.awaitBackoff(ctx) {
+	if t == nil && x.admission.Reason == "" && x.awaitBackoff(ctx) {
 		t = x.pickTarget()
 	}
 	if t == nil {
@@ -368,7 +368,7 @@
 // limit, the request then holds one of its permits.
 func (x *exchange) pickTarget() *dispatch.Target {
 	for {
-		t := x.gateway.Picker.Pick(x.targets(), x.triedInstances, x.gateway.runClockNow())
+		t := x.place()
 		if t == nil {
 			return nil
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,12 +54,21 @@
 	if x.status/100 != 2 {
 		return
 	}
+	if a := x.admission; a.ByFleet && len(x.sends) == 1 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_first_event_predicted_seconds{route=%q}", m.label(route))).Update(a.Expected.Seconds())
+		m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_first_event_actual_seconds{route=%q}", m.label(route))).Update(x.firstByteAfter.Seconds())
+	}
 	workspace := m.label(x.workspace)
 	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_answer_seconds{route=%q}", m.label(route))).Update(took.Seconds())
 	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_answer_seconds{workspace=%q}", workspace)).Update(took.Seconds())
 	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_first_byte_seconds{route=%q}", m.label(route))).Update(x.firstByteAfter.Seconds())
 }
 
+// countRefused counts a stream that was not admitted.
+func (m *Metrics) countRefused(x *exchange) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_admission_refused_total{reason=%q,priority=%q}", x.admission.Reason, m.label(strconv.Itoa(x.priority)))).Inc()
+}
+
 // WriteLoadMetrics writes gauges for the requests in flight and the expected time to the first event
 // at each recently used target, and for the remaining retry budgets. The series are generated
 // on each call instead of registered, because targets come and go.
--- /dev/null
+++ b/internal/gateway/placement.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/http"
+
+	"pearlanding/internal/dispatch"
+	"pearlanding/internal/routes"
+)
+
+// place chooses the target of the next send among the targets that accept requests now. It returns nil
+// if there is none or a stream is not admitted; x.admission then has a reason.
+func (x *exchange) place() *dispatch.Target {
+	picker, targets, now := x.gateway.Picker, x.targets(), x.gateway.runClockNow()
+	if x.route.Kind != routes.Stream {
+		return picker.Pick(targets, x.triedInstances, now)
+	}
+	t, a := picker.Place(targets, x.triedInstances, x.streamRequest(), now)
+	if !x.admission.Admitted || !a.Admitted {
+		x.admission = a // else the log keeps what the first send was based on
+	}
+	return t
+}
+
+// streamRequest returns what the choice of a replica for the stream depends on.
+func (x *exchange) streamRequest() *dispatch.StreamRequest {
+	now := x.gateway.Clock.Now()
+	return &dispatch.StreamRequest{
+		Service: x.service.Name, Model: x.req.Model, Engine: x.service.Engine, Priority: x.priority,
+		Objective: x.route.LatencyObjective, Waited: x.priorWait + now.Sub(x.arrivedAt), Remaining: x.deadline.Sub(now),
+		PromptTokens: x.req.PromptTokens,
+		Returned:     x.priorWait > 0 || len(x.sends) > 0,
+		Unrefusable:  x.mayHaveRun || x.currentProgress().eventCount > 0,
+	}
+}
+
+// refuseUnadmitted refuses a stream that was not admitted.
+func (x *exchange) refuseUnadmitted() {
+	x.countRefusedDemand()
+	x.gateway.Metrics.countRefused(x)
+	x.refuse(http.StatusServiceUnavailable, string(x.admission.Reason), x.admission.RetryAfter)
+}
+
+// noteCompleted tells the picker how long a completed answer was, from which it learns what a model's
+// requests cost. The rest of a stream that began at another daemon tells nothing.
+func (x *exchange) noteCompleted() {
+	if e := x.service.Engine; e != nil && x.req.LastEventID == "" {
+		x.gateway.Picker.NoteCompleted(x.req.Model, x.req.PromptTokens, x.progress.eventCount*max(e.StepsPerPass, 1))
+	}
+}
--- /dev/null
+++ b/internal/gateway/placement_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pearlanding/internal/demand"
+	"pearlanding/internal/dispatch"
+	"pearlanding/internal/fleet"
+	"pearlanding/internal/quarantine"
+	"pearlanding/internal/routes"
+)
+
+// retryCodec records the Retry-After that callers get.
+type retryCodec struct {
+	simCodec
+	retryAfter time.Duration
+}
+
+func (c *retryCodec) SetRetryAfter(_ http.Header, d time.Duration) { c.retryAfter = d }
+
+// fleetExchange is a request for a stream at one of 100 daemons, whose groups have a number of requests
+// in flight each.
+type fleetExchange struct {
+	*exchange
+	codec    *retryCodec
+	recorder *httptest.ResponseRecorder
+	set      *metrics.Set
+}
+
+func newFleetExchange(inFlight int) *fleetExchange {
+	now := time.Now()
+	engine := &routes.Engine{Slots: 34, StepTime: 6 * time.Millisecond, StepTimePerRequest: 240 * time.Microsecond, StepsPerPass: 5, PrefillTokensPerSecond: 46000,
+		MeanPromptTokens: 674, MeanAnswerTokens: 115, Models: []routes.Model{{Name: "m", ReplicaSize: 1, TimeFactor: 0.6}}}
+	service := &routes.Service{Name: "s", Engine: engine}
+	known := fleet.NewKnownState(time.Second, func(string, string) int { return 1 })
+	reports := dispatch.PeerReports{Daemons: 100, InFlight: map[string]int{}, Demand: []demand.Rate{{Key: demand.Key{Service: "s", Model: "m", Priority: 1}, Requests: 200}}}
+	for i := range 4 {
+		id := fmt.Sprint("g", i)
+		known.Put(&fleet.Instance{ID: id, Service: "s", Models: []string{"m"}, Version: 1, Group: fleet.Membership{Name: id, Epoch: 1, State: fleet.Open}})
+		reports.InFlight[id] = inFlight
+	}
+	view := known.View(now)
+	picker := dispatch.NewPicker("", func(n int) int { return n / 2 })
+	picker.SetPeerReports(reports, now)
+	e := &fleetExchange{codec: &retryCodec{}, recorder: httptest.NewRecorder(), set: metrics.NewSet()}
+	route := &routes.Route{Name: "r", Kind: routes.Stream, Resumable: true, MaxAttempts: 3, LatencyObjective: 250 * time.Millisecond}
+	e.exchange = &exchange{
+		gateway: &Gateway{Codec: e.codec, Gate: newGate(), Budgets: &dispatch.Budgets{}, Picker: picker, View: func() *fleet.View { return view }, Demand: &demand.Counter{},
+			Limits: func() Limits { return Limits{} }, Stopping: func() bool { return false }, Metrics: NewMetrics(e.set),
+			Quarantine: quarantine.NewDetector(quarantine.NewEvidence(), func(context.Context, string) error { return nil }, time.Now, zap.NewNop())},
+		quarantineRequest: quarantine.NewRequest(quarantine.Content{}),
+		w:                 e.recorder, route: route, service: service, priority: 1, req: &Request{Model: "m"}, arrivedAt: now, deadline: now.Add(2 * time.Second),
+	}
+	return e
+}
+
+// Guards against requests that wait for seconds in the queues of engines, as all replicas are full. The
+// refusal says when to return, and the log what it rests on.
+func TestStreamIsRefusedAtOnceWhereAllReplicasAreFull(t *testing.T) {
+	x := newFleetExchange(80)
+	x.countDemand()
+	x.serveStream(t.Context())
+	must.Eq(t, http.StatusServiceUnavailable, x.recorder.Code)
+	must.Eq(t, string(dispatch.NoReplicaInTime), x.reason)
+	must.Between(t, 100*time.Millisecond, x.codec.retryAfter, 2*time.Second/3)
+	must.SliceEmpty(t, x.sends)
+	must.Positive(t, x.gateway.Demand.Rates(x.arrivedAt)[0].Refused)
+	var text strings.Builder
+	x.set.WritePrometheus(&text)
+	must.StrContains(t, text.String(), `pearlanding_admission_refused_total{reason="no_replica_in_time",priority="1"} 1`)
+	enc := zapcore.NewMapObjectEncoder()
+	for _, f := range x.admissionFields() {
+		f.AddTo(enc)
+	}
+	for _, field := range []string{"load", "level", "admitted_share", "loads_age_ms", "retry_after_ms", "priority", "returned"} {
+		must.MapContainsKey(t, enc.Fields, field)
+	}
+}
+
+// A stream that a full engine rejected must not be sent to the next full one. An instance that may have
+// run it, or events that the caller has, leave no choice.
+func TestRejectedStreamIsRefusedAtOnceWhereAllReplicasAreFull(t *testing.T) {
+	x := newFleetExchange(80)
+	x.sends, x.triedInstances = make([]sendLog, 1), map[string]bool{"g0": true}
+	must.Nil(t, x.openStream(t.Context()))
+	must.Eq(t, http.StatusServiceUnavailable, x.recorder.Code)
+
+	x = newFleetExchange(80)
+	x.mayHaveRun = true
+	must.NotNil(t, x.nextTarget(t.Context()))
+	x = newFleetExchange(80)
+	x.progress.eventCount = 1
+	must.NotNil(t, x.nextTarget(t.Context()))
+}
+
+// With free slots a stream is sent, and what the log tells is the verdict of its first send.
+func TestStreamIsPlacedByReportedLoads(t *testing.T) {
+	x := newFleetExchange(5)
+	must.NotNil(t, x.nextTarget(t.Context()))
+	must.True(t, x.admission.ByFleet && x.admission.Admitted)
+	first := x.admission.Load
+	x.mayHaveRun = true
+	must.NotNil(t, x.nextTarget(t.Context()))
+	must.Eq(t, first, x.admission.Load)
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -97,8 +98,8 @@
 	}
 	if x.req.Model != "" {
 		fields = append(fields, zap.String("model", x.req.Model), zap.Int("events", x.progress.eventCount), zap.Int64("first_ms", x.firstByteAfter.Milliseconds()),
-			zap.Int64("max_gap_ms", x.progress.maxGap.Milliseconds()), zap.Int64("gap_ms", x.gapObjective().Milliseconds()), zap.Int("replicas", x.admission.Replicas),
-			zap.Int64("expected_ms", x.admission.Expected.Milliseconds()), zap.Int64("floor_ms", x.admission.Floor.Milliseconds()), zap.Int64("limit_ms", x.admission.Limit.Milliseconds()))
+			zap.Int64("max_gap_ms", x.progress.maxGap.Milliseconds()), zap.Int64("gap_ms", x.gapObjective().Milliseconds()), zap.Int("replicas", x.admission.Replicas))
+		fields = append(fields, x.admissionFields()...)
 	}
 	if x.quarantineRequest != nil && (x.brokenSends > 0 || !x.gateway.Quarantine.Evidence.Empty()) {
 		traits := x.quarantineRequest.Traits()
@@ -116,6 +117,24 @@
 	return append(fields, zap.Array("sends", sendLogs(x.sends)), zap.Bool("may_have_run", x.mayHaveRun))
 }
 
+// admissionFields returns the verdict on a stream and its inputs.
+func (x *exchange) admissionFields() []zap.Field {
+	a := x.admission
+	fields := []zap.Field{zap.Int64("expected_ms", a.Expected.Milliseconds()), zap.Int64("floor_ms", a.Floor.Milliseconds()), zap.Int64("limit_ms", a.Limit.Milliseconds()),
+		zap.Int("priority", x.priority), zap.Bool("returned", x.priorWait > 0)}
+	if a.ByFleet {
+		fields = append(fields, zap.Float64("load", roundTenth(a.Load)), zap.Float64("level", roundTenth(a.Level)), zap.Float64("admitted_share", math.Round(100*a.Share)/100),
+			zap.Int64("loads_age_ms", a.Age.Milliseconds()), zap.Bool("late_already", a.Late), zap.Bool("reserved", a.Reserved))
+	}
+	if a.RetryAfter > 0 {
+		fields = append(fields, zap.Int64("retry_after_ms", a.RetryAfter.Milliseconds()))
+	}
+	return fields
+}
+
+// roundTenth rounds for the log.
+func roundTenth(x float64) float64 { return math.Round(10*x) / 10 }
+
 // timeLimit returns the time from arrival to the deadline, or 0 if the request was refused
 // before its deadline was set.
 func (x *exchange) timeLimit() time.Duration {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,8 +7,6 @@
 	"strconv"
 
 	"github.com/juju/errors"
-
-	"pearlanding/internal/dispatch"
 )
 
 // serveStream passes events on as they arrive. A stream that stalls or breaks continues at
@@ -18,12 +16,6 @@
 	if id, err := strconv.ParseInt(x.req.LastEventID, 10, 64); err == nil {
 		x.progress.lastEventID, x.progress.hasLastEventID = id, true
 	}
-	x.admission = x.gateway.Picker.Admit(x.targets(), x.req.Model, x.route.LatencyObjective, x.gateway.runClockNow())
-	if !x.admission.Admitted {
-		x.countRefusedDemand()
-		x.refuse(http.StatusServiceUnavailable, "no_replica_in_time", dispatch.RetryAfter(dispatch.Overload))
-		return
-	}
 	var s *streamSend
 	for {
 		if s == nil {
@@ -51,6 +43,10 @@
 func (x *exchange) openStream(ctx context.Context) *streamSend {
 	for !x.refuseQuarantined() {
 		t := x.nextTarget(ctx)
+		if t == nil && x.admission.Reason != "" {
+			x.refuseUnadmitted()
+			return nil
+		}
 		if t == nil {
 			x.failUnanswered("no_replica")
 			return nil
@@ -97,6 +93,7 @@
 	h.cancel()
 	x.recordEnd(s.send, "answered")
 	x.gateway.Quarantine.RecordSuccess(x.quarantineRequest)
+	x.noteCompleted()
 	return nil, nil
 }
 
