Requests queue at engines by their priority

The gateway passes the rank of a request's priority among those configured for streams and their number.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -438,11 +438,12 @@
 func (x *exchange) do(ctx context.Context, s *send, lastEvent string) (*http.Response, error) {
 	t := s.target
 	now := x.gateway.Clock.Now()
+	rank, priorities := x.queuePriority()
 	call := &upstream.Call{
 		Address: t.Address, Method: x.req.Method, RequestTarget: x.req.RequestTarget, Host: x.req.Host, Body: x.req.Body,
 		NewConnection: !x.route.Retryable(), AvoidIdle: x.unanswered.Load(),
 		Header: x.gateway.Codec.UpstreamHeader(x.req, SendOptions{Instance: t.Instance, Remaining: x.deadline.Sub(now),
-			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now)}),
+			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now), PriorityRank: rank, Priorities: priorities}),
 		Withhold:      x.withholdFunc(t),
 		IsOwnResponse: func(status int, h http.Header) bool { return x.gateway.Codec.IsResponseTo(x.req.ID, status, h) },
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,6 +41,8 @@
 	Workspace   string
 	LastEventID string           // ID of the last event that the caller has; empty if none
 	Urgency     dispatch.Urgency // among the requests queued at the instance
+	// PriorityRank is the number of more urgent priorities among the configured Priorities.
+	PriorityRank, Priorities int
 }
 
 // Codec translates between HTTP headers and the gateway's types.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -174,10 +174,11 @@
 
 // Table is the compiled form of a Config. It is immutable.
 type Table struct {
-	Config          *Config
-	routesByHost    map[string][]*Route // longest prefix first
-	servicesByName  map[string]*Service
-	workspacesByKey map[string]*Workspace
+	Config           *Config
+	routesByHost     map[string][]*Route // longest prefix first
+	servicesByName   map[string]*Service
+	workspacesByKey  map[string]*Workspace
+	streamPriorities []int // of streams' routes and of workspaces, the most urgent first
 }
 
 // Compile returns the routing table of a configuration, which must not be modified afterwards.
@@ -198,9 +199,33 @@
 			t.workspacesByKey[key] = &c.Workspaces[i]
 		}
 	}
+	t.streamPriorities = streamPriorities(c)
 	return t
 }
 
+// streamPriorities returns the priorities that streams may have, the most urgent first.
+func streamPriorities(c *Config) (out []int) {
+	for i := range c.Routes {
+		if c.Routes[i].Kind == Stream {
+			out = append(out, c.Routes[i].Priority)
+		}
+	}
+	for i := range c.Workspaces {
+		if p := c.Workspaces[i].Priority; p != nil {
+			out = append(out, *p)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// StreamPriorityRank returns how many of the priorities that streams may have are more urgent than
+// one, and their number.
+func (t *Table) StreamPriorityRank(priority int) (rank, priorities int) {
+	rank, _ = slices.BinarySearch(t.streamPriorities, priority)
+	return rank, max(len(t.streamPriorities), 1)
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.routesByHost[host] {
