--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -347,7 +347,7 @@
 		}
 	}
 	t = x.pickTarget()
-	if t == nil && x.awaitBackoff(ctx) {
+	if t == nil && x.admission.Reason == "" && x.awaitBackoff(ctx) {
 		t = x.pickTarget()
 	}
 	if t == nil {
@@ -368,7 +368,7 @@
 // limit, the request then holds one of its permits.
 func (x *exchange) pickTarget() *dispatch.Target {
 	for {
-		t := x.gateway.Picker.Pick(x.targets(), x.triedInstances, x.gateway.runClockNow())
+		t := x.place()
 		if t == nil {
 			return nil
 		}
@@ -438,11 +438,12 @@
 func (x *exchange) do(ctx context.Context, s *send, lastEvent string) (*http.Response, error) {
 	t := s.target
 	now := x.gateway.Clock.Now()
+	rank, priorities := x.queuePriority()
 	call := &upstream.Call{
 		Address: t.Address, Method: x.req.Method, RequestTarget: x.req.RequestTarget, Host: x.req.Host, Body: x.req.Body,
 		NewConnection: !x.route.Retryable(), AvoidIdle: x.unanswered.Load(),
 		Header: x.gateway.Codec.UpstreamHeader(x.req, SendOptions{Instance: t.Instance, Remaining: x.deadline.Sub(now),
-			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now)}),
+			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now), PriorityRank: rank, Priorities: priorities}),
 		Withhold:      x.withholdFunc(t),
 		IsOwnResponse: func(status int, h http.Header) bool { return x.gateway.Codec.IsResponseTo(x.req.ID, status, h) },
 	}
