formation: capacity follows the reported demand

Cause: the planner gave each domain to a model by the configured share alone. Change: the planner smooths the demand (median of 10.5 s), and while a model is short of 0.85 of its groups' serving time it moves parts of domains to it from models that need less, or that are less urgent: hosts load the new model while their groups serve, groups close only when the hosts hold it and their model can spare them. A successor derives what is half done from the view. Evacuated zones form no groups and count as capacity for 20 s.

--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/routes"
@@ -15,7 +16,8 @@
 // assign chooses the model of each domain. A domain keeps its assigned model, or the one that
 // most of its instances hold. Each remaining domain gets a model that is short of its share,
 // spread over zones.
-func (p *Planner) assign(state *planState) assignment {
+// Models whose demand exceeds their capacity then get parts of other domains.
+func (p *Planner) assign(state *planState, now time.Time) assignment {
 	v, engine := state.view, state.engine
 	byDomain := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
@@ -49,7 +51,9 @@
 		}
 		p.assigned[d] = out[d][0].Name
 	}
-	return out.addUnassigned(engine, byDomain, missing)
+	out = out.addUnassigned(engine, byDomain, missing)
+	p.place(state, out, byDomain, now)
+	return out
 }
 
 // stallLossPerMember is the fraction of its capacity that a model loses for each member of its
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -26,7 +26,10 @@
 func (p *Planner) formGroups(v *fleet.View, engine *routes.Engine, busy map[string]bool, now time.Time, yield func(...Order) bool) {
 	inFlight := p.loadsInFlight(v, now)
 	state := p.newPlanState(v, engine, busy, now)
-	models, cold := p.assign(state), p.BeforeFirstRequest && p.cold(v)
+	models, cold := p.assign(state, now), p.BeforeFirstRequest && p.cold(v)
+	if !yield(p.retireGroups(state, now)...) {
+		return
+	}
 	for {
 		best := state.bestCandidate(models, cold)
 		if best == nil {
@@ -47,7 +50,10 @@
 		}
 	}
 	if yield(p.warmSpares(models, state.domains, busy, now)...) {
-		yield(p.stageSpares(state, models, cold, inFlight, now)...)
+		staged := p.stageSpares(state, models, cold, inFlight, now)
+		if yield(staged...) {
+			yield(p.stageMoves(state, cold, inFlight+len(staged), now)...)
+		}
 	}
 }
 
@@ -66,7 +72,7 @@
 func (p *Planner) freeByDomain(v *fleet.View, busy map[string]bool, now time.Time) map[string][]*fleet.Instance {
 	out := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
-		if !busy[in.ID] && !in.Draining && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayRejoin(in.ID, now) {
+		if !busy[in.ID] && !in.Draining && in.Domain != "" && !p.Evacuated[in.Zone] && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayRejoin(in.ID, now) {
 			out[in.Domain] = append(out[in.Domain], in)
 		}
 	}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
@@ -54,6 +55,11 @@
 	// ProgressedSince reports whether streams of this daemon made progress at a group after a time of
 	// RunClock; nil: unknown.
 	ProgressedSince func(group fleet.GroupKey, at time.Time) bool
+	// Demand returns what callers ask of all daemons; nil: models are placed by their configured
+	// shares only.
+	Demand func(now time.Time) []demand.Rate
+	// Evacuated returns the zones in which no group is to form; nil: none.
+	Evacuated func() map[string]bool
 	// SuspectsChanged is signaled when there may be more such heads; nil: plans find them later.
 	SuspectsChanged <-chan struct{}
 	Log             *zap.Logger
@@ -314,6 +320,7 @@
 			m.planners[s.Name] = p
 		}
 		p.MayResend, p.BeforeFirstRequest, p.LoadWindow = m.Lease.ResendRecorded, m.BeforeFirstRequest(), m.LoadWindow()
+		m.setPlacementInputs(p, now)
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.sendOrder(ctx, s.Name, term, o, view.Revision)
 		}
@@ -323,33 +330,10 @@
 		observed := p.summarize(view, s.Engine)
 		m.counts.observePlanner(p, observed)
 		m.logSummary(observed, view.Revision)
+		m.reportPlacement(p, view.Revision)
 	}
 }
 
-// slowPlan is the duration from which a plan is logged: half of planInterval.
-const slowPlan = planInterval / 2
-
-// observePlan records the duration of a plan and logs a slow one.
-func (m *Manager) observePlan(began time.Time) {
-	took := m.Clock.Since(began)
-	m.counts.observePlan(took)
-	if took > slowPlan {
-		m.Log.Warn("slow plan", zap.Duration("took", took), zap.Uint64("term", m.term))
-	}
-}
-
-// logSummary logs a summary that differs from the last one logged.
-func (m *Manager) logSummary(s summary, revision uint64) {
-	if m.logged[s.service] == s {
-		return
-	}
-	if m.logged == nil {
-		m.logged = map[string]summary{}
-	}
-	m.logged[s.service] = s
-	m.Log.Info("groups", zap.Object("seen", s), zap.Uint64("term", m.term), zap.Uint64("view_revision", revision))
-}
-
 // recordResults records an order's result and all others that are waiting. mayOrder reports
 // whether they may lead to new orders.
 func (m *Manager) recordResults(r orderResult, now time.Time) (mayOrder bool) {
--- a/internal/formation/metrics.go
+++ b/internal/formation/metrics.go
@@ -15,10 +15,11 @@
 	set          *metrics.Set
 	servingSince map[fleet.GroupKey]time.Time // when each serving group was first seen to serve
 	loadsCounted map[*Planner]int             // loads counted so far, by planner
+	capacities   map[string][]ModelCapacity   // last reported, by service
 }
 
 func newPlanMetrics(set *metrics.Set) *planMetrics {
-	return &planMetrics{set: set, servingSince: map[fleet.GroupKey]time.Time{}, loadsCounted: map[*Planner]int{}}
+	return &planMetrics{set: set, servingSince: map[fleet.GroupKey]time.Time{}, loadsCounted: map[*Planner]int{}, capacities: map[string][]ModelCapacity{}}
 }
 
 // observeOrder counts one order by its outcome.
@@ -67,11 +68,29 @@
 	}
 }
 
-// reset clears the gauges of groups and the tracked lifetimes, which only the holder of the lease
-// may report.
+// observeMove counts a decision to move capacity between models.
+func (m *planMetrics) observeMove(move Move) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_capacity_moves_total{service=%q,from=%q,to=%q}", move.Service, move.From, move.To)).Inc()
+}
+
+// setCapacities sets the gauges of the models' capacity; factor 0 clears them.
+func (m *planMetrics) setCapacities(service string, list []ModelCapacity, factor float64) {
+	for _, c := range list {
+		for name, value := range map[string]float64{"required": c.Required, "planned": c.Planned, "serving": c.Serving} {
+			m.set.GetOrCreateGauge(fmt.Sprintf("pearlanding_model_capacity{service=%q,model=%q,kind=%q}", service, c.Model, name), nil).Set(factor * value)
+		}
+	}
+}
+
+// reset clears the gauges of groups and capacities and the tracked lifetimes, which only the holder
+// of the lease may report.
 func (m *planMetrics) reset(last map[string]summary) {
 	for _, s := range last {
 		m.setGroups(s, 0)
 	}
+	for service, list := range m.capacities {
+		m.setCapacities(service, list, 0)
+	}
+	clear(m.capacities)
 	clear(m.servingSince)
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/routes"
@@ -60,6 +61,10 @@
 	// BeforeFirstRequest is true until this daemon knows of a request. Loads are fast until
 	// then, and those of a cold service are exempt from the ceiling.
 	BeforeFirstRequest bool
+	// Demand is what callers ask of all daemons; empty: unknown. Set before each plan.
+	Demand []demand.Rate
+	// Evacuated holds the zones in which no group is formed. Set before each plan.
+	Evacuated map[string]bool
 	// LoadWindow is the period over which loads are limited; 0: no limit.
 	LoadWindow  time.Duration
 	recentLoads []time.Time // start times within LoadWindow, oldest first
@@ -75,6 +80,7 @@
 	lastModel    map[string]string            // model of each instance's last group, as seen or ordered
 	assigned     map[string]string            // model of each domain
 	closing      map[fleet.GroupKey]time.Time // when a group was first ordered to close
+	placement    placement                    // of models, by demand
 	incarnations map[string]int64             // start time of each instance's incarnation, as last seen
 }
 
@@ -98,7 +104,8 @@
 func NewPlanner(service string, term uint64, inherited map[string]bool, now time.Time) *Planner {
 	return &Planner{Service: service, term: term, inheritedResends: inherited, started: now,
 		forming: map[fleet.GroupKey]*formingGroup{}, lastSent: map[sentKey]time.Time{}, lastJoins: map[string]sentJoin{}, leftGroups: map[string]leftGroup{},
-		resent: map[string]time.Time{}, staging: map[string]stagingLoad{}, warming: map[fleet.GroupKey]time.Time{}, lastModel: map[string]string{}, assigned: map[string]string{}, closing: map[fleet.GroupKey]time.Time{}, incarnations: map[string]int64{}}
+		resent: map[string]time.Time{}, staging: map[string]stagingLoad{}, warming: map[fleet.GroupKey]time.Time{}, lastModel: map[string]string{}, assigned: map[string]string{}, closing: map[fleet.GroupKey]time.Time{}, incarnations: map[string]int64{},
+		placement: newPlacement()}
 }
 
 // epochsPerTerm is the number of epochs in one term.
@@ -234,7 +241,7 @@
 		delete(p.forming, g.Key)
 		markBusy(g, busy)
 		return nil
-	case g.Complete() && g.Head.Group.State == fleet.Ready && (p.hasConflictingJoin(g, now) || p.mayHaveUnknownJoin(g, now)):
+	case g.Complete() && g.Head.Group.State == fleet.Ready && (p.placement.retiring[g.Key] || p.hasConflictingJoin(g, now) || p.mayHaveUnknownJoin(g, now)):
 		return p.dissolve(v, g, busy, now)
 	case g.Complete() && g.Head.Group.State == fleet.Ready:
 		markBusy(g, busy)
--- a/internal/formation/plan_cost_test.go
+++ b/internal/formation/plan_cost_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"pearlanding/internal/demand"
 	"pearlanding/internal/routes"
 )
 
@@ -15,7 +16,7 @@
 func TestPlanCostIsLinearInInstances(t *testing.T) {
 	const few, factor, tolerance = 200, 10, 1.5
 	now := time.Unix(1000, 0)
-	for name, servingDivisor := range map[string]int{"at the start": 0, "half serve": 2, "all serve": 1} {
+	for name, servingDivisor := range map[string]int{"at the start": 0, "half serve": 2, "all serve": 1, "capacity moves": 1} {
 		t.Run(name, func(t *testing.T) {
 			planAllocs, checkAllocs := map[int]float64{}, map[int]float64{}
 			for _, instances := range []int{few, few * factor} {
@@ -31,6 +32,14 @@
 					p := NewPlanner(simService, 2, nil, now)
 					p.BeforeFirstRequest = true
 					p.Plan(v, engine, now)
+					if name != "capacity moves" {
+						return
+					}
+					p.Demand = []demand.Rate{{Key: demand.Key{Service: simService, Model: "large"}, Requests: 1, Work: float64(instances) / 8}}
+					for i := range 2 * historySamples {
+						p.Plan(v, engine, now.Add(time.Duration(i)*sampleInterval))
+					}
+					must.SliceNotEmpty(t, p.placement.moves)
 				})
 				checkAllocs[instances] = testing.AllocsPerRun(1, func() { hasPendingWork(v, table, now) })
 			}
--- a/internal/formation/plan_state.go
+++ b/internal/formation/plan_state.go
@@ -47,7 +47,7 @@
 		s.addForming(f)
 	}
 	for key, g := range v.Groups {
-		if g.Head != nil && p.forming[key] == nil && g.Complete() {
+		if g.Head != nil && p.forming[key] == nil && g.Complete() && !p.placement.retiring[key] {
 			s.groupCount[modelDomain{g.Head.Domain, g.Model}]++
 		}
 	}
@@ -150,6 +150,9 @@
 			if c.loads > 0 && !cold {
 				continue // members without the model load it to their hosts first
 			}
+			if !s.mayForm(d, c.model) {
+				continue
+			}
 			c.deficitRatio = deficits[c.model.Name].ratio()
 			if best == nil || better(c, best) {
 				best = c
@@ -159,11 +162,15 @@
 	return best
 }
 
-// mostMissingModel returns the one of a domain's models with the largest deficit ratio.
-func (s *planState) mostMissingModel(models []routes.Model) routes.Model {
+// mostMissingModel returns the model that a free instance of a domain is to hold: the one that a chosen
+// layout lacks most, else the one of the domain's models with the largest deficit ratio.
+func (s *planState) mostMissingModel(domain string, models []routes.Model) routes.Model {
 	if len(models) == 1 {
 		return models[0]
 	}
+	if pl := &s.planner.placement; pl.layouts[domain] != nil && pl.domains[domain] != nil {
+		return s.engine.Models[pl.domains[domain].scarcest(s.engine.Models)]
+	}
 	deficits := s.deficits()
 	return slices.MaxFunc(models, func(a, b routes.Model) int { return cmp.Compare(deficits[a.Name].ratio(), deficits[b.Name].ratio()) })
 }
--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"pearlanding/internal/demand"
 	_ "pearlanding/internal/fixedseed"
 	"pearlanding/internal/fleet"
 )
@@ -259,48 +260,68 @@
 // instances, lost and delayed orders, and planners that take over while the last orders of their
 // predecessors are in flight.
 func TestGroupRulesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) { runRandomFaults(r, func(*Planner) {}) })
+}
+
+// The same rules hold while the demand changes and capacity moves between models.
+func TestGroupRulesUnderRandomFaultsAndDemand(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		s := newSim(r, rapid.IntRange(1, 3).Draw(r, "domains"), rapid.IntRange(4, 10).Draw(r, "size"))
-		term, record := uint64(1), map[string]bool{} // the lease's record of resent joins
-		p := NewPlanner(simService, term, nil, s.now)
-		delivery := func() (bool, bool, time.Duration) {
-			switch rapid.IntRange(0, 9).Draw(r, "fate") {
-			case 0:
-				return true, false, 0
-			case 1, 2:
-				return false, true, time.Duration(rapid.IntRange(2, 12).Draw(r, "delay")) * time.Second
+		demanded, evacuated, planned := []demand.Rate{}, map[string]bool{}, 0
+		runRandomFaults(r, func(p *Planner) {
+			if planned++; planned%40 == 1 {
+				large, small := rapid.Float64Range(0, 6).Draw(r, "large"), rapid.Float64Range(0, 12).Draw(r, "small")
+				demanded = []demand.Rate{{Key: demand.Key{Service: simService, Model: "large", Priority: rapid.IntRange(0, 1).Draw(r, "priority")}, Requests: 10, Work: large},
+					{Key: demand.Key{Service: simService, Model: "small"}, Requests: 10, Refused: 3, Work: small}}
+				evacuated = map[string]bool{"zd0": rapid.IntRange(0, 4).Draw(r, "evacuated") == 0}
 			}
-			return false, false, 0
+			p.Demand, p.Evacuated = demanded, evacuated
+		})
+	})
+}
+
+// runRandomFaults runs planners under random faults. prepare is called before each plan.
+func runRandomFaults(r *rapid.T, prepare func(p *Planner)) {
+	s := newSim(r, rapid.IntRange(1, 3).Draw(r, "domains"), rapid.IntRange(4, 10).Draw(r, "size"))
+	term, record := uint64(1), map[string]bool{} // the lease's record of resent joins
+	p := NewPlanner(simService, term, nil, s.now)
+	delivery := func() (bool, bool, time.Duration) {
+		switch rapid.IntRange(0, 9).Draw(r, "fate") {
+		case 0:
+			return true, false, 0
+		case 1, 2:
+			return false, true, time.Duration(rapid.IntRange(2, 12).Draw(r, "delay")) * time.Second
 		}
-		s.run(p, 8*time.Second)
-		for range rapid.IntRange(20, 120).Draw(r, "steps") {
-			e := s.engines[rapid.SampledFrom(s.ids).Draw(r, "engine")]
-			switch rapid.IntRange(0, 24).Draw(r, "event") {
-			case 0:
-				e.alive = false
-			case 1:
-				e.cutOff = true
-			case 2:
-				e.cutOff = false
-			case 3:
-				e.in.Draining = true
-			case 4:
-				s.add(e.in.Domain)
-			case 5:
-				// The planner's last orders are in flight when another one takes over.
-				s.plan(p, s.view(), func() (bool, bool, time.Duration) {
-					return false, true, time.Duration(rapid.IntRange(0, 12).Draw(r, "delay")) * time.Second
-				})
-				term++
-				p = NewPlanner(simService, term, maps.Clone(record), s.now)
-			}
-			// The lease's record must list an instance before a join is sent to it again.
-			if rapid.Bool().Draw(r, "noted") {
-				record[rapid.SampledFrom(s.ids).Draw(r, "listed")] = true
-			}
-			p.MayResend = func(id string) bool { return record[id] }
-			s.plan(p, s.view(), delivery)
-			s.step(250 * time.Millisecond)
+		return false, false, 0
+	}
+	s.run(p, 8*time.Second)
+	for range rapid.IntRange(20, 120).Draw(r, "steps") {
+		e := s.engines[rapid.SampledFrom(s.ids).Draw(r, "engine")]
+		switch rapid.IntRange(0, 24).Draw(r, "event") {
+		case 0:
+			e.alive = false
+		case 1:
+			e.cutOff = true
+		case 2:
+			e.cutOff = false
+		case 3:
+			e.in.Draining = true
+		case 4:
+			s.add(e.in.Domain)
+		case 5:
+			// The planner's last orders are in flight when another one takes over.
+			s.plan(p, s.view(), func() (bool, bool, time.Duration) {
+				return false, true, time.Duration(rapid.IntRange(0, 12).Draw(r, "delay")) * time.Second
+			})
+			term++
+			p = NewPlanner(simService, term, maps.Clone(record), s.now)
 		}
-	})
+		// The lease's record must list an instance before a join is sent to it again.
+		if rapid.Bool().Draw(r, "noted") {
+			record[rapid.SampledFrom(s.ids).Draw(r, "listed")] = true
+		}
+		p.MayResend = func(id string) bool { return record[id] }
+		prepare(p)
+		s.plan(p, s.view(), delivery)
+		s.step(250 * time.Millisecond)
+	}
 }
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -18,6 +18,7 @@
 	joinsAt   time.Time // when its load for a join completes
 	staging   string    // model that its host loads; empty: none
 	stagedAt  time.Time // when its load of staging completes
+	lastModel string    // model of the last group that it joined
 }
 
 // sim simulates engines that carry out orders, some of them late.
@@ -30,6 +31,11 @@
 	engine   *routes.Engine
 	wasReady map[fleet.GroupKey]map[string]bool // members that were ready in a group at some time
 	opened   int                                // number of times that a group opened
+	// drain is how long a closed group finishes its requests. If it is not 0, entries list a loaded
+	// model only while the instance is in a group, as on the users' platform.
+	drain time.Duration
+	// fastLoads divides the time of loads by ten, as before the first request.
+	fastLoads bool
 }
 
 type failer interface{ Fatalf(string, ...any) }
@@ -117,7 +123,7 @@
 		return s.join(e, o)
 	case OpStage:
 		m, _ := s.engine.Model(o.Model)
-		e.staging, e.stagedAt = o.Model, s.now.Add(m.LoadTime)
+		e.staging, e.stagedAt = o.Model, s.now.Add(s.loadTime(m))
 		return true
 	}
 	if e.in.Group.Key() != o.Group {
@@ -131,9 +137,17 @@
 		e.setGroupState(fleet.Open)
 		s.checkOpen(e)
 	case OpClose:
+		if s.drain > 0 {
+			e.setGroupState(fleet.Closing)
+			e.joinsAt = s.now.Add(s.drain)
+			break
+		}
 		e.setGroupState(fleet.Ready)
 	case OpLeave:
 		e.setMembership(fleet.Membership{})
+		if s.drain > 0 {
+			e.in.Models = nil
+		}
 	}
 	return true
 }
@@ -154,19 +168,27 @@
 		}
 	}
 	m, _ := s.engine.Model(o.Model)
-	wait := m.LoadTime
+	wait := s.loadTime(m)
 	switch {
-	case len(e.in.Models) > 0 && e.in.Models[0] == o.Model:
+	case len(e.in.Models) > 0 && e.in.Models[0] == o.Model, s.drain > 0 && e.lastModel == o.Model:
 		wait = loadedJoinTime
 	case e.in.HasStaged(o.Model):
 		wait = m.WarmStartTime
 	}
 	e.lastEpoch, e.members[o.Group], e.joinsAt = o.Group.Epoch, o.Members, s.now.Add(wait)
 	e.setMembership(fleet.Membership{Name: o.Group.Name, Epoch: o.Group.Epoch, Rank: rank, State: fleet.Joining})
-	e.in.Models = []string{o.Model}
+	e.in.Models, e.lastModel = []string{o.Model}, o.Model
 	return true
 }
 
+// loadTime returns how long a load from the weight store takes.
+func (s *sim) loadTime(m routes.Model) time.Duration {
+	if s.fastLoads {
+		return m.LoadTime / 10
+	}
+	return m.LoadTime
+}
+
 // checkOldGroupClosed fails if the head of the engine's current group is open: the engine must not
 // join another group then.
 func (s *sim) checkOldGroupClosed(e *simEngine) {
@@ -201,6 +223,9 @@
 func (s *sim) step(d time.Duration) {
 	s.now = s.now.Add(d)
 	for _, e := range s.engines {
+		if e.in.Group.State == fleet.Closing && !s.now.Before(e.joinsAt) {
+			e.setGroupState(fleet.Ready)
+		}
 		if e.in.Group.State == fleet.Joining && !s.now.Before(e.joinsAt) {
 			e.setGroupState(fleet.Ready)
 			e.in.Staged = []string{e.in.Models[0]}
@@ -246,9 +271,12 @@
 // onTime delivers every order at once.
 func onTime() (bool, bool, time.Duration) { return false, false, 0 }
 
-func (s *sim) serving() map[string]int {
+func (s *sim) serving() map[string]int { return servingIn(s.view()) }
+
+// servingIn returns the number of serving groups of each model in a view.
+func servingIn(v *fleet.View) map[string]int {
 	n := map[string]int{}
-	for _, g := range s.view().Groups {
+	for _, g := range v.Groups {
 		if g.Serving() {
 			n[g.Model]++
 		}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -41,12 +41,13 @@
 			if !p.mayLoad(state.engine, cold, inFlight, 1, now) {
 				return out
 			}
-			m := state.mostMissingModel(models[d.name])
+			m := state.mostMissingModel(d.name, models[d.name])
 			inFlight++
 			p.recordLoads(1, now)
 			state.recount([]*fleet.Instance{in}, func() {
 				p.staging[in.ID] = stagingLoad{model: m.Name, since: now, timeout: 2*m.LoadTime + formGrace}
 			})
+			p.placement.stagingStarted(d.name, m.Name)
 			out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "a free instance is missing its domain's model"})
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -298,6 +298,7 @@
 		Lease: d.lease, Orders: orders, Prober: prober, Suspects: d.stalledHeads, ProgressedSince: d.picker.ProgressedSince, SuspectsChanged: d.stallFound,
 		View: d.instances.View, ViewChanged: d.instances.Changed(), ViewConfirmedAt: d.instances.ProvedAt, RefreshView: d.instances.Refresh, RoutingTable: d.config.Table,
 		BeforeFirstRequest: d.gateway.NoRequestsYet,
+		Demand:             d.currentDemand,
 		UsesRelay:          func() bool { return d.followMode() == followRelayed },
 		IsRelay:            func() bool { return d.followMode() == followAsRelay },
 		LoadWindow:         func() time.Duration { return d.Settings().Bounds.CeilingWindow },
