Hosts of groups hold another model before the first request

Cause: capacity followed the demand only after a load of 12 or 16 s, 20.5 s after the change in the simulation. Change: while loads are fast and exempt from the ceiling, the planner loads another model to the hosts of serving groups, whose members keep their own model loaded. What hosts hold no longer decides what their domain is to hold. Result: 9 s after the first request instead of 20.5 s in the simulation (TestCapacityFollowsDemandWithinSecondsOfTheFirstRequest); orders without demand are unchanged. go test -race ./internal/formation passes.

--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -88,7 +88,9 @@
 	for _, m := range s.engine.Models {
 		n := 0
 		for _, in := range instances {
-			if s.holds(in, m.Name) {
+			if group := groupModel(in); s.planner.Prestages && group != "" {
+				n += boolToInt(group == m.Name)
+			} else if s.holds(in, m.Name) {
 				n++
 			}
 		}
--- a/internal/formation/balance.go
+++ b/internal/formation/balance.go
@@ -56,6 +56,7 @@
 	size    int              // instances
 	layout  layout           // what it is to hold
 	staged  []int            // instances that hold a model or load it, by model
+	usable  []int            // of these, instances that are in no ready group of another model
 	serving [][]*fleet.Group // groups that serve and are not being closed, by model
 	closing []fleet.GroupKey // groups that close because their instances move
 	lack    []int            // instances that must yet load each model; nil: no layout was chosen for the domain
--- a/internal/formation/capacity.go
+++ b/internal/formation/capacity.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		d := &domainCapacity{name: name, zone: zone, size: size, fixed: p.Evacuated[zone] || len(byDomain[name]) == 0, settling: -1,
-			staged: make([]int, len(engine.Models)), serving: make([][]*fleet.Group, len(engine.Models))}
+			staged: make([]int, len(engine.Models)), usable: make([]int, len(engine.Models)), serving: make([][]*fleet.Group, len(engine.Models))}
 		if m, ok := pl.movedAt[name]; ok && now.Sub(m.at) < settleTime {
 			d.settling = m.to
 		}
@@ -55,6 +55,7 @@
 			for i, m := range engine.Models {
 				if p.holdsOrLoads(in, m.Name) {
 					d.staged[i]++
+					d.usable[i] += boolToInt(p.usable(in, m.Name))
 				}
 			}
 		}
@@ -72,6 +73,19 @@
 	return in.Group.Name != "" && slices.Contains(in.Models, model) || in.HasStaged(model) || p.staging[in.ID].model == model
 }
 
+// usable reports whether a model that an instance holds says something about what its domain is to
+// hold: hosts of groups may hold other models since before the first request.
+func (p *Planner) usable(in *fleet.Instance, model string) bool {
+	if !p.Prestages {
+		return true
+	}
+	if group := groupModel(in); group != "" {
+		return group == model
+	}
+	last := p.lastModel[in.ID]
+	return last == "" || last == model || p.placement.layouts[in.Domain] != nil
+}
+
 // addServing adds the serving groups of the view to their domains and drops the records of closed ones.
 func (p *Planner) addServing(state *planState, domains map[string]*domainCapacity) {
 	pl := &p.placement
@@ -108,7 +122,7 @@
 	}
 	shared, any := len(models) > 1, false
 	for i, m := range state.engine.Models {
-		shared = shared || i != first && d.staged[i] >= m.ReplicaSize
+		shared = shared || i != first && d.usable[i] >= m.ReplicaSize
 	}
 	if shared {
 		for i, name := range pl.models {
@@ -139,7 +153,7 @@
 func (d *domainCapacity) scarcest(models []routes.Model) int {
 	best, least := d.layout.main(models), 1<<30
 	for i, m := range models {
-		if beyond := d.staged[i] - d.layout[i]*m.ReplicaSize; d.layout[i] > 0 && beyond < least {
+		if beyond := d.usable[i] - d.layout[i]*m.ReplicaSize; d.layout[i] > 0 && beyond < least {
 			best, least = i, beyond
 		}
 	}
@@ -151,6 +165,7 @@
 	if d := pl.domains[domain]; d != nil {
 		i := slices.Index(pl.models, model)
 		d.staged[i]++
+		d.usable[i]++
 		if d.lack != nil {
 			d.lack[i]--
 		}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -51,9 +51,10 @@
 	}
 	if yield(p.warmSpares(models, state.domains, busy, now)...) {
 		staged := p.stageSpares(state, models, cold, inFlight, now)
-		if yield(staged...) {
-			yield(p.stageMoves(state, cold, inFlight+len(staged), now)...)
+		if !yield(staged...) || !yield(p.stageMoves(state, cold, inFlight+len(staged), now)...) || len(staged) > 0 {
+			return
 		}
+		yield(p.prestage(state, inFlight, now)...)
 	}
 }
 
@@ -198,18 +199,24 @@
 // chooseMembers returns a candidate group of the model from the free instances of one domain, nil
 // if there are too few. It prefers instances with the lowest join cost and, among equals, those
 // whose last group was of the model.
-func chooseMembers(m routes.Model, free []*fleet.Instance, lastModel map[string]string) *candidate {
+func (p *Planner) chooseMembers(m routes.Model, free []*fleet.Instance) *candidate {
+	cost := func(in *fleet.Instance) int {
+		if p.Prestages && p.lastModel[in.ID] == m.Name {
+			return costLoaded // its host may hold another model
+		}
+		return joinCost(in, m.Name)
+	}
 	if len(free) < m.ReplicaSize {
 		return nil
 	}
 	list := slices.Clone(free)
 	slices.SortStableFunc(list, func(a, b *fleet.Instance) int {
-		return cmp.Or(cmp.Compare(joinCost(a, m.Name), joinCost(b, m.Name)),
-			cmp.Compare(boolToInt(lastModel[a.ID] != m.Name), boolToInt(lastModel[b.ID] != m.Name)))
+		return cmp.Or(cmp.Compare(cost(a), cost(b)),
+			cmp.Compare(boolToInt(p.lastModel[a.ID] != m.Name), boolToInt(p.lastModel[b.ID] != m.Name)))
 	})
 	c := &candidate{model: m, members: list[:m.ReplicaSize]}
 	for _, in := range c.members {
-		if joinCost(in, m.Name) > costStaged {
+		if cost(in) > costStaged {
 			c.loads++
 		}
 	}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -319,8 +319,9 @@
 			p = NewPlanner(s.Name, m.epochTerm, m.Lease.InheritedResends(), now)
 			m.planners[s.Name] = p
 		}
-		p.MayResend, p.BeforeFirstRequest, p.LoadWindow = m.Lease.ResendRecorded, m.BeforeFirstRequest(), m.LoadWindow()
+		p.MayResend, p.LoadWindow = m.Lease.ResendRecorded, m.LoadWindow()
 		m.setPlacementInputs(p, now)
+		p.noteFirstRequest(m.BeforeFirstRequest(), now)
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.sendOrder(ctx, s.Name, term, o, view.Revision)
 		}
--- a/internal/formation/placement.go
+++ b/internal/formation/placement.go
@@ -278,7 +278,7 @@
 			list = []routes.Model{engine.Models[d.layout.main(engine.Models)]}
 		}
 		for i, m := range engine.Models {
-			held := d.staged[i] >= m.ReplicaSize || state.groupCount[modelDomain{name, m.Name}] > 0
+			held := d.usable[i] >= m.ReplicaSize || state.groupCount[modelDomain{name, m.Name}] > 0
 			shared := !chosen && contains(models[name], m.Name) && !placed[i]
 			if !contains(list, m.Name) && (held || shared || chosen && d.layout[i] > 0) {
 				list = append(list, m)
--- a/internal/formation/placement_sim_test.go
+++ b/internal/formation/placement_sim_test.go
@@ -21,6 +21,7 @@
 	// reported is the fraction of the demand that reports contain.
 	reported  float64
 	evacuated map[string]bool
+	prestages bool // planners load other models to hosts before the first request
 	began     time.Time
 	deaths    bool // two engines in sixty end every three seconds and start again empty
 	moves     []Move
@@ -66,7 +67,7 @@
 // takeOver replaces the planner by one that knows the view only.
 func (s *placementSim) takeOver() {
 	s.planner = NewPlanner(simService, s.term, nil, s.now)
-	s.planner.LoadWindow = simWindow
+	s.planner.LoadWindow, s.planner.Prestages = simWindow, s.prestages
 	s.term++
 }
 
@@ -86,7 +87,7 @@
 	for v := s.view(); s.now.Sub(s.began) < at && !(done != nil && done()); {
 		p := s.planner
 		p.Demand, p.Evacuated = s.rates(), s.evacuated
-		p.BeforeFirstRequest = p.BeforeFirstRequest && len(p.Demand) == 0
+		p.noteFirstRequest(p.BeforeFirstRequest, s.now)
 		s.fastLoads = p.BeforeFirstRequest
 		for _, o := range p.Plan(v, s.engine, s.now) {
 			s.note(o)
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -61,6 +61,9 @@
 	// BeforeFirstRequest is true until this daemon knows of a request. Loads are fast until
 	// then, and those of a cold service are exempt from the ceiling.
 	BeforeFirstRequest bool
+	// Prestages is true if the hosts of groups are to hold other models before the first request, so
+	// that capacity can follow the demand without a load.
+	Prestages bool
 	// Demand is what callers ask of all daemons; empty: unknown. Set before each plan.
 	Demand []demand.Rate
 	// Evacuated holds the zones in which no group is formed. Set before each plan.
--- a/internal/formation/plan_state.go
+++ b/internal/formation/plan_state.go
@@ -82,6 +82,9 @@
 
 // countedModel returns the model for which an instance counts as a holder, if any.
 func (s *planState) countedModel(in *fleet.Instance) (string, bool) {
+	if m := groupModel(in); s.planner.Prestages && m != "" && len(s.planned[in.ID]) == 0 {
+		return m, true // its host may hold another one
+	}
 	for _, m := range s.engine.Models {
 		if s.holds(in, m.Name) {
 			return m.Name, true
@@ -90,6 +93,15 @@
 	return "", false
 }
 
+// groupModel returns the model of the group that an instance is a ready member of, empty if there is
+// none.
+func groupModel(in *fleet.Instance) string {
+	if state := in.Group.State; in.Group.Name == "" || len(in.Models) == 0 || state != fleet.Ready && state != fleet.Open {
+		return ""
+	}
+	return in.Models[0]
+}
+
 // recount applies a change of which models the instances hold, and updates holderCount.
 func (s *planState) recount(instances []*fleet.Instance, change func()) {
 	for _, in := range instances {
@@ -129,7 +141,7 @@
 func (s *planState) candidates(d *freeDomain, models []routes.Model) []*candidate {
 	out := make([]*candidate, 0, len(models))
 	for _, m := range models {
-		if c := chooseMembers(m, d.free, s.planner.lastModel); c != nil {
+		if c := s.planner.chooseMembers(m, d.free); c != nil {
 			c.domain, c.groupsInDomain, c.freeInDomain = d, s.groupCount[modelDomain{d.name, m.Name}], len(d.free)
 			out = append(out, c)
 		}
--- a/internal/formation/report.go
+++ b/internal/formation/report.go
@@ -34,6 +34,7 @@
 
 // setPlacementInputs passes the reported demand and the evacuated zones to a planner.
 func (m *Manager) setPlacementInputs(p *Planner, now time.Time) {
+	p.Prestages = m.Demand != nil
 	if m.Demand != nil {
 		p.Demand = append([]demand.Rate{}, m.Demand(now)...) // not nil: models are placed by demand
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -35,7 +35,7 @@
 	var out []Order
 	for _, d := range domains {
 		for _, in := range d.free {
-			if p.staging[in.ID].model != "" || holdsAny(in, models[d.name]) {
+			if p.staging[in.ID].model != "" || p.holdsAny(in, models[d.name]) {
 				continue
 			}
 			if !p.mayLoad(state.engine, cold, inFlight, 1, now) {
@@ -55,9 +55,9 @@
 }
 
 // holdsAny reports whether an instance or its host holds one of the models.
-func holdsAny(in *fleet.Instance, models []routes.Model) bool {
+func (p *Planner) holdsAny(in *fleet.Instance, models []routes.Model) bool {
 	for _, m := range models {
-		if joinCost(in, m.Name) <= costStaged {
+		if joinCost(in, m.Name) <= costStaged || p.Prestages && p.lastModel[in.ID] == m.Name {
 			return true
 		}
 	}
--- a/internal/formation/warm.go
+++ b/internal/formation/warm.go
@@ -46,8 +46,8 @@
 		}
 	}
 	for _, in := range v.Services[p.Service] {
-		if state := in.Group.State; in.Group.Name != "" && len(in.Models) > 0 && (state == fleet.Ready || state == fleet.Open) {
-			p.lastModel[in.ID] = in.Models[0]
+		if m := groupModel(in); m != "" {
+			p.lastModel[in.ID] = m
 		}
 	}
 }
