--- /dev/null
+++ b/internal/backpressure/cold.go
@@ -0,0 +1,234 @@
+package backpressure
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// ColdRule is a service's rule on cold instances. The zero value means that there is none.
+type ColdRule struct {
+	Duration  time.Duration // for how long an instance is cold after its start
+	PerSecond float64       // requests a second that a cold instance takes from all daemons together
+}
+
+// Active reports whether the rule limits requests.
+func (r ColdRule) Active() bool { return r.PerSecond > 0 }
+
+const (
+	// startClockMargin is how far the clocks of an instance and of this daemon may differ: a daemon that
+	// starts compares the start times of the instances that it finds with its own clock.
+	startClockMargin = 10 * time.Second
+	// coldRetention is how long a removed instance is remembered. One that returns later counts as
+	// started.
+	coldRetention = time.Minute
+)
+
+// ColdEntry is what an instance's entry shows of its start.
+type ColdEntry struct {
+	Incarnation
+	Service string
+	Zone    string
+	Version uint64
+	Left    time.Duration // how much longer the instance is cold, by its own account
+	// First: the entry was there when this daemon started.
+	First bool
+	// BeforeTraffic: the deployment has had no request yet. Instances that start then are not cold.
+	BeforeTraffic bool
+}
+
+// Cold knows which instances are cold: those that started or whose zone's evacuation ended a short
+// while ago, and those that say so. What is not known for certain counts as cold. The zero value is
+// ready to use. Safe for concurrent use; time is passed in.
+type Cold struct {
+	// startBound is the latest start or end of an evacuation, untilBound the latest time until which
+	// an instance says to be cold, blockBound the latest end of a block: requests need no lock
+	// while all of them are past. Unix nanoseconds.
+	startBound, untilBound, blockBound atomic.Int64
+
+	mu        sync.Mutex
+	instances map[string]*coldInstance
+	zoneSince map[string]time.Time // latest end of an evacuation
+	permits   coldPermitState
+}
+
+// coldInstance is what is known of the instance with an id. Requests for an earlier incarnation reach
+// the latest one, so the state is not kept by incarnation.
+type coldInstance struct {
+	startedAt int64
+	service   string
+	zone      string
+	version   uint64
+	since     time.Time // when this daemon first saw it
+	// age is how old it was then by its own account, if this daemon found it at its own start, and
+	// unlimited before the deployment's first request; 0: it may have started just then.
+	age         time.Duration
+	entryUntil  time.Time // until when it is cold by its entry
+	signalUntil time.Time // until when it is cold by its answers
+	removedAt   time.Time // zero: it has an entry
+	// blockedUntil is until when this daemon asks for no permit for it.
+	blockedUntil time.Time
+	// unpermittedAt is when this daemon may send without a permit while nobody grants any; zero:
+	// not drawn.
+	unpermittedAt time.Time
+	loggedCold    bool
+}
+
+// Entry records an instance's entry that was received now. An entry that was received late shows the
+// instance cold for too long, never too short.
+func (c *Cold) Entry(e ColdEntry, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := c.instances[e.Instance]
+	returned := in != nil && !in.removedAt.IsZero() && e.StartedAt == 0
+	if in == nil || in.startedAt != e.StartedAt || returned {
+		if c.instances == nil {
+			c.instances = map[string]*coldInstance{}
+		}
+		started := &coldInstance{startedAt: e.StartedAt, since: now}
+		if in != nil {
+			started.loggedCold = in.loggedCold
+		}
+		switch {
+		case e.BeforeTraffic:
+			started.age = math.MaxInt64
+		case e.First && e.StartedAt > 0:
+			started.age = now.Sub(time.UnixMilli(e.StartedAt))
+		}
+		raise(&c.startBound, now)
+		in = started
+		c.instances[e.Instance] = in
+	}
+	in.service, in.zone, in.removedAt = e.Service, e.Zone, time.Time{}
+	if e.Version > in.version || e.Version == 0 { // a listing shows entries again that are known
+		in.version, in.entryUntil = e.Version, now.Add(e.Left)
+		raise(&c.untilBound, in.entryUntil)
+	}
+}
+
+// Removed records that an instance's entry was removed.
+func (c *Cold) Removed(instance string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if in := c.instances[instance]; in != nil && in.removedAt.IsZero() {
+		in.removedAt = now
+	}
+}
+
+// Zone records that the evacuation of a zone ended: its instances are cold as after a start.
+func (c *Cold) Zone(zone string, endedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.zoneSince == nil {
+		c.zoneSince = map[string]time.Time{}
+	}
+	if endedAt.After(c.zoneSince[zone]) {
+		c.zoneSince[zone] = endedAt
+	}
+	raise(&c.startBound, endedAt)
+}
+
+// signal records that an instance said to be cold for a while longer.
+func (c *Cold) signal(instance string, left time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if in := c.instances[instance]; in != nil {
+		in.signalUntil = later(in.signalUntil, now.Add(left))
+		raise(&c.untilBound, in.signalUntil)
+	}
+}
+
+// None reports, without a lock, that no instance is cold.
+func (c *Cold) None(rule ColdRule, now time.Time) bool {
+	return !rule.Active() || now.Add(-rule.Duration).UnixNano() >= c.startBound.Load() && now.UnixNano() >= c.untilBound.Load()
+}
+
+// IsCold reports whether an instance is cold now.
+func (c *Cold) IsCold(instance string, rule ColdRule, now time.Time) bool {
+	if c.None(rule, now) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := c.instances[instance]
+	return in != nil && now.Before(c.until(in, rule))
+}
+
+// IsColdInstance is IsCold for an instance whose rule is that of its service.
+func (c *Cold) IsColdInstance(instance string, rule func(service string) ColdRule, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := c.instances[instance]
+	if in == nil {
+		return false
+	}
+	r := rule(in.service)
+	return r.Active() && now.Before(c.until(in, r))
+}
+
+// until returns until when an instance is cold; c.mu is held.
+func (c *Cold) until(in *coldInstance, rule ColdRule) time.Time {
+	end := later(in.entryUntil, in.signalUntil)
+	if in.age <= rule.Duration+startClockMargin {
+		end = later(end, in.since.Add(rule.Duration))
+	}
+	if ended, ok := c.zoneSince[in.zone]; ok {
+		end = later(end, ended.Add(rule.Duration))
+	}
+	return end
+}
+
+// Sweep forgets instances that were removed long ago, logs which instances became cold or warm, and
+// returns the number of cold ones. rule returns the rule of a service.
+func (c *Cold) Sweep(rule func(service string) ColdRule, now time.Time, log *zap.Logger) (cold int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, in := range c.instances {
+		if !in.removedAt.IsZero() && now.Sub(in.removedAt) > coldRetention {
+			delete(c.instances, id)
+			continue
+		}
+		r := rule(in.service)
+		isCold := r.Active() && in.removedAt.IsZero() && now.Before(c.until(in, r))
+		if isCold {
+			cold++
+		}
+		if isCold == in.loggedCold {
+			continue
+		}
+		in.loggedCold = isCold
+		if isCold {
+			log.Info("instance is cold", zap.String("instance", id), zap.Int64("born", in.startedAt), zap.Float64("per_second", r.PerSecond),
+				zap.Int64("left_ms", c.until(in, r).Sub(now).Milliseconds()))
+		} else {
+			log.Info("instance is warm", zap.String("instance", id), zap.Int64("born", in.startedAt), zap.Bool("removed", !in.removedAt.IsZero()))
+		}
+	}
+	return cold
+}
+
+// ZoneCold records that the evacuation of a zone ended at a time: its instances are cold from then on
+// for as long as after a start.
+func (g *Gate) ZoneCold(zone string, endedAt time.Time) { g.Cold.Zone(zone, endedAt) }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// raise raises a time in Unix nanoseconds to t.
+func raise(bound *atomic.Int64, t time.Time) {
+	n := t.UnixNano()
+	for {
+		old := bound.Load()
+		if n <= old || bound.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -22,6 +22,9 @@
 	// uniform returns a random duration in [low, high).
 	uniform func(low, high time.Duration) time.Duration
 
+	// Cold knows which instances are cold.
+	Cold Cold
+
 	// version rises with each incarnation of which something becomes known.
 	version atomic.Uint64
 
@@ -76,6 +79,9 @@
 	if s.Leaving {
 		g.markLeaving(inc, now)
 	}
+	if s.Cold > 0 {
+		g.Cold.signal(inc.Instance, min(s.Cold, MaxCold), now)
+	}
 	if s.Backoff > 0 {
 		g.startBackoff(inc, min(s.Backoff, MaxBackoff), now)
 	}
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -30,7 +30,12 @@
 	Backoff time.Duration
 	// Leaving reports that the instance stops soon and accepts no new requests.
 	Leaving bool
+	// Cold is for how much longer the instance is cold; 0: it does not say.
+	Cold time.Duration
 }
 
 // MaxBackoff replaces longer backoffs.
 const MaxBackoff = 10 * time.Minute
+
+// MaxCold replaces longer times for which an instance says to be cold.
+const MaxCold = 10 * time.Minute
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,8 @@
 	Models    []string // loaded models
 	Staged    []string // models on the host's disk, fast to load
 	Group     Membership
+	// ColdLeft is for how much longer the instance is cold, as of when it wrote its entry.
+	ColdLeft time.Duration
 	// Version is the store's revision of the entry.
 	Version uint64
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -51,7 +51,12 @@
 	state  *KnownState
 	view   atomic.Pointer[View]
 	// UpdatePause returns the pause after a call that brought changes; nil: defaultUpdatePause.
-	UpdatePause  func() time.Duration
+	UpdatePause func() time.Duration
+	// OnEntry, if set, is called with each entry received that describes the latest known incarnation of
+	// an instance, before a view contains it; first: no view has been published yet. OnRemoved is called
+	// with the ids of removed entries.
+	OnEntry      func(in *Instance, first bool)
+	OnRemoved    func(id string)
 	provedAt     steady.Time // when the last call that succeeded was sent
 	changed      chan struct{}
 	sizesChanged chan struct{}
@@ -183,6 +188,7 @@
 		}
 	}
 	f.state.Replace(all, l.Revision, f.provedAt.Load(), now)
+	f.notifyListing(all)
 	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision),
 		zap.Int("pages", l.Transfer.Pages), zap.Int("bytes", l.Transfer.Bytes), zap.Int64("wait_ms", l.Transfer.Wait.Milliseconds()),
 		zap.Int64("receive_ms", l.Transfer.Receive.Milliseconds()), zap.Int64("decode_ms", l.Transfer.Decode.Milliseconds()))
@@ -192,12 +198,14 @@
 	if e.Removed {
 		id := f.instanceID(e.Object.Key)
 		kept := f.state.Remove(id, f.provedAt.Load(), now)
+		f.notifyRemoved(id)
 		f.Log.Info("instance entry removed", zap.String("instance", id), zap.Uint64("version", e.Object.Version),
 			zap.Bool("believed", kept))
 		return
 	}
 	if in := f.decode(e.Object, now); in != nil {
 		f.state.Put(in)
+		f.notifyEntry(in)
 		f.Log.Debug("instance entry", zap.String("instance", in.ID), zap.Int64("born", in.StartedAt), zap.Bool("draining", in.Draining),
 			zap.String("group", in.Group.Name), zap.Uint64("epoch", in.Group.Epoch), zap.Int("rank", in.Group.Rank),
 			zap.String("state", string(in.Group.State)), zap.Strings("models", in.Models), zap.Strings("staged", in.Staged),
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -146,6 +146,10 @@
 	Name     string
 	MaxConns int // most connections that one instance accepts from all clients together
 	Engine   *Engine
+	// An instance is cold for ColdStart after its start and takes ColdPerSecond requests a second from
+	// all daemons together meanwhile; 0: any number.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bounds the sizes of client requests and how long client connections may take.
@@ -178,6 +182,7 @@
 	routesByHost    map[string][]*Route // longest prefix first
 	servicesByName  map[string]*Service
 	workspacesByKey map[string]*Workspace
+	limitsCold      bool
 }
 
 // Compile returns the routing table of a configuration, which must not be modified afterwards.
@@ -192,6 +197,7 @@
 	}
 	for i := range c.Services {
 		t.servicesByName[c.Services[i].Name] = &c.Services[i]
+		t.limitsCold = t.limitsCold || c.Services[i].ColdPerSecond > 0
 	}
 	for i := range c.Workspaces {
 		for _, key := range c.Workspaces[i].Keys {
@@ -214,6 +220,9 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.servicesByName[name] }
 
+// LimitsColdInstances reports whether a service limits requests to cold instances.
+func (t *Table) LimitsColdInstances() bool { return t.limitsCold }
+
 // RequiresAPIKey reports whether requests require an API key, which they do once a workspace is configured.
 func (t *Table) RequiresAPIKey() bool { return len(t.Config.Workspaces) > 0 }
 
