Grant permits for cold instances at each zone's relay

Call relay.cold_permit asks the zone's relay for one send. A relay grants only while a read of its zone's record, sent in the last 3 s, named it, and not within 3.2 s of taking the record over, so two daemons that both take themselves for the relay never both grant. The record is read once a second while permits are asked for.

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -86,7 +86,7 @@
 func (n *Node) Methods() handler.Map {
 	return handler.Map{methodPoll: handler.New(n.answerPoll), methodStalled: handler.New(n.answerStalled),
 		methodShare: handler.New(n.answerShareEncoded), methodRetry: handler.New(n.answerRetry), methodLoads: handler.New(n.answerLoads), methodQuarantine: handler.New(n.answerQuarantine),
-		methodLimits: handler.New(n.answerLimits), methodSnapshot: handler.New(n.answerSnapshot)}
+		methodLimits: handler.New(n.answerLimits), methodColdPermit: handler.New(n.answerColdPermit), methodSnapshot: handler.New(n.answerSnapshot)}
 }
 
 // maxPollWait bounds how long a peer's call is held.
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -254,6 +254,9 @@
 
 // becomeRelay makes this daemon the zone's relay.
 func (n *Node) becomeRelay() {
+	if !n.isRelay.Load() {
+		n.cold.takeOver(n.now().Add(coldTakeoverDelay)) // before this daemon counts as the relay
+	}
 	if !n.isRelay.Swap(true) {
 		n.opts.Log.Info("became the zone's relay", zap.String("decision", "follow_the_store_for_the_zone"), zap.String("address", n.opts.Address))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,6 +99,8 @@
 	SyncQuarantine(ctx context.Context, address string, r QuarantineRequest) (QuarantineReply, error)
 	// SyncLimits exchanges what two daemons know of limits, and asks for permits.
 	SyncLimits(ctx context.Context, address string, r LimitsRequest) (LimitsReply, error)
+	// ColdPermit asks for a permit for one send to a cold instance.
+	ColdPermit(ctx context.Context, address string, r ColdPermitRequest) (ColdPermitReply, error)
 }
 
 // Options configure a Node. All are required unless noted.
@@ -148,7 +150,9 @@
 	// RunClock counts the time of calls to other daemons: a process that is not scheduled reads no
 	// answers, and would take its own delay for a dead relay. Nil: all time counts.
 	RunClock *steady.RunClock
-	Log      *zap.Logger
+	// Spawn runs a function concurrently; nil: in a new goroutine. Tests replace it.
+	Spawn func(f func())
+	Log   *zap.Logger
 }
 
 // Node is one daemon's part of the relay protocol. It is an objectapi.Feed whose Follow goes
@@ -163,9 +167,10 @@
 	share        zoneShare
 	copies       snapshotCopies
 	grants       backpressure.Grants // used while this daemon is its zone's relay
-	isRelay      atomic.Bool         // the record names this daemon, as far as it knows
-	storeReached atomic.Bool         // the last call to the store for entries succeeded
-	stopping     atomic.Bool         // this daemon is shutting down
+	cold         coldLeaseState
+	isRelay      atomic.Bool // the record names this daemon, as far as it knows
+	storeReached atomic.Bool // the last call to the store for entries succeeded
+	stopping     atomic.Bool // this daemon is shutting down
 	// recheckRecord is set when a listing shows that the zone's record is not as this daemon, the
 	// zone's relay, would write it.
 	recheckRecord atomic.Bool
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -287,6 +287,16 @@
 	return LimitsReply{}, errors.New("refused")
 }
 
+// ColdPermit implements Transport between the zone's daemons.
+func (z *zone) ColdPermit(ctx context.Context, address string, r ColdPermitRequest) (ColdPermitReply, error) {
+	for _, d := range z.daemons {
+		if d.name == address && !d.dead {
+			return d.answerColdPermit(ctx, r)
+		}
+	}
+	return ColdPermitReply{}, errors.New("refused")
+}
+
 // daemonStore is the store as one daemon reaches it.
 type daemonStore struct {
 	z *zone
