Send to cold instances only with a permit

The gateway asks for a permit when it has chosen a cold target, and again just before the first byte if the permit has expired or the target became cold meanwhile. A refused request chooses another target at once; where only cold ones are left, it waits within its objective as for a backoff, or is refused as upstream_backpressure. The picker adds two requests in flight to the load of a cold target.

--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -66,6 +66,10 @@
 // Picker chooses targets by this daemon's requests in flight, its observations of them and the
 // reports of other daemons. Safe for concurrent use.
 type Picker struct {
+	// Surcharge returns what is added to the score of a target, in requests in flight; nil: nothing. Set
+	// before use.
+	Surcharge func(t *Target) float64
+
 	zone     string
 	uniform  func(n int) int
 	mu       sync.Mutex
@@ -105,6 +109,9 @@
 // score returns the load of a target, in requests in flight, with penalties. p.mu is held.
 func (p *Picker) score(s *scoredTarget, now time.Time) float64 {
 	score := s.own
+	if p.Surcharge != nil {
+		score += p.Surcharge(s.target)
+	}
 	if p.loadsKnown(now) {
 		score += float64(p.others.InFlight[s.target.Instance])
 		if s.target.Zone != p.zone {
--- a/internal/dispatch/picker_test.go
+++ b/internal/dispatch/picker_test.go
@@ -186,3 +186,21 @@
 	must.False(t, p.ProgressedSince(group, t0))
 	must.False(t, p.ProgressedSince(fleet.GroupKey{Name: "g", Epoch: 1}, t0.Add(-1)))
 }
+
+// Guards against a surcharge that excludes a target or is ignored: a target with one is chosen where its
+// load is lower by more than that.
+func TestSurchargeCountsAsLoad(t *testing.T) {
+	p := testPicker()
+	cold := Target{Instance: "cold", Zone: "z"}
+	p.Surcharge = func(t *Target) float64 {
+		if t.Instance == "cold" {
+			return 2
+		}
+		return 0
+	}
+	must.Eq(t, "here", pickOne(p, t0, cold, here))
+	for range 3 {
+		p.Pick([]Target{here}, nil, t0) // stays in flight
+	}
+	must.Eq(t, "cold", pickOne(p, t0, here, cold))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -134,6 +134,7 @@
 	detector      *quarantine.Detector
 	gate          *backpressure.Gate
 	loadReporters atomic.Int64 // number of daemons in the last report of loads
+	cold          coldState
 	persister     *quarantine.Persister
 	stopping      atomic.Bool
 	startedAt     time.Time
@@ -223,6 +224,7 @@
 	}
 	d.instances = fleet.NewFollower(entries, d.Platform.InstancesKind, d.Platform.DecodeInstance, state, d.Log)
 	d.instances.Clock = d.Clock
+	d.followCold()
 	d.config.changed = d.instances.SizesChanged
 	d.Metrics.GetOrCreateGauge("pearlanding_config_proof_age_seconds", func() float64 { return d.Clock.Since(d.config.Current().ProvedAt).Seconds() })
 	d.Metrics.GetOrCreateGauge("pearlanding_config_version", func() float64 { return float64(d.config.Current().Version()) })
@@ -322,14 +324,17 @@
 		d.picker.Sweep(d.runClock.Now())
 		d.detector.Prune()
 		d.gate.Sweep(now)
+		d.sweepCold(now)
 	}
 }
 
 func (d *Daemon) newGateway() *gateway.Gateway {
-	return &gateway.Gateway{
+	g := &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, ColdPermit: d.askColdPermit(), Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
+	d.cold.gateway.Store(g)
+	return g
 }
 
 func (d *Daemon) callersServer() *http.Server {
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -39,11 +39,11 @@
 
 // withholdFunc returns a function that reports whether the request must not be written to the
 // target after all, because the instance has announced a limit, a backoff or its departure
-// since the target was chosen.
+// since the target was chosen, or is cold and the request has no permit any more.
 func (x *exchange) withholdFunc(t *dispatch.Target) func() bool {
-	incarnation, permit, g := incarnationOf(t), x.hasPermit, x.gateway
+	incarnation, permit, cold, rule, g := incarnationOf(t), x.hasPermit, x.coldPermit, x.coldRule(), x.gateway
 	return func() bool {
-		withhold := g.Gate.Revoked(incarnation, permit, g.Clock.Now())
+		withhold := g.Gate.Revoked(incarnation, permit, g.Clock.Now()) || !g.renewColdPermit(cold, t.Instance, rule)
 		if withhold {
 			g.Metrics.set.GetOrCreateCounter("pearlanding_sends_withheld_total").Inc()
 		}
@@ -73,16 +73,25 @@
 	}
 	now := x.gateway.Clock.Now()
 	var incarnations []backpressure.Incarnation
+	var cold time.Duration // until a permit for a cold instance may be asked for
 	for _, t := range list.validAt(now) {
 		if x.triedInstances[t.Instance] {
 			continue
 		}
+		if left := x.coldBlockLeft(&t, now); left > 0 {
+			cold = earlierSend(cold, left)
+			continue
+		}
 		if x.gateway.Gate.CanSend(incarnationOf(&t), now) {
 			return backpressure.NextSend{}
 		}
 		incarnations = append(incarnations, incarnationOf(&t))
 	}
-	return x.gateway.Gate.NextSend(incarnations, now)
+	next := x.gateway.Gate.NextSend(incarnations, now)
+	if cold > 0 && (next.After == 0 || cold < next.After) {
+		return backpressure.NextSend{After: cold, ThisDaemon: true}
+	}
+	return next
 }
 
 // awaitBackoff waits until the first backoff of an instance ends, if the request can still be
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	Demand *demand.Counter
 	// Gate tracks the rate limits, backoffs and departures that instances announce.
 	Gate *backpressure.Gate
+	// ColdPermit asks the zone's relay for a permit; nil: there is no relay.
+	ColdPermit backpressure.AskColdPermit
 	// Quarantine tracks which requests crash instances. Later requests with the same content are
 	// refused.
 	Quarantine *quarantine.Detector
@@ -171,6 +173,8 @@
 	quarantineRequest *quarantine.Request // nil until the body was read
 	attempts          dispatch.Attempts
 	hasPermit         bool                             // the chosen target has a rate limit, and the request holds one of its permits
+	coldPermit        backpressure.ColdPermit          // of the chosen target, if that is cold
+	coldAsksSpent     bool                             // the last choice asked for as many permits for cold instances as it may
 	reservedRetry     atomic.Pointer[retryReservation] // for the next send
 	currentRetry      *retryReservation                // that the current send uses; nil if it is no retry
 	mayHaveRun        bool                             // an instance may have run the request
@@ -346,9 +350,12 @@
 			return nil, "retry_budget_spent"
 		}
 	}
-	t = x.pickTarget()
-	if t == nil && x.awaitBackoff(ctx) {
-		t = x.pickTarget()
+	t = x.pickTarget(ctx)
+	for t == nil && x.awaitBackoff(ctx) {
+		t = x.pickTarget(ctx)
+		if !x.coldRule().Active() {
+			break
+		}
 	}
 	if t == nil {
 		x.keepRetry()
@@ -366,12 +373,20 @@
 
 // pickTarget returns a target, or nil if there is none. If the target's instance has a rate
 // limit, the request then holds one of its permits.
-func (x *exchange) pickTarget() *dispatch.Target {
-	for {
+func (x *exchange) pickTarget(ctx context.Context) *dispatch.Target {
+	x.coldAsksSpent = false
+	for asked := 0; ; {
 		t := x.gateway.Picker.Pick(x.targets(), x.triedInstances, x.gateway.runClockNow())
 		if t == nil {
 			return nil
 		}
+		if !x.permitCold(ctx, t, &asked) {
+			x.gateway.Picker.Release(t)
+			if x.coldAsksSpent = asked >= maxColdAsks; x.coldAsksSpent {
+				return nil
+			}
+			continue
+		}
 		var ok bool
 		if x.hasPermit, ok = x.gateway.Gate.Take(incarnationOf(t), x.gateway.Clock.Now()); ok {
 			return t
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -26,7 +26,7 @@
 	if list == nil {
 		return nil
 	}
-	return g.sendableTargets(list)
+	return g.withoutColdBlocked(g.sendableTargets(list), service)
 }
 
 // targetList returns the targets that the view contains, without regard to the signals that
