--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -30,9 +30,13 @@
 	must.Greater(t, 0, z.askCold(relay, time.Second))
 	must.Eq(t, 0, z.askCold(a, time.Second))
 
+	relay.isRelay.Store(false)
+	must.Eq(t, 0, z.askCold(relay, time.Second), must.Sprint("it knows that it was replaced"))
+
+	z.record.Value = a.encodeRecord(false)
 	a.becomeRelay()
-	a.opts.Spawn = func(f func()) { f() }
 	must.Eq(t, 0, z.askCold(a, coldTakeoverDelay-50*time.Millisecond))
+	must.Greater(t, 0, z.askCold(a, time.Second))
 }
 
 // Guards against a relay that grants permits for long after it lost the store, as another daemon may have
