--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -136,6 +136,9 @@
 			load += others * f.cost.loadAfter(n, age) / n
 		}
 		load += f.flow.sent(id, int(elapsed/flowSlot.Seconds())) * totalRate(f.rates)
+		if p.Surcharge != nil {
+			load += p.Surcharge(t)
+		}
 		healthy := p.isHealthy(t, r, now)
 		seen := healthy && r != nil && r.observed(now)
 		if seen {
