--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -66,7 +66,7 @@
 func (p *Planner) freeByDomain(v *fleet.View, busy map[string]bool, now time.Time) map[string][]*fleet.Instance {
 	out := map[string][]*fleet.Instance{}
 	for _, in := range v.Services[p.Service] {
-		if !busy[in.ID] && !in.Draining && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayRejoin(in.ID, now) {
+		if !busy[in.ID] && !in.Draining && !p.Evacuated[in.Zone] && in.Domain != "" && (in.Group.Name == "" || p.hasLeft(in)) && !p.mayRejoin(in.ID, now) {
 			out[in.Domain] = append(out[in.Domain], in)
 		}
 	}
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -39,6 +39,9 @@
 	// the period over which loads from the weight store are limited.
 	BeforeFirstRequest func() bool
 	LoadWindow         func() time.Duration
+	// Evacuated returns the zones in which no group is to be formed; nil: never any. The result is not
+	// modified.
+	Evacuated func() map[string]bool
 	// IsRelay reports whether this daemon relays the instances to the other daemons of its
 	// zone. Relays, one in each zone, check the lease most often. nil: it is no relay.
 	IsRelay func() bool
@@ -208,7 +211,7 @@
 		return
 	}
 	if in := (pendingInput{view, table}); in != m.checked {
-		m.checked, m.workPending = in, hasPendingWork(view, table, now)
+		m.checked, m.workPending = in, hasPendingWork(view, table, m.evacuated(), now)
 	}
 	if !m.workPending {
 		m.pendingSince = time.Time{}
@@ -220,13 +223,15 @@
 
 // hasPendingWork reports whether a planner without any history would now give an order other
 // than to load a model.
-func hasPendingWork(view *fleet.View, table *routes.Table, now time.Time) bool {
+func hasPendingWork(view *fleet.View, table *routes.Table, evacuated map[string]bool, now time.Time) bool {
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
 		if s.Engine == nil {
 			continue
 		}
-		for o := range NewPlanner(s.Name, 0, nil, now).orders(view, s.Engine, now) {
+		p := NewPlanner(s.Name, 0, nil, now)
+		p.Evacuated = evacuated
+		for o := range p.orders(view, s.Engine, now) {
 			if o.Op != OpStage {
 				return true
 			}
@@ -235,6 +240,14 @@
 	return false
 }
 
+// evacuated returns the zones in which no group is to be formed.
+func (m *Manager) evacuated() map[string]bool {
+	if m.Evacuated == nil {
+		return nil
+	}
+	return m.Evacuated()
+}
+
 // maxViewAge is how long ago a view that is used for planning may have been confirmed. It covers
 // two consecutive calls that wait for changes of the entries and some time for slow answers.
 const maxViewAge = 8 * time.Second
@@ -314,6 +327,7 @@
 			m.planners[s.Name] = p
 		}
 		p.MayResend, p.BeforeFirstRequest, p.LoadWindow = m.Lease.ResendRecorded, m.BeforeFirstRequest(), m.LoadWindow()
+		p.Evacuated = m.evacuated()
 		for _, o := range p.Plan(view, s.Engine, now) {
 			go m.sendOrder(ctx, s.Name, term, o, view.Revision)
 		}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -60,6 +60,8 @@
 	// BeforeFirstRequest is true until this daemon knows of a request. Loads are fast until
 	// then, and those of a cold service are exempt from the ceiling.
 	BeforeFirstRequest bool
+	// Evacuated are the zones in which no group is formed.
+	Evacuated map[string]bool
 	// LoadWindow is the period over which loads are limited; 0: no limit.
 	LoadWindow  time.Duration
 	recentLoads []time.Time // start times within LoadWindow, oldest first
--- a/internal/formation/plan_cost_test.go
+++ b/internal/formation/plan_cost_test.go
@@ -32,7 +32,7 @@
 					p.BeforeFirstRequest = true
 					p.Plan(v, engine, now)
 				})
-				checkAllocs[instances] = testing.AllocsPerRun(1, func() { hasPendingWork(v, table, now) })
+				checkAllocs[instances] = testing.AllocsPerRun(1, func() { hasPendingWork(v, table, nil, now) })
 			}
 			must.LessEq(t, tolerance*factor*planAllocs[few], planAllocs[few*factor], must.Sprint("a plan"))
 			must.LessEq(t, tolerance*factor*checkAllocs[few], checkAllocs[few*factor], must.Sprint("a check for pending work"))
