Follow evacuated zones, and tell them through relays

Cause: an operator's request to evacuate a zone reaches no daemon. Relays report zones and the proof's age in PollReply; a change ends waiting polls. Daemons of earlier versions neither send nor get the new fields.

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -44,6 +44,9 @@
 	QuarantineSeq *uint64 `json:"quarantine,omitempty"`
 	// ConfigInForce is the configuration that the caller applies.
 	ConfigInForce ConfigStamp `json:"config_in_force,omitzero"`
+	// EvacuationSeq is the number of the last EvacuationReport that the caller received from this
+	// relay, 0 if none; nil: the caller wants none.
+	EvacuationSeq *uint64 `json:"evacuations,omitempty"`
 }
 
 // PollReply is what a relay knows. Ages are in milliseconds before the reply was made, rounded
@@ -67,6 +70,8 @@
 	QuarantineSeq uint64 `json:"quarantine,omitempty"`
 	// ConfigInForce is the configuration that the relay applies.
 	ConfigInForce ConfigStamp `json:"config_in_force,omitzero"`
+	// Evacuations are the evacuated zones; nil: the relay does not know them.
+	Evacuations *EvacuationReport `json:"evacuations,omitempty"`
 }
 
 // ConfigStamp identifies a configuration: by the version of its object, and by the version that the
@@ -118,13 +123,17 @@
 		if err != nil {
 			return PollReply{}, errors.Trace(err)
 		}
+		evacuations := n.evacuations()
 		newQuarantine := r.QuarantineSeq != nil && *r.QuarantineSeq != n.clusterWideSeq()
-		if expired || changes.gap || len(changes.changes) > 0 || config.seq != r.ConfigSeq || newQuarantine {
-			return n.makePollReply(received, entries, config, changes), nil
+		if expired || changes.gap || len(changes.changes) > 0 || config.seq != r.ConfigSeq || newQuarantine || r.newEvacuations(evacuations) {
+			reply := n.makePollReply(received, entries, config, changes)
+			reply.Evacuations = r.evacuationReport(evacuations, n.now())
+			return reply, nil
 		}
 		stale := time.NewTimer(remaining)
 		select {
 		case <-changed:
+		case <-evacuations.Changed:
 		case <-stale.C:
 		case <-timer.C:
 			expired = true
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -272,6 +272,6 @@
 	if n.opts.OnRelayUsed != nil {
 		n.opts.OnRelayUsed()
 	}
-	n.relayAddress, n.suspect, n.withoutRelay, n.configSeq, n.provedAt, n.relayUsedSince = address, "", false, 0, time.Time{}, n.now()
+	n.relayAddress, n.suspect, n.withoutRelay, n.configSeq, n.evacuationSeq, n.provedAt, n.relayUsedSince = address, "", false, 0, 0, time.Time{}, n.now()
 	n.share.setRelay(address) // the planner does not poll it, but shares loads with it
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"pearlanding/internal/backpressure"
+	"pearlanding/internal/evacuation"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
@@ -139,6 +140,8 @@
 	OnRecordsListed func(l objectapi.Listing)
 	// Bootstrap is set if all daemons start together, so that no zone has a relay yet.
 	Bootstrap bool
+	// Evacuations is what this daemon knows of the evacuated zones; nil: that is not exchanged.
+	Evacuations *evacuation.Known
 	// StalledInstances lists the instances whose running streams recently stopped making progress for
 	// this daemon.
 	StalledInstances func(now time.Time) []string
@@ -196,6 +199,7 @@
 	loggedOutOfTouch  bool
 	storeReachedSince time.Time // since when, counted anew after a relay is lost, the store has answered all own calls; zero: not yet
 	configSeq         uint64    // of the last configuration read that the relay sent
+	evacuationSeq     uint64    // of the last EvacuationReport that the relay sent; 0: none
 	provedAt          time.Time // time of the newest proof from the relay; zero: none yet
 	nextSearchAt      time.Time // when findRelay next asks the suspect or reads the record
 	startDelayDone    bool      // the random delay of the first search is over, or was not needed
@@ -507,7 +511,7 @@
 	defer cancel()
 	lastSeq := n.share.lastSeq(address)
 	r, err := n.opts.Peers.Poll(timed, address, PollRequest{After: after, ConfigSeq: n.configSeq, WaitMS: wait.Milliseconds(),
-		From: n.opts.Holder, StalledInstances: n.opts.StalledInstances(asked), QuarantineSeq: &lastSeq, ConfigInForce: n.configInForce()})
+		From: n.opts.Holder, StalledInstances: n.opts.StalledInstances(asked), QuarantineSeq: &lastSeq, ConfigInForce: n.configInForce(), EvacuationSeq: n.lastEvacuationSeq()})
 	if jrpc2.ErrorCode(err) == codeNotRelaying {
 		n.relayAnsweredAt.Store(n.now())
 		return objectapi.Changes{}, false, errors.WithType(err, errOutOfTouch)
@@ -525,6 +529,7 @@
 	n.share.setRelay(address)
 	n.noteClusterWideSeq(address, r.QuarantineSeq)
 	n.noteConfigStamp(r.ConfigInForce)
+	n.noteEvacuations(r.Evacuations, asked.Add(held))
 	if r.ConfigVersion != 0 {
 		n.opts.OnConfigProof(r.ConfigVersion, asked.Add(held-time.Duration(r.ConfigAgeMS)*time.Millisecond))
 	}
