Send no new request to an evacuated zone

Cause: targets are chosen without regard to evacuated zones. Change: lists of targets leave out those in evacuated zones (groups by the zone of the head) and are cached per set of zones. A send is withheld if its zone was evacuated after the choice. Where nothing else is left the answer is 503 zones_evacuated with Retry-After. Without evacuations a request costs one pointer load more.

--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -39,10 +39,13 @@
 
 // withholdFunc returns a function that reports whether the request must not be written to the
 // target after all, because the instance has announced a limit, a backoff or its departure
-// since the target was chosen.
+// since the target was chosen, or its zone was evacuated.
 func (x *exchange) withholdFunc(t *dispatch.Target) func() bool {
-	incarnation, permit, g := incarnationOf(t), x.hasPermit, x.gateway
+	incarnation, zone, permit, g := incarnationOf(t), t.Zone, x.hasPermit, x.gateway
 	return func() bool {
+		if g.withholdFrom(zone) {
+			return true
+		}
 		withhold := g.Gate.Revoked(incarnation, permit, g.Clock.Now())
 		if withhold {
 			g.Metrics.set.GetOrCreateCounter("pearlanding_sends_withheld_total").Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"pearlanding/internal/backpressure"
 	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/evacuation"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/quarantine"
@@ -86,6 +87,8 @@
 	// CanBorrowRetry reports whether other daemons probably have a retry for a service. nil if there
 	// are no other daemons.
 	CanBorrowRetry func(service string) bool
+	// Evacuated returns the zones whose instances get no new requests; nil: never any.
+	Evacuated func() *evacuation.Zones
 
 	currentTargets   atomic.Pointer[targetIndex] // of the latest view
 	unreadHeaders    labelSet                    // names of response headers
@@ -216,6 +219,9 @@
 	x.budget().CountRequest(x.gateway.Limits().RetryBudget, x.arrivedAt)
 	x.priorWait = x.gateway.callerWaits.Elapsed(x.route.Name, x.req.CallerTimeout)
 	x.countDemand()
+	if x.refuseEvacuated() {
+		return
+	}
 	if x.route.Kind == routes.Stream {
 		x.serveStream(ctx)
 	} else {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -36,6 +36,8 @@
 	switch {
 	case !x.mayHaveRun && x.gateway.View() == nil:
 		x.refuse(http.StatusServiceUnavailable, "instances_not_known", dispatch.RetryAfter(dispatch.DaemonStarting))
+	case !x.mayHaveRun && x.allEvacuated():
+		x.refuse(http.StatusServiceUnavailable, reasonZonesEvacuated, evacuatedRetryAfter)
 	case !x.mayHaveRun:
 		if next := x.nextSend(); next.After > 0 {
 			x.refuse(http.StatusServiceUnavailable, "upstream_backpressure", dispatch.RetryAfterFree(next.After))
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -8,6 +8,7 @@
 
 	"pearlanding/internal/backpressure"
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/evacuation"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/routes"
 )
@@ -30,25 +31,26 @@
 }
 
 // targetList returns the targets that the view contains, without regard to the signals that
-// their instances announced, or nil if there is no view. The list is built once per view.
+// their instances announced, or nil if there is no view. The list is built once per view and set of evacuated zones.
 func (g *Gateway) targetList(v *fleet.View, service *routes.Service, model string) *targetList {
 	if v == nil {
 		return nil
 	}
-	index := g.currentTargets.Load()
-	if index == nil || index.view != v {
-		index = &targetIndex{view: v, lists: map[targetKey]*targetList{}}
+	index, evacuated := g.currentTargets.Load(), g.evacuatedZones()
+	if index == nil || index.view != v || index.evacuated != evacuated {
+		index = &targetIndex{view: v, evacuated: evacuated, lists: map[targetKey]*targetList{}}
 		g.currentTargets.Store(index)
 	}
 	return index.list(service, model)
 }
 
-// targetIndex caches the target lists of one view. With thousands of instances, building a
+// targetIndex caches the target lists of one view and set of evacuated zones. With thousands of instances, building a
 // list would cost more than the rest of a request.
 type targetIndex struct {
-	view  *fleet.View
-	mu    sync.Mutex
-	lists map[targetKey]*targetList
+	view      *fleet.View
+	evacuated *evacuation.Zones
+	mu        sync.Mutex
+	lists     map[targetKey]*targetList
 }
 
 // targetKey identifies a target list.
@@ -70,6 +72,7 @@
 	list := i.lists[key]
 	if list == nil {
 		list = listTargets(i.view, service, model)
+		list.leaveOut(i.evacuated)
 		i.lists[key] = list
 	}
 	return list
@@ -85,6 +88,7 @@
 	// so that the targets need not be checked again at that version. 0 if there has been no
 	// such version.
 	noSignalsVersion atomic.Uint64
+	evacuated        bool // targets in evacuated zones were left out
 }
 
 // incarnations yields the incarnation of each target.
