Evacuate zones on request

Cause: the kind evacuations and the setting evacuate-ms are not read. The stand-in has zones for its engines and an operator's call.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"pearlanding/internal/backpressure"
 	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/evacuation"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/formation"
 	"pearlanding/internal/gateway"
@@ -37,13 +38,15 @@
 
 // Platform is everything that the daemon needs from the platform it runs on.
 type Platform struct {
-	Feed           objectapi.Feed
-	ConfigKey      string
-	InstancesKind  string
-	ReadinessPath  string
-	DecodeConfig   func(value []byte) (*routes.Config, error)
-	DecodeInstance fleet.Decode
-	Codec          gateway.Codec
+	Feed          objectapi.Feed
+	ConfigKey     string
+	InstancesKind string
+	// EvacuationsKind is the kind of the objects that name evacuated zones; empty: there are none.
+	EvacuationsKind string
+	ReadinessPath   string
+	DecodeConfig    func(value []byte) (*routes.Config, error)
+	DecodeInstance  fleet.Decode
+	Codec           gateway.Codec
 	// Orders returns the senders of orders and of probes to instances. They pass the signals in
 	// the answers to the function given.
 	Orders func(*upstream.Pool, SignalHandler) (formation.OrderSender, formation.Prober)
@@ -116,6 +119,7 @@
 
 	config        *configFollower
 	instances     *fleet.Follower
+	evacuations   *evacuation.Follower
 	pool          *upstream.Pool
 	direct        *tunnel.Direct
 	tunnelDialer  *tunnel.Dialer
@@ -213,12 +217,13 @@
 	d.gate = backpressure.NewGate(func() int { return int(d.loadReporters.Load()) }, d.uniform, d.Log)
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_limited", func() float64 { return float64(len(d.gate.Limited())) })
 	d.Metrics.GetOrCreateGauge("pearlanding_upstreams_resting", func() float64 { return float64(d.gate.BackoffCount(d.Clock.Now())) })
+	d.buildEvacuations(s)
 	entries := d.Platform.Feed
 	if s.PeerAddress != "" {
 		d.relay = d.newRelay(s, holder)
 		entries, d.config.onRead, d.config.serving, d.config.hasRelay = d.relay, d.relay.NoteConfig, d.relay.ServesPeers, d.relay.FollowsRelay
 		if s.Bootstrap {
-			d.config.startWait = bootstrapWait
+			d.config.startWait, d.evacuations.StartWait = bootstrapWait, bootstrapWait
 		}
 	}
 	d.instances = fleet.NewFollower(entries, d.Platform.InstancesKind, d.Platform.DecodeInstance, state, d.Log)
@@ -264,6 +269,7 @@
 	run(work, d.logLateness)
 	run(work, d.config.Run)
 	run(work, d.instances.Run)
+	run(work, d.evacuations.Run)
 	run(work, d.sweep)
 	run(work, d.watchDirectPaths)
 	run(work, func(ctx context.Context) { d.calls.logCounts(ctx, d.Log) })
@@ -298,6 +304,7 @@
 		Lease: d.lease, Orders: orders, Prober: prober, Suspects: d.stalledHeads, ProgressedSince: d.picker.ProgressedSince, SuspectsChanged: d.stallFound,
 		View: d.instances.View, ViewChanged: d.instances.Changed(), ViewConfirmedAt: d.instances.ProvedAt, RefreshView: d.instances.Refresh, RoutingTable: d.config.Table,
 		BeforeFirstRequest: d.gateway.NoRequestsYet,
+		Evacuated:          d.evacuatedZones,
 		UsesRelay:          func() bool { return d.followMode() == followRelayed },
 		IsRelay:            func() bool { return d.followMode() == followAsRelay },
 		LoadWindow:         func() time.Duration { return d.Settings().Bounds.CeilingWindow },
@@ -328,7 +335,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	return &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Evacuated: d.evacuations.Known.Zones, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 }
 
@@ -361,7 +368,7 @@
 // ready reports whether this daemon can serve requests.
 func (d *Daemon) ready() bool {
 	c := d.config.Current()
-	if d.stopping.Load() || c.Table == nil || d.instances.View() == nil {
+	if d.stopping.Load() || c.Table == nil || d.instances.View() == nil || !d.evacuationsSettled() {
 		return false
 	}
 	revoke := d.bounds().MaxProofAgeForKeys
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -102,6 +102,7 @@
 		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, ConfigInForce: d.config.stamp, OnConfigStamp: d.config.noteStamp, OnRelayUsed: d.config.storeRecovered,
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
 		StalledInstances: d.stalledOrEndedHeads,
+		Evacuations:      d.evacuations.Known,
 		ReachesInstances: d.direct.Usable,
 		OnStoreRestored:  d.detector.Evidence.ForgetSaved,
 		Bootstrap:        s.Bootstrap, Quarantine: d.detector, Gate: d.gate, OnRecordsListed: d.takeRelayListing,
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -8,7 +8,8 @@
 type Settings struct {
 	Node             string
 	Zone             string
-	Zones            int // number of failure domains in which daemons run
+	Zones            int      // number of failure domains in which daemons run
+	ZoneNames        []string // of these; empty: not told
 	IP               string
 	Bootstrap        bool   // all daemons start for the first time, together
 	CallerAddress    string // address that serves callers
@@ -43,4 +44,5 @@
 	RetryExtra     float64       // repeats that all daemons may make in a window beyond the ratio
 	CeilingWindow  time.Duration // window of the ceiling on loads from the weight store
 	CeilingOverage float64
+	Evacuate       time.Duration // until an evacuated zone's instances get no more requests; 0: zones are not evacuated
 }
--- a/internal/front/simcallers_test.go
+++ b/internal/front/simcallers_test.go
@@ -98,12 +98,16 @@
 	daemons, zones, instances int
 	// callInterval is the mean time between two requests at one daemon.
 	callInterval time.Duration
+	// evacuate is the bound on evacuations; 0: zones are not evacuated.
+	evacuate time.Duration
+	answer   func(c *instanceConn, r *http.Request) bool // see instanceNet
 }
 
 // newSimFleet starts a fleet with callers that run until ctx ends.
 func newSimFleet(ctx context.Context, t *testing.T, o simFleetOptions, seed uint64) *simFleet {
 	f := &simFleet{instances: newInstanceNet(), rng: rand.New(rand.NewPCG(seed, 55))}
-	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones,
+	f.instances.answer = o.answer
+	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones, evacuate: o.evacuate,
 		zoneOf: func(daemon string) string {
 			var n int
 			_, _ = fmt.Sscanf(daemon, "d%d", &n)
@@ -147,11 +151,20 @@
 		return c, err
 	}
 	d.Platform.DecodeInstance = func(id string, version uint64, _ []byte) (*fleet.Instance, error) {
-		return &fleet.Instance{ID: id, Address: id, Service: simService, StartedAt: 1, Version: version}, nil
+		return &fleet.Instance{ID: id, Address: id, Service: simService, Zone: f.instanceZone(id), StartedAt: 1, Version: version}, nil
 	}
 	d.DialInstance = f.instances.dialer(d.Settings().Node)
 }
 
+// instanceZone returns the zone of an instance: they are spread evenly if zones can be evacuated.
+func (f *simFleet) instanceZone(id string) string {
+	var n int
+	if _, err := fmt.Sscanf(id, "i-%d", &n); err != nil || f.evacuate == 0 {
+		return ""
+	}
+	return fmt.Sprint("zone-", n%f.zones)
+}
+
 // callRegularly sends requests to one daemon.
 func (f *simFleet) callRegularly(ctx context.Context, daemon int, interval time.Duration, rng *rand.Rand) {
 	kinds := []string{"stream", "stream", "once", "lookup"}
@@ -166,9 +179,9 @@
 
 // call sends one request, whose kind is the beginning of its id.
 func (f *simFleet) call(ctx context.Context, daemon int, id string) *simCall {
+	f.mu.Lock()
 	d := f.daemons[daemon]
 	c := &simCall{daemon: d.Settings().Node, id: id, sentAt: time.Now(), header: http.Header{}}
-	f.mu.Lock()
 	f.calls = append(f.calls, c)
 	f.mu.Unlock()
 	kind, _, _ := strings.Cut(id, "-")
--- a/internal/front/simstore_test.go
+++ b/internal/front/simstore_test.go
@@ -34,7 +34,8 @@
 	stalls   *simStalls
 	// busyUntil is when the store's link has transmitted what is queued on it: answers are not
 	// received before.
-	busyUntil time.Time
+	busyUntil   time.Time
+	evacuations simEvacuated
 }
 
 func newSimStore() *simStore {
@@ -122,6 +123,8 @@
 const (
 	simConfig    = "config/main"
 	simInstances = "servers"
+	// simEvacuations is the kind of the objects that name evacuated zones.
+	simEvacuations = "evacuations"
 )
 
 // simLink is one daemon's connection to the store. It implements objectapi.Feed.
@@ -204,6 +207,10 @@
 			out.Objects = l.entries()
 			return nil
 		}
+		if kind == simEvacuations {
+			out = l.evacuations.list(l.revision)
+			return nil
+		}
 		for _, o := range l.records {
 			out.Objects = append(out.Objects, o)
 		}
@@ -236,7 +243,10 @@
 	return out, l.changed
 }
 
-func (l *simLink) Follow(ctx context.Context, _ string, after uint64, wait time.Duration) (out objectapi.Changes, err error) {
+func (l *simLink) Follow(ctx context.Context, kind string, after uint64, wait time.Duration) (out objectapi.Changes, err error) {
+	if kind == simEvacuations {
+		return l.followEvacuations(ctx, after, wait)
+	}
 	err = l.call(ctx, wait+simCallTimeout, func(ctx context.Context) error {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -32,6 +32,8 @@
 	// zoneOf returns a daemon's zone; nil: all are in one.
 	zoneOf func(daemon string) string
 	zones  int // number of zones; 0: one
+	// evacuate is the bound on evacuations; 0: zones are not evacuated.
+	evacuate time.Duration
 	// prepare changes a daemon before its parts are built; nil: not.
 	prepare func(d *Daemon)
 	log     []string
@@ -71,12 +73,16 @@
 	if z.zoneOf != nil {
 		s.Zone, s.Zones = z.zoneOf(name), z.zones
 	}
+	s.Bounds.Evacuate = z.evacuate
+	for i := range z.zones {
+		s.ZoneNames = append(s.ZoneNames, fmt.Sprint("zone-", i))
+	}
 	if z.mbps != nil {
 		s.LinkMbps = z.mbps(name)
 		z.net.setLink(name, s.LinkMbps)
 	}
 	d := &Daemon{Settings: func() Settings { return s }, Log: z.logger(name), Metrics: metrics.NewSet(), Clock: simClock(),
-		Platform: Platform{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances,
+		Platform: Platform{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances, EvacuationsKind: simEvacuations,
 			DecodeConfig: func(value []byte) (*routes.Config, error) {
 				c := &routes.Config{}
 				_, err := fmt.Sscan(string(value), &c.Version)
@@ -99,6 +105,7 @@
 	d.build(s, name)
 	go d.config.Run(ctx)
 	go d.instances.Run(ctx)
+	go d.evacuations.Run(ctx)
 	go d.answerPeers(ctx, z.net.listen(name))
 	d.instances.UpdatePause = d.updatePause
 	z.cancels[d] = end
