--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -238,6 +238,36 @@
 	})
 }
 
+// Guards against requests that are refused as if no instance were reachable, because three instances of
+// a zone that has no power or is partitioned do not answer, while others work over open connections. No
+// answer within the timeout is no refusal: it is told as the instance's own failure.
+func TestUnansweredDialIsTheInstancesFailureWhileOthersWork(t *testing.T) {
+	for _, works := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newTestRig()
+			r.peers = nil // none is reached
+			r.direct = answers
+			other, err := r.dialer.Direct.DialContext(t.Context(), "tcp", "other:1")
+			must.NoError(t, err)
+			defer other.Close()
+			r.direct = hangs
+			for _, address := range []string{"dead:1", "dead:2", "dead:3"} {
+				ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
+				_, err := r.dialer.Direct.DialContext(ctx, "tcp", address)
+				cancel()
+				must.Error(t, err)
+				if works {
+					echo(t, other)
+				}
+			}
+			_, err = r.dial(t, time.Second)
+			must.Eq(t, !works, errors.Is(err, upstream.ErrNoPath))
+			must.False(t, errors.Is(err, syscall.ECONNREFUSED))
+			time.Sleep(time.Second) // until the dials in the background end
+		})
+	}
+}
+
 // Peers that can't help are skipped: cut off, at their limit, with another view, or of an earlier
 // version.
 func TestNextPeerIsAsked(t *testing.T) {
