Test what callers see while a zone fails

Cause: no test makes a whole zone fail: without power, or partitioned while callers reach it. Change: links between one daemon and one instance can fall silent in the simulated network, and retries have a budget in it.

--- a/internal/front/simcallers_test.go
+++ b/internal/front/simcallers_test.go
@@ -42,6 +42,7 @@
 	body   bytes.Buffer
 	doneAt time.Time // zero: not answered yet
 	gap    time.Duration
+	first  time.Time // when the first part of the answer came
 	last   time.Time
 	cut    bool // the answer was cut off
 }
@@ -58,6 +59,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if c.first.IsZero() {
+		c.first = now
+	}
 	if !c.last.IsZero() {
 		c.gap = max(c.gap, now.Sub(c.last))
 	}
@@ -67,6 +71,13 @@
 
 func (c *simCall) Flush() {}
 
+// firstAt returns when the first part of the answer came.
+func (c *simCall) firstAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first
+}
+
 // served reports whether the caller received the whole answer.
 func (c *simCall) served() bool {
 	c.mu.Lock()
@@ -100,14 +111,16 @@
 	callInterval time.Duration
 	// evacuate is the bound on evacuations; 0: zones are not evacuated.
 	evacuate time.Duration
-	answer   func(c *instanceConn, r *http.Request) bool // see instanceNet
+	// retryRatio is the number of retries allowed per request; 0: none.
+	retryRatio float64
+	answer     func(c *instanceConn, r *http.Request) bool // see instanceNet
 }
 
 // newSimFleet starts a fleet with callers that run until ctx ends.
 func newSimFleet(ctx context.Context, t *testing.T, o simFleetOptions, seed uint64) *simFleet {
 	f := &simFleet{instances: newInstanceNet(), rng: rand.New(rand.NewPCG(seed, 55))}
 	f.instances.answer = o.answer
-	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones, evacuate: o.evacuate,
+	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones, evacuate: o.evacuate, retryRatio: o.retryRatio,
 		zoneOf: func(daemon string) string {
 			var n int
 			_, _ = fmt.Sscanf(daemon, "d%d", &n)
--- a/internal/front/siminstances_test.go
+++ b/internal/front/siminstances_test.go
@@ -43,10 +43,12 @@
 
 // instanceNet is all instances and their connections with the daemons, in virtual time.
 type instanceNet struct {
-	mu      sync.Mutex
-	cuts    map[string]instanceCut // by daemon
-	healed  map[string]chan struct{}
-	ended   map[string]bool // instances whose process has ended
+	mu     sync.Mutex
+	cuts   map[string]instanceCut // by daemon
+	healed map[string]chan struct{}
+	// silent are links between one daemon and one instance on which packets vanish.
+	silent  map[simLinkEnds]chan struct{} // closed when they are delivered again
+	ended   map[string]bool               // instances whose process has ended
 	conns   map[*instanceConn]struct{}
 	runs    map[string]int    // how often instances began to run a request, by its id
 	working map[string]int    // answers that instances work on, by request id
@@ -58,7 +60,7 @@
 }
 
 func newInstanceNet() *instanceNet {
-	return &instanceNet{cuts: map[string]instanceCut{}, healed: map[string]chan struct{}{}, ended: map[string]bool{}, conns: map[*instanceConn]struct{}{},
+	return &instanceNet{cuts: map[string]instanceCut{}, healed: map[string]chan struct{}{}, silent: map[simLinkEnds]chan struct{}{}, ended: map[string]bool{}, conns: map[*instanceConn]struct{}{},
 		runs: map[string]int{}, working: map[string]int{}, ranAt: map[string]string{}, dials: map[string]int{}}
 }
 
@@ -87,17 +89,18 @@
 	}
 }
 
-// awaitLink waits until packets between a daemon and instances are delivered, or until closed is.
-func (n *instanceNet) awaitLink(daemon string, closed <-chan struct{}) {
-	n.mu.Lock()
-	healed := n.healed[daemon]
-	n.mu.Unlock()
-	if healed == nil {
-		return
-	}
-	select {
-	case <-healed:
-	case <-closed:
+// awaitLink waits until packets of a connection are delivered, or until it is closed.
+func (n *instanceNet) awaitLink(c *instanceConn) {
+	for {
+		healed := n.silentUntil(c.daemon, c.instance)
+		if healed == nil {
+			return
+		}
+		select {
+		case <-healed:
+		case <-c.closed:
+			return
+		}
 	}
 }
 
@@ -136,7 +139,7 @@
 		cut, ended := n.cuts[daemon], n.ended[instance]
 		n.dials[daemon]++
 		n.mu.Unlock()
-		if cut == packetsVanish {
+		if n.silentUntil(daemon, instance) != nil {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -244,15 +247,12 @@
 	default:
 	}
 	data := append([]byte(nil), p...)
-	c.net.mu.Lock()
-	silent := c.net.healed[c.daemon] != nil
-	c.net.mu.Unlock()
-	if !silent {
+	if c.net.silentUntil(c.daemon, c.instance) == nil {
 		c.requests.write(data, nil)
 		return len(p), nil
 	}
 	go func() {
-		c.net.awaitLink(c.daemon, c.closed)
+		c.net.awaitLink(c)
 		c.requests.write(data, nil)
 	}()
 	return len(p), nil
@@ -270,7 +270,7 @@
 
 // send sends a part of a response. It returns false if the connection has ended.
 func (c *instanceConn) send(text string) bool {
-	c.net.awaitLink(c.daemon, c.closed)
+	c.net.awaitLink(c)
 	select {
 	case <-c.closed:
 		return false
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -34,6 +34,8 @@
 	zones  int // number of zones; 0: one
 	// evacuate is the bound on evacuations; 0: zones are not evacuated.
 	evacuate time.Duration
+	// retryRatio is the number of retries allowed per request; 0: none.
+	retryRatio float64
 	// prepare changes a daemon before its parts are built; nil: not.
 	prepare func(d *Daemon)
 	log     []string
@@ -43,6 +45,9 @@
 // simBounds are the bounds that the daemons of a simulated zone must keep, as deployments set them.
 var simBounds = Bounds{Config: 2 * time.Second, Revoke: 5 * time.Second, StrictRevoke: true, Drain: 2 * time.Second}
 
+// simRetryWindow is the window of a simulated zone's retry budgets.
+const simRetryWindow = 10 * time.Second
+
 // newSimZone starts daemons that run until ctx ends; their random choices depend on the seed.
 func newSimZone(ctx context.Context, t *testing.T, daemons int, seed uint64) *simZone {
 	return newSimZoneWith(ctx, t, daemons, seed, nil)
@@ -73,7 +78,7 @@
 	if z.zoneOf != nil {
 		s.Zone, s.Zones = z.zoneOf(name), z.zones
 	}
-	s.Bounds.Evacuate = z.evacuate
+	s.Bounds.Evacuate, s.Bounds.RetryRatio, s.Bounds.RetryWindow = z.evacuate, z.retryRatio, simRetryWindow
 	for i := range z.zones {
 		s.ZoneNames = append(s.ZoneNames, fmt.Sprint("zone-", i))
 	}
