--- a/internal/formation/report.go
+++ b/internal/formation/report.go
@@ -38,9 +38,7 @@
 	if m.Demand != nil {
 		p.Demand = append([]demand.Rate{}, m.Demand(now)...) // not nil: models are placed by demand
 	}
-	if m.Evacuated != nil {
-		p.Evacuated = m.Evacuated()
-	}
+	p.Evacuated = m.evacuated()
 }
 
 // reportPlacement logs the moves that a planner decided and sets the gauges of its models' capacity.
--- a/internal/front/simcallers_test.go
+++ b/internal/front/simcallers_test.go
@@ -42,6 +42,7 @@
 	body   bytes.Buffer
 	doneAt time.Time // zero: not answered yet
 	gap    time.Duration
+	first  time.Time // when the first part of the answer came
 	last   time.Time
 	cut    bool // the answer was cut off
 }
@@ -58,6 +59,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if c.first.IsZero() {
+		c.first = now
+	}
 	if !c.last.IsZero() {
 		c.gap = max(c.gap, now.Sub(c.last))
 	}
@@ -67,6 +71,13 @@
 
 func (c *simCall) Flush() {}
 
+// firstAt returns when the first part of the answer came.
+func (c *simCall) firstAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first
+}
+
 // served reports whether the caller received the whole answer.
 func (c *simCall) served() bool {
 	c.mu.Lock()
@@ -98,12 +109,18 @@
 	daemons, zones, instances int
 	// callInterval is the mean time between two requests at one daemon.
 	callInterval time.Duration
+	// evacuate is the bound on evacuations; 0: zones are not evacuated.
+	evacuate time.Duration
+	// retryRatio is the number of retries allowed per request; 0: none.
+	retryRatio float64
+	answer     func(c *instanceConn, r *http.Request) bool // see instanceNet
 }
 
 // newSimFleet starts a fleet with callers that run until ctx ends.
 func newSimFleet(ctx context.Context, t *testing.T, o simFleetOptions, seed uint64) *simFleet {
 	f := &simFleet{instances: newInstanceNet(), rng: rand.New(rand.NewPCG(seed, 55))}
-	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones,
+	f.instances.answer = o.answer
+	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones, evacuate: o.evacuate, retryRatio: o.retryRatio,
 		zoneOf: func(daemon string) string {
 			var n int
 			_, _ = fmt.Sscanf(daemon, "d%d", &n)
@@ -147,11 +164,20 @@
 		return c, err
 	}
 	d.Platform.DecodeInstance = func(id string, version uint64, _ []byte) (*fleet.Instance, error) {
-		return &fleet.Instance{ID: id, Address: id, Service: simService, StartedAt: 1, Version: version}, nil
+		return &fleet.Instance{ID: id, Address: id, Service: simService, Zone: f.instanceZone(id), StartedAt: 1, Version: version}, nil
 	}
 	d.DialInstance = f.instances.dialer(d.Settings().Node)
 }
 
+// instanceZone returns the zone of an instance: they are spread evenly if zones can be evacuated.
+func (f *simFleet) instanceZone(id string) string {
+	var n int
+	if _, err := fmt.Sscanf(id, "i-%d", &n); err != nil || f.evacuate == 0 {
+		return ""
+	}
+	return fmt.Sprint("zone-", n%f.zones)
+}
+
 // callRegularly sends requests to one daemon.
 func (f *simFleet) callRegularly(ctx context.Context, daemon int, interval time.Duration, rng *rand.Rand) {
 	kinds := []string{"stream", "stream", "once", "lookup"}
@@ -166,9 +192,9 @@
 
 // call sends one request, whose kind is the beginning of its id.
 func (f *simFleet) call(ctx context.Context, daemon int, id string) *simCall {
+	f.mu.Lock()
 	d := f.daemons[daemon]
 	c := &simCall{daemon: d.Settings().Node, id: id, sentAt: time.Now(), header: http.Header{}}
-	f.mu.Lock()
 	f.calls = append(f.calls, c)
 	f.mu.Unlock()
 	kind, _, _ := strings.Cut(id, "-")
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -32,6 +32,10 @@
 	// zoneOf returns a daemon's zone; nil: all are in one.
 	zoneOf func(daemon string) string
 	zones  int // number of zones; 0: one
+	// evacuate is the bound on evacuations; 0: zones are not evacuated.
+	evacuate time.Duration
+	// retryRatio is the number of retries allowed per request; 0: none.
+	retryRatio float64
 	// prepare changes a daemon before its parts are built; nil: not.
 	prepare func(d *Daemon)
 	log     []string
@@ -41,6 +45,9 @@
 // simBounds are the bounds that the daemons of a simulated zone must keep, as deployments set them.
 var simBounds = Bounds{Config: 2 * time.Second, Revoke: 5 * time.Second, StrictRevoke: true, Drain: 2 * time.Second}
 
+// simRetryWindow is the window of a simulated zone's retry budgets.
+const simRetryWindow = 10 * time.Second
+
 // newSimZone starts daemons that run until ctx ends; their random choices depend on the seed.
 func newSimZone(ctx context.Context, t *testing.T, daemons int, seed uint64) *simZone {
 	return newSimZoneWith(ctx, t, daemons, seed, nil)
@@ -71,12 +78,16 @@
 	if z.zoneOf != nil {
 		s.Zone, s.Zones = z.zoneOf(name), z.zones
 	}
+	s.Bounds.Evacuate, s.Bounds.RetryRatio, s.Bounds.RetryWindow = z.evacuate, z.retryRatio, simRetryWindow
+	for i := range z.zones {
+		s.ZoneNames = append(s.ZoneNames, fmt.Sprint("zone-", i))
+	}
 	if z.mbps != nil {
 		s.LinkMbps = z.mbps(name)
 		z.net.setLink(name, s.LinkMbps)
 	}
 	d := &Daemon{Settings: func() Settings { return s }, Log: z.logger(name), Metrics: metrics.NewSet(), Clock: simClock(),
-		Platform: Platform{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances,
+		Platform: Platform{Feed: &simLink{z.store, name}, ConfigKey: simConfig, InstancesKind: simInstances, EvacuationsKind: simEvacuations,
 			DecodeConfig: func(value []byte) (*routes.Config, error) {
 				c := &routes.Config{}
 				_, err := fmt.Sscan(string(value), &c.Version)
@@ -99,6 +110,7 @@
 	d.build(s, name)
 	go d.config.Run(ctx)
 	go d.instances.Run(ctx)
+	go d.evacuations.Run(ctx)
 	go d.answerPeers(ctx, z.net.listen(name))
 	d.instances.UpdatePause = d.updatePause
 	z.cancels[d] = end
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -39,10 +39,14 @@
 
 // withholdFunc returns a function that reports whether the request must not be written to the
 // target after all, because the instance has announced a limit, a backoff or its departure
-// since the target was chosen, or is cold and the request has no permit any more.
+// since the target was chosen, its zone was evacuated, or it is cold and the request has no permit any
+// more.
 func (x *exchange) withholdFunc(t *dispatch.Target) func() bool {
-	incarnation, permit, cold, rule, g := incarnationOf(t), x.hasPermit, x.coldPermit, x.coldRule(), x.gateway
+	incarnation, zone, permit, cold, rule, g := incarnationOf(t), t.Zone, x.hasPermit, x.coldPermit, x.coldRule(), x.gateway
 	return func() bool {
+		if g.withholdFrom(zone) {
+			return true
+		}
 		withhold := g.Gate.Revoked(incarnation, permit, g.Clock.Now()) || !g.renewColdPermit(cold, t.Instance, rule)
 		if withhold {
 			g.Metrics.set.GetOrCreateCounter("pearlanding_sends_withheld_total").Inc()
