Bound response heads and the time of writing a request

Cause: http.ReadResponse sets no limit on a head, so a status line, a header, headers or interim responses without end were read until the request ended (256 MB in 3 s). Writing a request to an upstream that does not read it was limited by the request's deadline only.

A goroutine that reads a body yields every 16 KB.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/link"
+	"pearlanding/internal/membudget"
 	"pearlanding/internal/steady"
 )
 
@@ -37,6 +38,8 @@
 	// RunClock measures connect times and stops while this process is not scheduled; nil means
 	// Clock.
 	RunClock *steady.RunClock
+	// Memory accounts large heads of responses; nil: they are not accounted. Set before use.
+	Memory *membudget.Budget
 	// Dial opens a connection; NewPool sets it.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Stale reports whether an idle connection to an address must not be used any more; nil: never.
@@ -53,8 +56,16 @@
 type pooledConn struct {
 	net.Conn
 	address    string
-	reader     *bufio.Reader
-	reuseUntil time.Time // no new request is sent from then on
+	head       headLimiter
+	reader     *bufio.Reader // of head
+	reuseUntil time.Time     // no new request is sent from then on
+}
+
+// newConn returns a connection of the pool over one that was opened.
+func (p *Pool) newConn(conn net.Conn, address string) *pooledConn {
+	c := &pooledConn{Conn: conn, address: address, head: headLimiter{conn: conn, budget: p.Memory}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c
 }
 
 // Call is one request to an upstream.
@@ -156,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &pooledConn{Conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	c := p.newConn(conn, call.Address)
 	if call.NewConnection && !staysOpen(ctx, conn) {
 		p.discard(c)
 		return nil, errors.WithType(errors.Errorf("new connection closed by %s", call.Address), ErrNotSent)
@@ -184,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	p.keepIdle(&pooledConn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, p.MaxIdleTime)
+	p.keepIdle(p.newConn(conn, address), p.MaxIdleTime)
 	return nil
 }
 
@@ -272,12 +283,14 @@
 // discard closes a connection and releases its slot.
 func (p *Pool) discard(c *pooledConn) {
 	_ = c.Close()
+	c.head.release()
 	p.releaseSlot(c.address)
 }
 
 // keepIdle keeps a connection for the next request. It discards the connection if there are
 // unread bytes, if keepFor is not positive, or if enough others are idle.
 func (p *Pool) keepIdle(c *pooledConn, keepFor time.Duration) {
+	c.head.release()
 	if c.reader.Buffered() > 0 || keepFor <= 0 {
 		p.discard(c)
 		return
@@ -329,17 +342,22 @@
 
 // exchange writes the request and reads the header of its response.
 func (c *pooledConn) exchange(call *Call) (*http.Response, error) {
-	if _, err := c.Write(encodeRequest(call)); err != nil {
+	if err := c.writeRequest(call); err != nil {
 		return nil, errors.WithType(err, ErrUnknown)
 	}
+	c.head.begin()
 	for foreign := 0; ; foreign++ {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+		if c.head.err != nil {
+			err = c.head.err // ReadResponse may have seen a malformed line first
+		}
 		if err != nil {
 			return nil, errors.WithType(err, ErrUnknown)
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		c.head.inHead = false
 		if call.IsOwnResponse == nil || call.IsOwnResponse(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
@@ -347,30 +365,10 @@
 		if foreign >= maxForeignResponses || err != nil || n == maxForeignBodyBytes || !reusable(resp) {
 			return nil, errors.WithType(errors.New("response to another request"), ErrForeignResponse)
 		}
+		c.head.inHead = true
 	}
 }
 
-// encodeRequest returns the bytes of the request, to be written at once.
-func encodeRequest(call *Call) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(call.Body))
-	b.WriteString(call.Method + " " + call.RequestTarget + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
-	for name, values := range call.Header {
-		for _, v := range values {
-			b.WriteString(name)
-			b.WriteString(": ")
-			b.WriteString(v)
-			b.WriteString("\r\n")
-		}
-	}
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(call.Body)
-	return b.Bytes()
-}
-
 // hasFraming reports whether the response's end is marked by a length or chunks, and not only
 // by the end of the connection.
 func hasFraming(resp *http.Response) bool {
@@ -403,11 +401,20 @@
 	reusable   bool
 	readToEnd  bool
 	closed     bool
+	sinceYield int // bytes read since other goroutines could run
 }
 
+// yieldBytes is how many bytes of a body are read before other goroutines may run. A goroutine with endless
+// input otherwise runs for 10 ms at a time: 100 of them would delay the events of other streams by a second.
+const yieldBytes = 16 << 10
+
 // Read implements io.Reader. The error is ErrUnknown if the response was truncated.
 func (b *pooledBody) Read(buf []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buf)
+	if b.sinceYield += n; b.sinceYield >= yieldBytes {
+		b.sinceYield = 0
+		runtime.Gosched()
+	}
 	if err == io.EOF {
 		b.readToEnd = true
 	} else if err != nil {
