Do not cut events inside lines that fill the read buffer

Cause: the reader of events takes a line above 4 KB in parts. A last part of only a newline looked like the empty line that ends an event, so the event was passed on without its end and merged with the next one at the caller; a part that began with "id:" was taken for the event's id.

Parts after the first are no longer looked at. The new test fails on the old code for lines whose length is a multiple of 4,096.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -45,11 +45,13 @@
 func (r *eventReader) next() (event, error) {
 	r.buf = r.buf[:0]
 	var ev event
+	continued := false // the next part continues a line that exceeds the read buffer
 	for {
 		line, err := r.src.ReadSlice('\n')
 		r.buf = append(r.buf, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEventBytes:
+			continued = true
 			continue
 		case err == io.EOF && len(r.buf) == 0:
 			return ev, io.EOF
@@ -58,6 +60,10 @@
 		case err != nil:
 			return ev, err
 		}
+		if continued {
+			continued = false
+			continue // neither an empty line nor an id
+		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			if len(bytes.TrimSpace(r.buf)) == 0 {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -81,3 +81,31 @@
 		}
 	})
 }
+
+// Guards against events that are cut in the middle of a line: the end of a line that fills the read buffer
+// looked like an empty line, and a part of a long line like an id.
+func TestLinesThatFillTheReadBufferAreNotCut(t *testing.T) {
+	const bufferBytes = 4 << 10
+	text := "id: 1\n" + "data:" + strings.Repeat("x", 2*bufferBytes-len("data:")-len("id: 1\n")) + "\ndata: y\n\n"
+	text2 := "id: 2\ndata:" + strings.Repeat("x", bufferBytes-len("id: 2\ndata:")) + "id: 9\n\n"
+	for _, size := range []int{0, 1, bufferBytes - 1, bufferBytes, bufferBytes + 1} {
+		lead := ": " + strings.Repeat("c", size) + "\n\n"
+		r := newEventReader(strings.NewReader(lead + text + text2))
+		for _, want := range []struct {
+			raw string
+			id  int64
+		}{{lead, 0}, {text, 1}, {text2, 2}} {
+			ev, err := r.next()
+			must.NoError(t, err)
+			must.Eq(t, want.raw, string(ev.raw))
+			must.Eq(t, want.id, ev.id)
+		}
+	}
+	for size := range 2*bufferBytes + 2 {
+		line := strings.Repeat("x", size) + "id: 9\n\n"
+		ev, err := newEventReader(strings.NewReader(line)).next()
+		must.NoError(t, err)
+		must.Eq(t, line, string(ev.raw))
+		must.False(t, ev.hasID && size > 0)
+	}
+}
