Read engines while callers do not read, and account what is held for peers

Cause: events were written to the caller by the goroutine that reads the engine, so a caller that reads nothing left its engine unread until the deadline; the engine cuts such an answer off after some seconds. A request was held for good by a caller that reads nothing or sends its body slowly. An event of endless short lines, request bodies and plain responses were bounded each (or not at all), but not together.

- When a write to the caller takes 100 ms, the goroutine of a timer takes over the reading until the end of the answer, including handovers.
Events are held in the order in which the handover accepted them, at most 1 MB for a caller and within the budget of the daemon; the streams that hold most are ended, with their connection closed.
The engine is not blamed.
- An event, or empty lines between two, end the send beyond 1 MB.
Events above 4 KB are accounted.
- Bodies are accounted while they arrive.
Without room a request is refused as not run (503, Retry-After); a response fails its request as one that may have run (502).
- Writing to a caller ends a second after the deadline, reading its body at the deadline.

--- /dev/null
+++ b/internal/gateway/bodies.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pearlanding/internal/dispatch"
+	"pearlanding/internal/membudget"
+	"pearlanding/internal/upstream"
+)
+
+// reasonMemory means that this daemon holds as much for its peers as it may.
+const reasonMemory = "memory_for_peers_spent"
+
+// Sizes of the buffers into which bodies are read.
+const (
+	minBodyBuffer = 512
+	// firstBodyBuffer is the largest buffer of a body of which nothing was received: a peer can announce
+	// a large body and send nothing.
+	firstBodyBuffer = 16 << 10
+)
+
+// bodyReader reads bodies and accounts their memory.
+type bodyReader struct {
+	limit  int // bytes
+	memory *membudget.Budget
+	// onWait is called once, before the second read: most bodies arrive with their head. nil: nothing.
+	onWait func()
+}
+
+// read reads a body to its end. size is its announced length, negative if unknown. held is what is
+// accounted, also with an error; the caller must release it. The error is upstream.ErrTooLarge,
+// upstream.ErrMemory, or that of r.
+func (b *bodyReader) read(r io.Reader, size int64) (body []byte, held int, err error) {
+	limit := b.limit + 1 // one more byte shows that a body is too large
+	if size >= 0 {
+		limit = min(limit, int(min(size, int64(b.limit)))+1)
+	}
+	want := min(max(limit, minBodyBuffer), firstBodyBuffer)
+	for reads := 0; ; reads++ {
+		if len(body) == cap(body) {
+			if !b.memory.TakeBody(want - held) {
+				return nil, held, upstream.ErrMemory
+			}
+			held = want
+			grown := make([]byte, len(body), want)
+			copy(grown, body)
+			body, want = grown, min(2*want, max(limit, minBodyBuffer))
+		}
+		if reads == 1 && b.onWait != nil {
+			b.onWait()
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > b.limit:
+			return nil, held, upstream.ErrTooLarge
+		case err == io.EOF:
+			return body, held, nil
+		case err != nil:
+			return nil, held, err
+		case len(body) == cap(body) && cap(body) >= limit:
+			limit = b.limit + 1 // longer than announced
+			want = min(2*cap(body), limit)
+		}
+	}
+}
+
+// readAnswer reads the whole body of a response. release must be called when it is no longer used.
+func (x *exchange) readAnswer(resp *http.Response) (body []byte, release func(), err error) {
+	memory := x.gateway.Memory
+	body, held, err := (&bodyReader{limit: maxAnswerBytes, memory: memory}).read(resp.Body, resp.ContentLength)
+	if err != nil && !errors.Is(err, upstream.ErrTooLarge) {
+		err = errors.WithType(err, upstream.ErrUnknown)
+	}
+	return body, func() { memory.ReleaseBody(held) }, err
+}
+
+// readBody reads the whole body, so that the request can be written at once and retried. It
+// returns false if it has refused or aborted the request.
+func (x *exchange) readBody(r *http.Request) bool {
+	limit := x.config.Table.Config.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > int64(limit) {
+		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	}
+	reader := &bodyReader{limit: limit, memory: x.gateway.Memory, onWait: x.limitReads}
+	body, held, err := reader.read(r.Body, r.ContentLength)
+	x.heldBody = held
+	x.unlimitReads()
+	switch {
+	case errors.Is(err, upstream.ErrTooLarge):
+		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	case errors.Is(err, upstream.ErrMemory):
+		return x.refuse(http.StatusServiceUnavailable, reasonMemory, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
+	case err != nil:
+		x.reason = "caller_sent_no_whole_body"
+		markAborted(x)
+		return false
+	}
+	x.req.Body = body
+	return true
+}
+
+// releaseBody ends the accounting of the request's body.
+func (x *exchange) releaseBody() { x.gateway.Memory.ReleaseBody(x.heldBody) }
+
+// callerWriteGrace is how long after the deadline of a request the writing of its response may take.
+const callerWriteGrace = time.Second
+
+// limitWrites bounds the writing of the response, as a caller that reads nothing would hold it for good.
+// The server sets a new limit for the next request on the connection.
+func (x *exchange) limitWrites() {
+	x.setWriteDeadline(time.Now().Add(x.gateway.Clock.Until(x.deadline) + callerWriteGrace))
+}
+
+// setWriteDeadline sets the time, by the system clock, at which writing to the caller fails. It does
+// nothing for a caller without a connection, as in tests.
+func (x *exchange) setWriteDeadline(t time.Time) {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(t)
+}
+
+// limitReads bounds the reading of the request's body, as a caller that sends it slowly would hold it for
+// good.
+func (x *exchange) limitReads() {
+	x.readsLimited = true
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.gateway.Clock.Until(x.deadline)))
+}
+
+// unlimitReads undoes limitReads, because the server watches the connection by a read.
+func (x *exchange) unlimitReads() {
+	if x.readsLimited {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,9 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"pearlanding/internal/membudget"
+	"pearlanding/internal/upstream"
 )
 
 // Errors of streams that ended too early.
@@ -15,6 +18,8 @@
 	errPartialEvent = errors.ConstError("gateway: stream ended inside an event")
 	// errNoEvents means that the stream ended before its first event.
 	errNoEvents = errors.ConstError("gateway: stream without events")
+	// errEventTooLarge means that an event, or what is between two events, exceeds maxEventBytes.
+	errEventTooLarge = errors.ConstError("gateway: event too large")
 )
 
 // event is one server-sent event with its unmodified bytes.
@@ -29,28 +34,42 @@
 type eventReader struct {
 	src *bufio.Reader
 	buf []byte
+	// Large events are accounted to memory; onEnd is called if the stream must end to release them. nil:
+	// they are not accounted.
+	memory  *membudget.Budget
+	onEnd   func()
+	holder  *membudget.Holder // nil until the first large event
+	bufHeld int               // bytes of buf accounted to holder
 }
 
-// maxEventBytes is the size of an event from which on a line that exceeds the read buffer is an
-// error, bufio.ErrBufferFull. Shorter lines are accepted in an event of any size.
-const maxEventBytes = 1 << 20
+// Sizes of events.
+const (
+	// maxEventBytes limits an event, and the empty lines between two events.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an event is not accounted.
+	freeEventBytes = 4 << 10
+	// maxKeptEventBytes is the largest buffer that is kept for the next event.
+	maxKeptEventBytes = 64 << 10
+)
 
 func newEventReader(body io.Reader) *eventReader {
 	return &eventReader{src: bufio.NewReaderSize(body, 4<<10)}
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
-// events, errPartialEvent if it ended inside one, and bufio.ErrBufferFull if an event is too
-// large.
+// events, errPartialEvent if it ended inside one, errEventTooLarge, or upstream.ErrMemory.
 func (r *eventReader) next() (event, error) {
-	r.buf = r.buf[:0]
+	r.reset()
 	var ev event
+	skipped := 0       // bytes of empty lines
 	continued := false // the next part continues a line that exceeds the read buffer
 	for {
 		line, err := r.src.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
+		if err := r.append(line); err != nil {
+			return ev, err
+		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull):
 			continued = true
 			continue
 		case err == io.EOF && len(r.buf) == 0:
@@ -67,6 +86,9 @@
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			if len(bytes.TrimSpace(r.buf)) == 0 {
+				if skipped += len(r.buf); skipped > maxEventBytes {
+					return ev, errEventTooLarge
+				}
 				r.buf = r.buf[:0] // extra empty line between events
 				continue
 			}
@@ -81,6 +103,44 @@
 	}
 }
 
+// reset prepares the buffer for the next event.
+func (r *eventReader) reset() {
+	if cap(r.buf) > maxKeptEventBytes {
+		r.buf = nil
+		r.holder.Shrink(r.bufHeld)
+		r.bufHeld = 0
+	}
+	r.buf = r.buf[:0]
+}
+
+// append adds a line, or a part of one, to the event.
+func (r *eventReader) append(line []byte) error {
+	size := len(r.buf) + len(line)
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > cap(r.buf) && size > freeEventBytes {
+		if r.holder == nil {
+			r.holder = r.memory.NewHolder(r.onEnd)
+		}
+		grown := min(max(2*cap(r.buf), size), maxEventBytes)
+		if !r.holder.Grow(grown - r.bufHeld) {
+			return upstream.ErrMemory
+		}
+		r.bufHeld = grown
+		r.buf = append(make([]byte, 0, grown), r.buf...)
+	}
+	r.buf = append(r.buf, line...)
+	return nil
+}
+
+// detach leaves the buffer of the last event to somebody else, who still uses it. It stays accounted until
+// close.
+func (r *eventReader) detach() { r.buf, r.bufHeld = nil, 0 }
+
+// close ends the accounting.
+func (r *eventReader) close() { r.holder.Close() }
+
 // hasBufferedEvent reports whether a complete event is buffered, so that next doesn't block.
 func (r *eventReader) hasBufferedEvent() bool {
 	buffered, err := r.src.Peek(r.src.Buffered())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 	"pearlanding/internal/demand"
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/fleet"
+	"pearlanding/internal/membudget"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/quarantine"
 	"pearlanding/internal/routes"
@@ -80,6 +80,8 @@
 	// BorrowRetry takes a retry for a service from the budgets of other daemons when this daemon's
 	// budget is exhausted. nil if there are no other daemons.
 	BorrowRetry func(ctx context.Context, service string) bool
+	// Memory accounts what is held for callers and instances; nil: no limit.
+	Memory *membudget.Budget
 	// PathsLostAt returns when all direct paths to instances were last lost, by RunClock; zero: never. A
 	// failure of an earlier send says nothing about its target. nil: never.
 	PathsLostAt func() time.Time
@@ -106,6 +108,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), arrivedAt: g.Clock.Now(), latenessOnArrival: g.RunClock.Lateness()}
 	x.req.ArrivedAt = x.arrivedAt
+	defer x.releaseBody()
 	g.requestSeen.Store(true)
 	if g.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -183,6 +186,10 @@
 	headerSent        bool          // to the caller
 	firstByteAfter    time.Duration // time from arrival to the first event or the complete response
 	admission         dispatch.Admission
+	heldBody          int  // bytes of the request's body accounted to the gateway's Memory
+	readsLimited      bool // the caller's connection has a limit on the time of reading
+	cancelRequest     context.CancelFunc
+	held              heldEvents
 
 	// progressMu guards progress. The goroutine that passes events on is the only one that writes
 	// it; a handover reads it meanwhile.
@@ -204,6 +211,7 @@
 	if !x.resolveRoute() {
 		return
 	}
+	x.limitWrites()
 	if !x.readBody(r) {
 		return
 	}
@@ -213,6 +221,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.gateway.Clock.Until(x.deadline))
 	defer cancel()
+	x.cancelRequest = cancel
 	x.budget().CountRequest(x.gateway.Limits().RetryBudget, x.arrivedAt)
 	x.priorWait = x.gateway.callerWaits.Elapsed(x.route.Name, x.req.CallerTimeout)
 	x.countDemand()
@@ -290,29 +299,6 @@
 	return true
 }
 
-// readBody reads the whole body, so that the request can be written at once and retried. It
-// returns false if it has refused or aborted the request.
-func (x *exchange) readBody(r *http.Request) bool {
-	limit := int64(x.config.Table.Config.Limits.MaxBodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		x.reason = "caller_sent_no_whole_body"
-		markAborted(x)
-		return false
-	}
-	if int64(len(body)) > limit {
-		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	}
-	x.req.Body = body
-	return true
-}
-
 // nextTarget chooses the target of the next send. It returns nil and records the reason if there
 // is none.
 func (x *exchange) nextTarget(ctx context.Context) *dispatch.Target {
@@ -457,6 +443,7 @@
 		return nil, err
 	}
 	x.attempts.CountReached()
+	x.gateway.noteLargeHead(t, err)
 	if err == nil {
 		x.sends[s.logIndex].peer = upstream.Peer(resp)
 		x.gateway.observeSignals(t, resp, now)
--- /dev/null
+++ b/internal/gateway/peerfaults.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"pearlanding/internal/dispatch"
+	"pearlanding/internal/upstream"
+)
+
+// blameless reports whether the error of a send says nothing about its target.
+func blameless(err error) bool {
+	return errors.Is(err, upstream.ErrWithheld) || errors.Is(err, upstream.ErrNoPath) || errors.Is(err, upstream.ErrMemory)
+}
+
+// noteLargeHead counts and logs a response head that was refused for its size.
+func (g *Gateway) noteLargeHead(t *dispatch.Target, err error) {
+	if !errors.Is(err, upstream.ErrHeadTooLarge) {
+		return
+	}
+	g.Metrics.set.GetOrCreateCounter("pearlanding_upstream_heads_too_large_total").Inc()
+	g.Log.Warn("response head too large", zap.String("instance", t.Instance), zap.String("decision", "connection_closed_instance_suspected"))
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,7 +70,8 @@
 		return x.plainSendFailed(attempt, s, err)
 	}
 	defer resp.Body.Close()
-	body, err := upstream.ReadWhole(resp, maxAnswerBytes)
+	body, release, err := x.readAnswer(resp)
+	defer release()
 	if err != nil {
 		return x.plainSendFailed(attempt, s, err)
 	}
@@ -81,13 +82,17 @@
 // must not be sent again; the caller has been answered then.
 func (x *exchange) plainSendFailed(attempt context.Context, s *send, err error) bool {
 	x.recordEnd(s, endCause(attempt, err))
-	if !errors.Is(err, upstream.ErrWithheld) && !errors.Is(err, upstream.ErrNoPath) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
+	if !blameless(err) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
 		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrConnectionLimit) {
 		return false
 	}
 	x.mayHaveRun = true
+	if errors.Is(err, upstream.ErrMemory) {
+		x.failUnanswered(reasonMemory) // another send would need as much memory
+		return true
+	}
 	if attempt.Err() == nil {
 		x.recordBrokenSend(s)
 	}
--- a/internal/gateway/simreplica_test.go
+++ b/internal/gateway/simreplica_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -207,6 +208,9 @@
 	}
 }
 
+// SetWriteDeadline does nothing, as writes never block.
+func (c *simConn) SetWriteDeadline(time.Time) error { return nil }
+
 func (c *simConn) Close() error {
 	c.process.awaitScheduled()
 	c.once.Do(func() {
@@ -523,6 +527,11 @@
 	doneAt  time.Time
 	done    chan struct{}
 	onWrite func() // called before each write of the answer; nil: nothing
+	// From its blockedFrom-th write on the caller reads nothing until writeDeadline is closed. 0: it reads.
+	blockedFrom   int
+	writes        int
+	writeDeadline chan struct{}
+	expired       sync.Once
 }
 
 // call sends a request for a stream of some events and reads its answer.
@@ -562,6 +571,10 @@
 	if c.onWrite != nil {
 		c.onWrite()
 	}
+	if c.writes++; c.blockedFrom > 0 && c.writes >= c.blockedFrom {
+		<-c.writeDeadline
+		return 0, os.ErrDeadlineExceeded
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -574,6 +587,14 @@
 
 func (c *simCaller) Flush() {}
 
+// SetWriteDeadline is called through http.ResponseController.
+func (c *simCaller) SetWriteDeadline(t time.Time) error {
+	if c.writeDeadline != nil && !t.After(time.Now()) {
+		c.expired.Do(func() { close(c.writeDeadline) })
+	}
+	return nil
+}
+
 // received returns the replica of each event that the caller has received. Each must be there once
 // and in order.
 func (c *simCaller) received(t *testing.T) (replicas []string) {
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -73,6 +73,9 @@
 	if s.resp != nil {
 		s.resp.Body.Close()
 	}
+	if s.events != nil {
+		s.events.close()
+	}
 	s.tracked.Done()
 	s.cancelSend(nil)
 	x.gateway.Picker.EndStream(s.target, s.sentAt, s.eventCount > 0)
@@ -119,7 +122,8 @@
 // whether the caller has been answered with it.
 func (x *exchange) passOtherResponse(s *streamSend, progress streamProgress) (answered bool) {
 	defer x.closeStream(s)
-	body, err := upstream.ReadWhole(s.resp, maxAnswerBytes)
+	body, release, err := x.readAnswer(s.resp)
+	defer release()
 	if err != nil {
 		x.recordFailure(s, sendFailed(s, err))
 		return false
@@ -138,7 +142,7 @@
 	if !x.gateway.Codec.Signed(s.resp.Header) {
 		return errors.New("response without signature")
 	}
-	s.events = newEventReader(s.resp.Body)
+	s.events = x.newStreamReader(s)
 	s.first, s.firstErr = x.nextEvent(s, progress)
 	if s.firstErr == io.EOF && progress.eventCount == 0 {
 		return errNoEvents
@@ -194,13 +198,13 @@
 // brokeOff reports whether the replica broke off the connection, or may have: a stream whose end neither a
 // length nor chunks mark ends like a complete one, before its first event or inside one.
 func (f sendFailure) brokeOff() bool {
-	return !f.canceled && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errNoEvents) || errors.Is(f.err, errPartialEvent))
+	return !f.canceled && !blameless(f.err) && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errNoEvents) || errors.Is(f.err, errPartialEvent))
 }
 
 // recordFailure records a send whose stream did not complete.
 func (x *exchange) recordFailure(s *streamSend, f sendFailure) {
 	x.recordEnd(s.send, f.cause)
-	if !errors.Is(f.err, upstream.ErrWithheld) && !errors.Is(f.err, upstream.ErrNoPath) && !f.canceled {
+	if !blameless(f.err) && !f.canceled {
 		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if !errors.Is(f.err, upstream.ErrNotSent) && !errors.Is(f.err, upstream.ErrConnectionLimit) {
