--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,6 +26,7 @@
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/formation"
 	"pearlanding/internal/gateway"
+	"pearlanding/internal/membudget"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/quarantine"
@@ -121,6 +122,7 @@
 	instances     *fleet.Follower
 	evacuations   *evacuation.Follower
 	pool          *upstream.Pool
+	peerMemory    *membudget.Budget
 	direct        *tunnel.Direct
 	tunnelDialer  *tunnel.Dialer
 	tunnelServer  *tunnel.Server // nil until build
@@ -213,6 +215,8 @@
 	d.picker = dispatch.NewPicker(s.Zone, rand.IntN)
 	d.pool = upstream.NewPool(connectTimeout, idleConnTimeout)
 	d.pool.Clock, d.pool.RunClock = d.Clock, d.runClock
+	d.peerMemory = newPeerMemory(s.MemoryMB, d.Metrics)
+	d.pool.Memory = d.peerMemory
 	d.buildTunnels(s)
 	d.buildQuarantine(s)
 	d.gate = backpressure.NewGate(func() int { return int(d.loadReporters.Load()) }, d.uniform, d.Log)
@@ -339,14 +343,14 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	g := &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, PathsLostAt: d.direct.LostAt, Evacuated: d.evacuations.Known.Zones, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, ColdPermit: d.askColdPermit(), Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Pool: d.pool, Memory: d.peerMemory, PathsLostAt: d.direct.LostAt, Evacuated: d.evacuations.Known.Zones, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, ColdPermit: d.askColdPermit(), Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 	d.cold.gateway.Store(g)
 	return g
 }
 
 func (d *Daemon) callersServer() *http.Server {
-	return &http.Server{Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	return &http.Server{Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(d.Log)}
 }
 
