--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -82,7 +82,9 @@
 // retryHeaderCodec tells callers when to retry.
 type retryHeaderCodec struct{ simCodec }
 
-func (retryHeaderCodec) SetRetryAfter(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) }
+func (retryHeaderCodec) SetRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", d.String())
+}
 
 // Guards against a daemon that is killed for its memory by plain responses: without room for one, the
 // request has failed, may have run, and is not sent again. Its instance is not blamed.
