An entry that says whether its instance is cold is believed

Cause: where entries do not tell when their instances started, a daemon that starts took all of them for cold; after a kill of all daemons nobody granted permits for 3.2 s and 640 requests of two seconds were refused. Change: an entry with the time for which its instance is still cold, 0 included, decides; without it an instance that appears counts as cold as before. Unused test code removed. Result: the new cases fail on the code before; tests of backpressure, relay, dispatch pass.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -34,6 +34,8 @@
 	Zone    string
 	Version uint64
 	Left    time.Duration // how much longer the instance is cold, by its own account
+	// Reported: the entry says whether the instance is cold, and Left is 0 if it is not.
+	Reported bool
 	// First: the entry was there when this daemon started.
 	First bool
 	// BeforeTraffic: the deployment has had no request yet. Instances that start then are not cold.
@@ -64,7 +66,8 @@
 	version   uint64
 	since     time.Time // when this daemon first saw it
 	// age is how old it was then by its own account, if this daemon found it at its own start, and
-	// unlimited before the deployment's first request; 0: it may have started just then.
+	// unlimited before the deployment's first request or if its entries say whether it is cold; 0: it
+	// may have started just then.
 	age         time.Duration
 	entryUntil  time.Time // until when it is cold by its entry
 	signalUntil time.Time // until when it is cold by its answers
@@ -93,7 +96,7 @@
 			started.loggedCold = in.loggedCold
 		}
 		switch {
-		case e.BeforeTraffic:
+		case e.BeforeTraffic, e.Reported:
 			started.age = math.MaxInt64
 		case e.First && e.StartedAt > 0:
 			started.age = now.Sub(time.UnixMilli(e.StartedAt))
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -34,6 +34,9 @@
 		{"found at the daemon's start, says to be cold", func(e *ColdEntry) { e.First, e.StartedAt, e.Left = true, e.StartedAt-60_000, time.Second }, time.Second},
 		{"started before the deployment's first request", func(e *ColdEntry) { e.BeforeTraffic = true }, 0},
 		{"started before the first request, says to be cold", func(e *ColdEntry) { e.BeforeTraffic, e.Left = true, time.Second }, time.Second},
+		{"says to be warm", func(e *ColdEntry) { e.Reported = true }, 0},
+		{"found at the daemon's start, says to be warm", func(e *ColdEntry) { e.First, e.StartedAt, e.Reported = true, 0, true }, 0},
+		{"found at the daemon's start, says to be cold, no start time", func(e *ColdEntry) { e.First, e.StartedAt, e.Reported, e.Left = true, 0, true, time.Second }, time.Second},
 		{"found at the daemon's start without a start time", func(e *ColdEntry) { e.First, e.StartedAt = true, 0 }, 3 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/dispatch/fleetreplay_test.go
+++ b/internal/dispatch/fleetreplay_test.go
@@ -38,7 +38,6 @@
 type simCall struct {
 	kind             int
 	at, arrived, end time.Duration // of the first attempt, of this one, of its time limit
-	returned         bool
 	prompt, answer   int
 	passes           int // left
 	picker           *Picker
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,6 +56,8 @@
 	Group     Membership
 	// ColdLeft is for how much longer the instance is cold, as of when it wrote its entry.
 	ColdLeft time.Duration
+	// ColdReported is true if the entry says whether the instance is cold.
+	ColdReported bool
 	// Version is the store's revision of the entry.
 	Version uint64
 }
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -21,7 +21,7 @@
 func (d *Daemon) followCold() {
 	d.instances.OnEntry = func(in *fleet.Instance, first bool) {
 		d.gate.Cold.Entry(backpressure.ColdEntry{Incarnation: backpressure.Incarnation{Instance: in.ID, StartedAt: in.StartedAt},
-			Service: in.Service, Zone: in.Zone, Version: in.Version, Left: in.ColdLeft, First: first, BeforeTraffic: d.beforeTraffic()}, d.Clock.Now())
+			Service: in.Service, Zone: in.Zone, Version: in.Version, Left: in.ColdLeft, Reported: in.ColdReported, First: first, BeforeTraffic: d.beforeTraffic()}, d.Clock.Now())
 	}
 	d.picker.Surcharge = d.coldSurcharge
 	d.instances.OnRemoved = func(id string) { d.gate.Cold.Removed(id, d.Clock.Now()) }
--- a/internal/relay/cold_sim_test.go
+++ b/internal/relay/cold_sim_test.go
@@ -246,15 +246,6 @@
 	return most
 }
 
-func (f *coldFleet) countSince(from time.Time) (n int) {
-	for _, at := range f.arrivals {
-		if !at.Before(from) {
-			n++
-		}
-	}
-	return n
-}
-
 // relayOf returns a daemon of a zone that takes itself for the relay; nil: there is none.
 func (f *coldFleet) relayOf(z *zone) *coldDaemon {
 	for _, d := range f.daemons {
