Account response heads by the bytes received

Cause: a head beyond 4 KB was accounted by the room offered to each read, not by what the read returned. An upstream that sends a head in small pieces used up the budget of the daemon with one connection, and all bodies were refused.

Change: the rest is released after the read. Measured: a head of 64 KB in reads of one byte accounts 120 KB; before, 8 MB did not suffice.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -55,15 +55,20 @@
 		return 0, l.err
 	}
 	p = p[:min(len(p), maxHeadBytes-l.bytes)]
+	need := 0
 	if l.bytes >= freeHeadBytes {
-		if need := headMemoryFactor * len(p); l.budget.TakeBody(need) {
-			l.held += need
-		} else {
-			l.err = ErrMemory
-			return 0, l.err
-		}
+		need = headMemoryFactor * len(p)
+	}
+	if !l.budget.TakeBody(need) {
+		l.err = ErrMemory
+		return 0, l.err
 	}
 	n, err := l.conn.Read(p)
+	if need > 0 {
+		used := headMemoryFactor * n
+		l.budget.ReleaseBody(need - used)
+		l.held += used
+	}
 	l.bytes += n
 	l.lines += bytes.Count(p[:n], []byte{'\n'})
 	return n, err
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -113,6 +113,33 @@
 	must.Eq(t, 120<<10, p.Memory.Usage().Bodies)
 }
 
+// singleByteConn is a connection on which each read returns one byte.
+type singleByteConn struct{ net.Conn }
+
+func (singleByteConn) Read(p []byte) (int, error) {
+	p[0] = 'x'
+	return 1, nil
+}
+
+// Guards against an upstream that sends a head in small pieces and uses up the budget of the daemon: what is
+// accounted follows the bytes that were received, not the room that was offered for them.
+func TestHeadInSmallPiecesIsAccountedByItsSize(t *testing.T) {
+	memory := membudget.New(8 << 20)
+	l := &headLimiter{conn: singleByteConn{}, budget: memory}
+	l.begin()
+	p := make([]byte, readBufferBytes)
+	for range maxHeadBytes {
+		n, err := l.Read(p)
+		must.NoError(t, err)
+		must.Eq(t, 1, n)
+	}
+	must.Eq(t, headMemoryFactor*(maxHeadBytes-freeHeadBytes), memory.Usage().Bodies)
+	_, err := l.Read(p)
+	must.ErrorIs(t, err, ErrHeadTooLarge)
+	l.release()
+	must.Zero(t, memory.Usage().Bodies)
+}
+
 // slowConn is a connection whose peer reads nothing, or all.
 type slowConn struct {
 	net.Conn
