Take very small rates of cold instances

Cause: with cold-per-s below about 1e-7 the mean time between sends without a permit overflowed, and drawing a random time from the empty interval ended the daemon by a panic.

Change: the mean is bounded to what a duration holds.

--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -209,3 +209,18 @@
 	must.Eq(t, 0, cold.Sweep(rule, now.Add(coldRetention+1), zap.NewNop()))
 	must.MapEmpty(t, cold.instances)
 }
+
+// Guards against a daemon that ends by a panic because the configuration has a very small rate: the mean
+// time between sends exceeds what a duration holds.
+func TestTinyColdRateIsTaken(t *testing.T) {
+	uniform := func(low, high time.Duration) time.Duration {
+		must.Less(t, high, low, must.Sprint("empty interval"))
+		return high - 1
+	}
+	for _, perSecond := range []float64{1e-6, 1e-8, 1e-9, 1e-300, 5e-324} {
+		cold, rule := &Cold{}, ColdRule{Duration: time.Minute, PerSecond: perSecond}
+		cold.Entry(coldEntry(1, simStart), simStart)
+		must.False(t, cold.TakeWithoutPermit("i", rule, 300, uniform, simStart.Add(time.Second)), must.Sprint(perSecond))
+		must.False(t, cold.TakeWithoutPermit("i", rule, 300, uniform, simStart.Add(time.Minute)), must.Sprint(perSecond))
+	}
+}
--- a/internal/backpressure/coldpermit.go
+++ b/internal/backpressure/coldpermit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	// unpermittedSendTTL is how long a drawn time of a send without a permit may be used. Without it,
 	// times that passed while there was no work would be used together.
 	unpermittedSendTTL = 100 * time.Millisecond
+	// maxUnpermittedMean bounds the mean time between such sends, in nanoseconds, so that twice the mean is
+	// a valid duration for any rate.
+	maxUnpermittedMean = math.MaxInt64 / 4
 )
 
 // ColdAnswer is a relay's answer to a request for a permit for a cold instance.
@@ -117,7 +121,7 @@
 		return false
 	}
 	if in.unpermittedAt.IsZero() || now.Sub(in.unpermittedAt) > unpermittedSendTTL {
-		mean := time.Duration(float64(max(daemons, minKnownDaemons)) / (coldUnpermittedShare * rule.PerSecond) * float64(time.Second))
+		mean := time.Duration(min(float64(max(daemons, minKnownDaemons))/(coldUnpermittedShare*rule.PerSecond)*float64(time.Second), maxUnpermittedMean))
 		in.unpermittedAt = now.Add(uniform(0, 2*mean))
 	}
 	if now.Before(in.unpermittedAt) {
