--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -37,5 +37,5 @@
 // MaxBackoff replaces longer backoffs.
 const MaxBackoff = 10 * time.Minute
 
-// MaxCold replaces longer times for which an instance says to be cold.
+// MaxCold replaces longer times for which an instance is cold, by its own account or by the configuration.
 const MaxCold = 10 * time.Minute
