Forget evacuations that ended long ago

Cause: the daemon kept the end of each evacuation by zone name for good. Anyone who writes objects of the kind decides their names, so the memory had no bound.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -181,11 +182,12 @@
 	return end
 }
 
-// Sweep forgets instances that were removed long ago, logs which instances became cold or warm, and
+// Sweep forgets instances that were removed and evacuations that ended long ago, logs which instances became cold or warm, and
 // returns the number of cold ones. rule returns the rule of a service.
 func (c *Cold) Sweep(rule func(service string) ColdRule, now time.Time, log *zap.Logger) (cold int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.zoneSince, func(_ string, endedAt time.Time) bool { return now.Sub(endedAt) > MaxCold })
 	for id, in := range c.instances {
 		if !in.removedAt.IsZero() && now.Sub(in.removedAt) > coldRetention {
 			delete(c.instances, id)
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -224,3 +224,14 @@
 		must.False(t, cold.TakeWithoutPermit("i", rule, 300, uniform, simStart.Add(time.Minute)), must.Sprint(perSecond))
 	}
 }
+
+// Guards against a memory that grows with each zone name that an evacuation ever had.
+func TestColdSweepForgetsZones(t *testing.T) {
+	cold, now := &Cold{}, simStart
+	rule := func(string) ColdRule { return coldRule }
+	cold.Zone("z", now)
+	cold.Sweep(rule, now.Add(MaxCold), zap.NewNop())
+	must.MapContainsKey(t, cold.zoneSince, "z")
+	cold.Sweep(rule, now.Add(MaxCold+1), zap.NewNop())
+	must.MapEmpty(t, cold.zoneSince)
+}
