Set the timer of writes to callers under its lock

Cause: the timer's goroutine read the field of the timer without synchronization with its creator. Where the process is not scheduled for 100 ms right after the timer is created, the field may still be nil, and the daemon ends by a panic. The race detector reports it in the new test.

Change: the field is set with the lock that the timer's goroutine takes.

--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -40,7 +40,7 @@
 // Events are held in the order in which the handover accepted them, across successors, so that none is
 // lost or repeated.
 type heldEvents struct {
-	timer *time.Timer // runs while a write is in progress; used by the writing goroutine
+	timer *time.Timer // runs while a write is in progress; set with mu held
 	// elsewhere means that the timer's goroutine reads. It is set while the other one is in a write, so that
 	// both may read it without mu.
 	elsewhere bool
@@ -62,8 +62,8 @@
 func (x *exchange) beginWrite(h *handover) {
 	c := &x.held
 	c.mu.Lock()
+	defer c.mu.Unlock() // checkWrite, which may run at once, uses the timer
 	c.handover = h
-	c.mu.Unlock()
 	if c.timer == nil {
 		c.timer = time.AfterFunc(slowWriteTime, x.checkWrite)
 	} else {
--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"pearlanding/internal/membudget"
+	"pearlanding/internal/steady"
 )
 
 // callerPause is how long the callers of these tests do not read: longer than an instance leaves its answer
@@ -238,3 +240,18 @@
 	must.Eq(t, events, w.flushes)
 	must.Less(t, events/4, int(allocs), must.Sprint("allocations of a stream"))
 }
+
+// Guards against a daemon that ends by a panic when the process is not scheduled right after the first write
+// of a stream begins: the timer then runs before its creator has stored it.
+func TestFirstWriteIsWatchedWhileTheProcessIsNotScheduled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := benchExchange(&countingCaller{header: http.Header{}})
+		start := time.Now()
+		// A clock that stands still: the process is not scheduled.
+		clock := steady.NewClockFrom(func() (time.Time, time.Duration) { return start, 0 }, func() time.Duration { return 0 })
+		x.gateway.RunClock = steady.NewRunClock(clock)
+		x.beginWrite(&handover{x: x, from: &streamSend{eventAt: x.gateway.runClockNow()}})
+		time.Sleep(5 * slowWriteTime)
+		must.False(t, x.held.endWrite(), must.Sprint("the caller is blamed for time in which the process did not run"))
+	})
+}
