Take very large limits of a body

Cause: with max-body-bytes near the largest integer, the sizes of buffers overflowed and each request with a body ended by a panic.

Change: larger limits than a quarter of the largest integer are replaced by that. Also formats the test file.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -21,6 +22,8 @@
 	// firstBodyBuffer is the largest buffer of a body of which nothing was received: a peer can announce
 	// a large body and send nothing.
 	firstBodyBuffer = 16 << 10
+	// maxBodyLimit replaces larger limits of a body, which would overflow the sizes of buffers.
+	maxBodyLimit = math.MaxInt / 4
 )
 
 // bodyReader reads bodies and accounts their memory.
@@ -35,9 +38,10 @@
 // accounted, also with an error; the caller must release it. The error is upstream.ErrTooLarge,
 // upstream.ErrMemory, or that of r.
 func (b *bodyReader) read(r io.Reader, size int64) (body []byte, held int, err error) {
-	limit := b.limit + 1 // one more byte shows that a body is too large
+	maximum := min(b.limit, maxBodyLimit)
+	limit := maximum + 1 // one more byte shows that a body is too large
 	if size >= 0 {
-		limit = min(limit, int(min(size, int64(b.limit)))+1)
+		limit = min(limit, int(min(size, int64(maximum)))+1)
 	}
 	want := min(max(limit, minBodyBuffer), firstBodyBuffer)
 	for reads := 0; ; reads++ {
@@ -56,14 +60,14 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > b.limit:
+		case len(body) > maximum:
 			return nil, held, upstream.ErrTooLarge
 		case err == io.EOF:
 			return body, held, nil
 		case err != nil:
 			return nil, held, err
 		case len(body) == cap(body) && cap(body) >= limit:
-			limit = b.limit + 1 // longer than announced
+			limit = maximum + 1 // longer than announced
 			want = min(2*cap(body), limit)
 		}
 	}
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -82,7 +83,9 @@
 // retryHeaderCodec tells callers when to retry.
 type retryHeaderCodec struct{ simCodec }
 
-func (retryHeaderCodec) SetRetryAfter(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) }
+func (retryHeaderCodec) SetRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", d.String())
+}
 
 // Guards against a daemon that is killed for its memory by plain responses: without room for one, the
 // request has failed, may have run, and is not sent again. Its instance is not blamed.
@@ -130,3 +133,13 @@
 		must.Eq(t, []time.Time{start.Add(defaultTimeout), {}}, c.reads)
 	})
 }
+
+// Guards against a configuration without a limit in effect, of which the computation of buffers overflows.
+func TestLargestBodyLimitIsTaken(t *testing.T) {
+	for _, size := range []int64{-1, 0, 2000, math.MaxInt64} {
+		r := &bodyReader{limit: math.MaxInt}
+		body, _, err := r.read(strings.NewReader(strings.Repeat("x", 2000)), size)
+		must.NoError(t, err)
+		must.Eq(t, 2000, len(body))
+	}
+}
