Record that a caller left while its request waited for room

Cause: when the request ended during the wait, its admission had been cleared, so it was logged and answered as one for which there is no replica. The same held for the wait for an instance's backoff.

Change: a request that has ended is recorded as such. The package's tests pass with -race.

--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -166,3 +166,18 @@
 		})
 	}
 }
+
+// Guards against a caller that leaves while its request waits for room and that is logged as refused because
+// there is no replica.
+func TestCallerThatLeavesWhileItsRequestWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFleetExchange(80)
+		x.priorWait = 300 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Millisecond, cancel)
+		must.Nil(t, x.openStream(ctx))
+		must.Eq(t, "caller_left", x.reason)
+		must.Eq(t, statusAborted, x.status)
+		must.SliceEmpty(t, x.sends)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,10 @@
 		if t == nil && x.admission.Reason != "" && x.awaitRoom(ctx) {
 			continue
 		}
+		if t == nil && ctx.Err() != nil { // it ended during a wait
+			x.failOnContextEnd(ctx)
+			return nil
+		}
 		if t == nil && x.admission.Reason != "" {
 			x.refuseUnadmitted()
 			return nil
