Tell without a lock that no instance can be cold

Cause: where a service has the rule on cold instances, each choice of a target took a lock and looked up the rule once for each candidate, also long after the last start or evacuation.

Change: the bounds of Cold are compared first, with the longest time for which an instance can be cold.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -158,8 +158,12 @@
 	return in != nil && now.Before(c.until(in, rule))
 }
 
-// IsColdInstance is IsCold for an instance whose rule is that of its service.
+// IsColdInstance is IsCold for an instance whose rule is that of its service. The rule's duration is at most
+// MaxCold.
 func (c *Cold) IsColdInstance(instance string, rule func(service string) ColdRule, now time.Time) bool {
+	if c.None(ColdRule{Duration: MaxCold, PerSecond: 1}, now) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := c.instances[instance]
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -235,3 +235,22 @@
 	cold.Sweep(rule, now.Add(MaxCold+1), zap.NewNop())
 	must.MapEmpty(t, cold.zoneSince)
 }
+
+// Guards against a lock and a search for each target of each request long after the last instance was cold.
+func TestWarmInstancesAreToldWithoutALock(t *testing.T) {
+	cold, now := &Cold{}, simStart
+	rule := func(string) ColdRule { return coldRule }
+	cold.Entry(coldEntry(1, now), now)
+	must.True(t, cold.IsColdInstance("i", rule, now))
+	must.False(t, cold.IsColdInstance("i", rule, now.Add(coldRule.Duration)))
+	cold.mu.Lock()
+	defer cold.mu.Unlock()
+	warm := make(chan bool, 1)
+	go func() { warm <- !cold.IsColdInstance("i", rule, now.Add(MaxCold)) }()
+	select {
+	case w := <-warm:
+		must.True(t, w)
+	case <-time.After(10 * time.Second):
+		t.Fatal("waits for a lock")
+	}
+}
