--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -160,8 +161,12 @@
 	return in != nil && now.Before(c.until(in, rule))
 }
 
-// IsColdInstance is IsCold for an instance whose rule is that of its service.
+// IsColdInstance is IsCold for an instance whose rule is that of its service. The rule's duration is at most
+// MaxCold.
 func (c *Cold) IsColdInstance(instance string, rule func(service string) ColdRule, now time.Time) bool {
+	if c.None(ColdRule{Duration: MaxCold, PerSecond: 1}, now) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := c.instances[instance]
@@ -184,11 +189,12 @@
 	return end
 }
 
-// Sweep forgets instances that were removed long ago, logs which instances became cold or warm, and
+// Sweep forgets instances that were removed and evacuations that ended long ago, logs which instances became cold or warm, and
 // returns the number of cold ones. rule returns the rule of a service.
 func (c *Cold) Sweep(rule func(service string) ColdRule, now time.Time, log *zap.Logger) (cold int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.zoneSince, func(_ string, endedAt time.Time) bool { return now.Sub(endedAt) > MaxCold })
 	for id, in := range c.instances {
 		if !in.removedAt.IsZero() && now.Sub(in.removedAt) > coldRetention {
 			delete(c.instances, id)
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -212,3 +212,48 @@
 	must.Eq(t, 0, cold.Sweep(rule, now.Add(coldRetention+1), zap.NewNop()))
 	must.MapEmpty(t, cold.instances)
 }
+
+// Guards against a daemon that ends by a panic because the configuration has a very small rate: the mean
+// time between sends exceeds what a duration holds.
+func TestTinyColdRateIsTaken(t *testing.T) {
+	uniform := func(low, high time.Duration) time.Duration {
+		must.Less(t, high, low, must.Sprint("empty interval"))
+		return high - 1
+	}
+	for _, perSecond := range []float64{1e-6, 1e-8, 1e-9, 1e-300, 5e-324} {
+		cold, rule := &Cold{}, ColdRule{Duration: time.Minute, PerSecond: perSecond}
+		cold.Entry(coldEntry(1, simStart), simStart)
+		must.False(t, cold.TakeWithoutPermit("i", rule, 300, uniform, simStart.Add(time.Second)), must.Sprint(perSecond))
+		must.False(t, cold.TakeWithoutPermit("i", rule, 300, uniform, simStart.Add(time.Minute)), must.Sprint(perSecond))
+	}
+}
+
+// Guards against a memory that grows with each zone name that an evacuation ever had.
+func TestColdSweepForgetsZones(t *testing.T) {
+	cold, now := &Cold{}, simStart
+	rule := func(string) ColdRule { return coldRule }
+	cold.Zone("z", now)
+	cold.Sweep(rule, now.Add(MaxCold), zap.NewNop())
+	must.MapContainsKey(t, cold.zoneSince, "z")
+	cold.Sweep(rule, now.Add(MaxCold+1), zap.NewNop())
+	must.MapEmpty(t, cold.zoneSince)
+}
+
+// Guards against a lock and a search for each target of each request long after the last instance was cold.
+func TestWarmInstancesAreToldWithoutALock(t *testing.T) {
+	cold, now := &Cold{}, simStart
+	rule := func(string) ColdRule { return coldRule }
+	cold.Entry(coldEntry(1, now), now)
+	must.True(t, cold.IsColdInstance("i", rule, now))
+	must.False(t, cold.IsColdInstance("i", rule, now.Add(coldRule.Duration)))
+	cold.mu.Lock()
+	defer cold.mu.Unlock()
+	warm := make(chan bool, 1)
+	go func() { warm <- !cold.IsColdInstance("i", rule, now.Add(MaxCold)) }()
+	select {
+	case w := <-warm:
+		must.True(t, w)
+	case <-time.After(10 * time.Second):
+		t.Fatal("waits for a lock")
+	}
+}
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -132,3 +133,13 @@
 		must.Eq(t, []time.Time{start.Add(defaultTimeout), {}}, c.reads)
 	})
 }
+
+// Guards against a configuration without a limit in effect, of which the computation of buffers overflows.
+func TestLargestBodyLimitIsTaken(t *testing.T) {
+	for _, size := range []int64{-1, 0, 2000, math.MaxInt64} {
+		r := &bodyReader{limit: math.MaxInt}
+		body, _, err := r.read(strings.NewReader(strings.Repeat("x", 2000)), size)
+		must.NoError(t, err)
+		must.Eq(t, 2000, len(body))
+	}
+}
