Do not erase newer demand counts by late ones

A request whose body was read for more than the window of one second, or that was refused that long after its arrival, was counted by its arrival time. Its slot of the ring then held newer counts, which were reset. Such counts are older than the window and are now ignored.

TestCountsOfOldRequestsKeepNewerOnes failed before (no rates at all).

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -112,6 +112,9 @@
 	}
 	number := slotNumber(now)
 	s := &slots[number%slotCount]
+	if s.number > number {
+		return // older than the window
+	}
 	if s.number != number {
 		*s = slot{number: number}
 	}
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -57,3 +57,19 @@
 	must.Eq(t, []Rate{{Key: large, Requests: 1, Work: 2}, {Key: small, Requests: 7, Refused: 2, Work: 0.75}}, Sum(one, other))
 	must.Eq(t, []Rate{}, Sum())
 }
+
+// Guards against late counts that erase newer ones: a request whose body was read slowly, or that was
+// refused more than a window after its arrival, would hide the demand of the current slot.
+func TestCountsOfOldRequestsKeepNewerOnes(t *testing.T) {
+	var c Counter
+	now := t0.Add(window)
+	for range 10 {
+		c.Arrived(small, 50*time.Millisecond, false, now)
+	}
+	c.Refused(small, t0)
+	c.Arrived(small, 50*time.Millisecond, false, t0)
+	rates := c.Rates(now)
+	must.Len(t, 1, rates)
+	must.Positive(t, rates[0].Requests)
+	must.Zero(t, rates[0].Refused)
+}
