Bound what token counts stated by callers change

The work of a request was computed from the counts that its caller states, without a bound: one request that states 2^30 tokens counted for 353,000 replicas, larger counts overflowed. It now counts at most as one replica until its deadline.

A stated prompt also changed the learned mean prompt of its model: one of 2^40 tokens made the expected first event 29 h at this daemon, so that later requests were refused. A prompt that no replica reads in the time that the request took is now taken as unknown.

TestDemandOfOneRequestIsBoundedByItsDeadline and TestPromptTooLongForTheTimeTakenTeachesNothing failed before.

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -14,7 +14,8 @@
 	return demand.Key{Service: x.service.Name, Model: x.req.Model, Priority: x.priority}, true
 }
 
-// countDemand counts the request as demand for its model.
+// countDemand counts the request as demand for its model. Its work is that of the token counts that its
+// caller states, but at most that of one replica until its deadline.
 func (x *exchange) countDemand() {
 	key, ok := x.demandKey()
 	if !ok {
@@ -22,6 +23,7 @@
 	}
 	m, _ := x.service.Engine.Model(x.req.Model)
 	work := x.service.Engine.Work(m, x.req.PromptTokens, x.req.ExpectedOutputTokens)
+	work = min(work, max(x.deadline.Sub(x.arrivedAt), 0))
 	x.gateway.Demand.Arrived(key, work, x.priorWait > 0, x.arrivedAt)
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -65,9 +65,16 @@
 }
 
 // noteCompleted tells the picker how long a completed answer was, from which it learns what a model's
-// requests cost. The rest of a stream that began at another daemon tells nothing.
+// requests cost. The rest of a stream that began at another daemon tells nothing, nor does a stated number
+// of prompt tokens that no replica reads in the time that the request took.
 func (x *exchange) noteCompleted() {
-	if e := x.service.Engine; e != nil && x.req.LastEventID == "" {
-		x.gateway.Picker.NoteCompleted(x.req.Model, x.req.PromptTokens, x.progress.eventCount*max(e.StepsPerPass, 1))
+	e := x.service.Engine
+	if e == nil || x.req.LastEventID != "" {
+		return
 	}
+	prompt := x.req.PromptTokens
+	if m, _ := e.Model(x.req.Model); e.PrefillTime(m, prompt) > x.gateway.Clock.Since(x.arrivedAt) {
+		prompt = 0
+	}
+	x.gateway.Picker.NoteCompleted(x.req.Model, prompt, x.progress.eventCount*max(e.StepsPerPass, 1))
 }
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -166,3 +166,29 @@
 		})
 	}
 }
+
+// Guards against one request whose caller states an absurd length: its work would overflow or count for
+// more replicas than there are, and the planner would move them between models.
+func TestDemandOfOneRequestIsBoundedByItsDeadline(t *testing.T) {
+	for _, tokens := range []int{1 << 30, 1 << 62} {
+		x := newFleetExchange(0)
+		x.req.PromptTokens, x.req.ExpectedOutputTokens = tokens, tokens
+		x.countDemand()
+		rates := x.gateway.Demand.Rates(x.arrivedAt.Add(800 * time.Millisecond))
+		must.Positive(t, rates[0].Work)
+		must.LessEq(t, 2/0.8, rates[0].Work, must.Sprint("until the deadline, measured over 0.8 s"))
+	}
+}
+
+// Guards against a caller that states an absurd prompt: the mean request of its model would take all of a
+// replica's time, and all later ones would be refused.
+func TestPromptTooLongForTheTimeTakenTeachesNothing(t *testing.T) {
+	x := newFleetExchange(0)
+	x.req.PromptTokens = 1 << 40
+	x.progress.eventCount = 23
+	x.noteCompleted()
+	other := newFleetExchange(0).exchange
+	other.gateway.Picker = x.gateway.Picker
+	must.NotNil(t, other.place())
+	must.Less(t, time.Second, other.admission.Expected)
+}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -124,7 +124,8 @@
 
 // Work returns the time of one full replica that a request takes: its share of the steps that
 // generate its tokens, and the reading of its prompt. Token counts of 0 stand for the means of the
-// service. It is 0 if the timing is not configured.
+// service. It is 0 if the timing is not configured. Callers state the counts, which may be absurd: the
+// result is at most maxWork.
 func (e *Engine) Work(m Model, promptTokens, answerTokens int) time.Duration {
 	if promptTokens <= 0 {
 		promptTokens = e.MeanPromptTokens
@@ -137,9 +138,21 @@
 	if e.PrefillTokensPerSecond > 0 {
 		work += float64(promptTokens) / e.PrefillTokensPerSecond * float64(time.Second)
 	}
-	return time.Duration(work * m.TimeFactor)
+	return time.Duration(min(work*m.TimeFactor, float64(maxWork)))
 }
 
+// PrefillTime returns how long a replica takes to read a prompt, at most maxWork; 0: unknown.
+func (e *Engine) PrefillTime(m Model, promptTokens int) time.Duration {
+	if e.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(promptTokens) / e.PrefillTokensPerSecond * m.TimeFactor
+	return time.Duration(min(seconds, maxWork.Seconds()) * float64(time.Second))
+}
+
+// maxWork bounds the time that one request takes, which overflows for counts near the largest integer.
+const maxWork = 24 * time.Hour
+
 // Service is a set of upstream instances. Engine is nil for a plain service, in which any instance
 // serves any request.
 type Service struct {
