Do not refuse the rest of a stream that began at another daemon

A request with a Last-Event-ID was refused like a new one when all replicas were full, or when the time since its first attempt exceeded the objective of the first event. The 503 says that it has not run, but the caller has a part of the answer, which is lost with it. Such a request is now placed like a stream of which this daemon has passed on events.

TestStreamThatBeganElsewhereIsNotRefused failed before.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,7 +18,7 @@
 	Remaining    time.Duration  // until the caller's deadline
 	PromptTokens int            // 0: unknown
 	Returned     bool           // the caller or this daemon has made an attempt before
-	Unrefusable  bool           // part of the answer was sent, or an instance may have run the request
+	Unrefusable  bool           // part of the answer was sent, also by another daemon, or an instance may have run the request
 	// HasIdle reports whether this daemon has an idle connection to an address that the request may
 	// use; nil: it has none.
 	HasIdle func(address string) bool
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -37,7 +37,7 @@
 		PromptTokens: x.req.PromptTokens,
 		Returned:     x.priorWait > 0 || len(x.sends) > 0,
 		HasIdle:      hasIdle,
-		Unrefusable:  x.mayHaveRun || x.currentProgress().eventCount > 0,
+		Unrefusable:  x.mayHaveRun || x.req.LastEventID != "" || x.currentProgress().eventCount > 0,
 	}
 }
 
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -192,3 +192,11 @@
 	must.NotNil(t, other.place())
 	must.Less(t, time.Second, other.admission.Expected)
 }
+
+// Guards against an answer that is lost in its middle: the rest of a stream that began at another daemon
+// is not a request that has not run, and it is late only by the time of the events that its caller has.
+func TestStreamThatBeganElsewhereIsNotRefused(t *testing.T) {
+	x := newFleetExchange(80)
+	x.req.LastEventID = "7"
+	must.NotNil(t, x.nextTarget(t.Context()))
+}
