Ignore impossible figures in reports of other daemons

Rates below zero, above 1e9 per second or not a number, and negative ages are the work of a faulty daemon or of another version. A negative rate gave no number for the level of replicas, an overflowing sum made every request refused and could not be encoded by a relay, and a negative age added requests that nobody sent. Such rates are left out by the relay's sum, by the choice of replicas and by the planner.

TestAbsurdReportsAreNotUsed failed before for negative and huge rates and for a negative age; the others of its cases were right already.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -27,6 +27,19 @@
 	Work     float64 `json:"work"`     // seconds of one full replica that Requests take
 }
 
+// maxRate bounds each figure of a rate: more than any fleet serves, and its sums remain finite.
+const maxRate = 1e9
+
+// Valid reports whether all figures are possible. Reports of other daemons may be of another version.
+func (r Rate) Valid() bool {
+	for _, v := range [...]float64{r.Requests, r.Refused, r.Returns, r.Work} {
+		if !(v >= 0 && v <= maxRate) { // also if it is no number
+			return false
+		}
+	}
+	return true
+}
+
 // add adds the rate of the same key at another daemon.
 func (r *Rate) add(other Rate) {
 	r.Requests += other.Requests
@@ -35,11 +48,14 @@
 	r.Work += other.Work
 }
 
-// Sum adds up rates by key. The result is ordered by key.
+// Sum adds up the valid rates by key. The result is ordered by key.
 func Sum(lists ...[]Rate) []Rate {
 	byKey := map[Key]*Rate{}
 	for _, list := range lists {
 		for _, r := range list {
+			if !r.Valid() {
+				continue
+			}
 			sum := byKey[r.Key]
 			if sum == nil {
 				sum = &Rate{Key: r.Key}
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,3 +74,11 @@
 	must.Positive(t, rates[0].Requests)
 	must.Zero(t, rates[0].Refused)
 }
+
+// Guards against sums that are no number, which a relay could not encode: all daemons would lose the
+// loads of the others.
+func TestInvalidRatesAreNotSummedUp(t *testing.T) {
+	bad := []Rate{{Key: small, Requests: -1}, {Key: small, Work: math.Inf(1)}, {Key: small, Returns: math.NaN()}, {Key: small, Refused: 1e308}}
+	rates := Sum(bad, []Rate{{Key: small, Requests: 3}}, bad)
+	must.Eq(t, []Rate{{Key: small, Requests: 3}}, rates)
+}
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -35,6 +35,7 @@
 func (p *Picker) SetPeerReports(others PeerReports, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	others.Age = max(others.Age, 0)
 	p.othersRates = currentRates(&p.others, &others, now.Sub(p.othersAt))
 	p.others, p.othersAt = others, now
 	p.followReports(now)
--- a/internal/dispatch/demandtrend.go
+++ b/internal/dispatch/demandtrend.go
@@ -27,10 +27,13 @@
 
 func (r priorityRate) sum() float64 { return r.first + r.returns }
 
-// ratesByModel returns the reported demand by model, ordered by priority.
+// ratesByModel returns the valid rates of the reported demand by model, ordered by priority.
 func (r *PeerReports) ratesByModel() map[modelKey][]priorityRate {
 	out := map[modelKey][]priorityRate{}
 	for _, d := range r.Demand { // ordered by key
+		if !d.Valid() {
+			continue
+		}
 		key := modelKey{d.Service, d.Model}
 		out[key] = append(out[key], priorityRate{priority: d.Priority, first: d.Requests, returns: d.Returns})
 	}
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -227,3 +228,36 @@
 	p.SetPeerReports(reports, t0)
 	must.Zero(t, chosen("c"))
 }
+
+// Guards against reports with absurd figures: a negative rate or age gives no number for the level, and
+// this daemon would refuse every request or send all of them to one replica.
+func TestAbsurdReportsAreNotUsed(t *testing.T) {
+	for name, spoil := range map[string]func(*PeerReports){
+		"negative rate": func(r *PeerReports) { r.Demand[0].Requests = -50 },
+		"huge rates":    func(r *PeerReports) { r.Demand[0].Requests, r.Demand[0].Returns = 1e308, 1e308 },
+		"negative age":  func(r *PeerReports) { r.Age = -time.Hour },
+		"huge age":      func(r *PeerReports) { r.Age = 1 << 62 },
+		"negative load": func(r *PeerReports) { r.InFlight["a"] = -1 << 40 },
+		"huge load":     func(r *PeerReports) { r.InFlight["a"] = 1 << 62 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPicker("z", rand.N[int])
+			_, targets := knownFleet(5, 50)
+			for i := range 4 {
+				reports := PeerReports{Daemons: 100, InFlight: map[string]int{"a": 5, "b": 5, "c": 5, "d": 5},
+					Demand: []demand.Rate{{Key: demand.Key{Service: "s", Model: "m"}, Requests: 50}}}
+				spoil(&reports)
+				p.SetPeerReports(reports, t0.Add(time.Duration(i)*250*time.Millisecond))
+			}
+			now := t0.Add(800 * time.Millisecond)
+			used := map[string]bool{}
+			for range 60 {
+				target, a := p.Place(targets, nil, urgentRequest(), now)
+				must.True(t, a.Admitted)
+				must.False(t, math.IsNaN(a.Load+a.Level+a.Share) || math.IsInf(a.Load+a.Level, 0), must.Sprint(a))
+				used[target.Instance] = true
+			}
+			must.GreaterEq(t, 3, len(used))
+		})
+	}
+}
--- a/internal/formation/balance_test.go
+++ b/internal/formation/balance_test.go
@@ -85,3 +85,14 @@
 		}
 	})
 }
+
+// Guards against moves that follow a report with absurd figures: a negative or infinite work of one
+// daemon would hide what the others need.
+func TestInvalidRatesMoveNothing(t *testing.T) {
+	key := demand.Key{Service: "llm", Model: "small"}
+	for _, bad := range []demand.Rate{{Key: key, Work: -100}, {Key: key, Work: 1e308}, {Key: key, Requests: -1, Work: 100}} {
+		out := demandByModel([]demand.Rate{{Key: key, Requests: 10, Work: 5}, bad}, "llm")
+		must.Eq(t, 5, out["small"].work)
+		must.Zero(t, out["small"].urgency)
+	}
+}
--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -92,12 +92,12 @@
 	return list[historySamples/2]
 }
 
-// demandByModel sums up the rates of a service by model.
+// demandByModel sums up the valid rates of a service by model.
 func demandByModel(rates []demand.Rate, service string) map[string]modelDemand {
 	type sums struct{ requests, refused float64 }
 	out, counts := map[string]modelDemand{}, map[string]sums{}
 	for _, r := range rates {
-		if r.Service != service {
+		if r.Service != service || !r.Valid() {
 			continue
 		}
 		d, c := out[r.Model], counts[r.Model]
@@ -112,7 +112,7 @@
 		}
 		d.urgency = leastUrgent
 		for _, r := range rates {
-			if r.Service == service && r.Model == model && r.Work >= urgentShare*d.work {
+			if r.Service == service && r.Model == model && r.Valid() && r.Work >= urgentShare*d.work {
 				d.urgency = min(d.urgency, r.Priority)
 			}
 		}
