Placement ends whatever the figures are; a group that stalls before any stream runs is left in time

Cause: the search for the common level did not end where a load was within a rounding error of it, or where costs were not finite; requests would hang. And a group at which nothing began to run is reported by nobody, so that all its streams counted as queued. Change: the search ends when the count of replicas stops falling; costs outside of plausible bounds are not used; a stream that counts as queued by the reports of others is moved after four stall timeouts.

--- a/internal/dispatch/modelcost.go
+++ b/internal/dispatch/modelcost.go
@@ -38,9 +38,23 @@
 		prefill:        prefillSeconds(e, m, usual.promptTokens),
 		passes:         max(usual.answerTokens/steps, 1),
 	}
-	return c, true
+	return c, c.valid()
 }
 
+// valid reports whether a replica with these costs completes requests, one at least and not endlessly
+// many in a second.
+func (c *replicaCost) valid() bool {
+	rate := c.rate(c.slots)
+	return rate > 1/maxServiceTime && rate < maxServiceRate && c.firstEvent(0, 0) >= 0 && c.firstEvent(c.slots, 0) < maxServiceTime
+}
+
+// Bounds of a replica's costs. With others, as after a wrong unit in the configuration, streams are
+// admitted by this daemon's own observations.
+const (
+	maxServiceTime = 3600.0 // seconds
+	maxServiceRate = 1e6    // requests per second
+)
+
 // prefillSeconds returns how long a replica takes to read a prompt.
 func prefillSeconds(e *routes.Engine, m routes.Model, promptTokens float64) float64 {
 	if e.PrefillTokensPerSecond <= 0 {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -9,6 +9,10 @@
 	// which nothing else is known. Where other streams make progress the request is only queued,
 	// and moving it would add load to an overload.
 	firstEventFactor = 1.5
+	// busyFactor times the stall timeout is how long a first event may take at a replica that others use
+	// and do not report. Nobody reports a replica that stalled before any stream began to run, and callers
+	// give up after eight objectives or two seconds.
+	busyFactor = 4
 	// defaultFirstEvent applies to a route without an objective.
 	defaultFirstEvent = 2 * time.Second
 )
@@ -27,8 +31,11 @@
 	if s.Replica == Unhealthy || s.Begun {
 		return true
 	}
-	if s.Replica == Progressing {
+	switch s.Replica {
+	case Progressing:
 		return false
+	case Busy:
+		return s.Waited >= busyFactor*s.StallTimeout
 	}
 	return s.Waited >= s.StallTimeout
 }
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -170,6 +170,7 @@
 const (
 	Unknown     Health = iota // no running stream or report shows its state
 	Progressing               // running streams make progress
+	Busy                      // other daemons have many requests there and report no stall
 	Unhealthy                 // running streams are stalled, or requests failed recently
 )
 
@@ -186,7 +187,7 @@
 	case p.reportedStalled(t, now):
 		return Unhealthy
 	case p.reportedBusy(t, now):
-		return Progressing
+		return Busy
 	}
 	return Unknown
 }
--- a/internal/dispatch/projection.go
+++ b/internal/dispatch/projection.go
@@ -66,7 +66,7 @@
 func (j *projection) fill() {
 	requests := fillTime*j.rate*float64(len(j.loads)) + 1
 	j.level, j.below = math.Inf(1), 0
-	for previous := -1; ; previous = j.below {
+	for previous := len(j.loads) + 1; ; previous = j.below {
 		sum, n := requests, 0
 		for _, load := range j.loads {
 			if load < j.level {
@@ -74,7 +74,9 @@
 				n++
 			}
 		}
-		if n == 0 || n == previous {
+		// The count falls until the level is found. It may rise again where a load is within a rounding
+		// error of the level.
+		if n == 0 || n >= previous {
 			return
 		}
 		j.level, j.below = sum/float64(n), n
