--- a/internal/backpressure/coldgrants.go
+++ b/internal/backpressure/coldgrants.go
@@ -41,7 +41,7 @@
 }
 
 // Take grants one permit for an instance that takes perSecond requests a second from all domains
-// together, or tells when there will be one.
+// together, or returns when there will be one.
 func (g *ColdGrants) Take(instance string, perSecond float64, shares Shares, now time.Time) ColdAnswer {
 	rate := shares.share(instance) / grantShare * coldGrantShare * perSecond
 	if rate <= 0 {
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -1,7 +1,7 @@
 // Package demand measures what callers ask of each model: how many requests arrive, how many of
 // them are refused for lack of capacity, and how much replica time they take. Daemons exchange
 // these rates with their loads, so that the planner can place models where the work is and each
-// daemon can tell how loaded replicas have become since the last report.
+// daemon can estimate how loaded replicas have become since the last report.
 package demand
 
 import (
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Key identifies a stream of requests whose demand is measured together.
+// Key identifies a class of requests whose demand is measured together.
 type Key struct {
 	Service  string `json:"service"`
 	Model    string `json:"model"`
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -43,7 +43,7 @@
 	must.Positive(t, rates[0].Returns)
 }
 
-// Guards against demand that is still told after it ended.
+// Guards against demand that is still reported after it ended.
 func TestDemandEndsWithTheWindow(t *testing.T) {
 	var c Counter
 	c.Arrived(small, time.Second, false, t0)
--- a/internal/dispatch/fleetflow.go
+++ b/internal/dispatch/fleetflow.go
@@ -8,7 +8,7 @@
 	flowSlots = 64 // more than loadTTL
 )
 
-// fleetFlow tells what the other daemons sent to each replica of a model since a report: they decide by
+// fleetFlow estimates what the other daemons sent to each replica of a model since a report: they decide by
 // the same reports and rules as this one, so it is recorded which part of the demand these assign to
 // each replica. Without it, a replica that looked idle in one report would be sent too much until the
 // effect is seen in a later one. The demand itself is known later than it is served, so that what is
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -59,7 +59,7 @@
 	return &StreamRequest{Service: "s", Model: "m", Engine: ticketEngine, Objective: 250 * time.Millisecond, Remaining: 2 * time.Second}
 }
 
-// The verdict tells what it rests on.
+// The verdict includes its inputs.
 func TestVerdictHoldsItsInputs(t *testing.T) {
 	p, targets := knownFleet(10, 40)
 	target, a := p.Place(targets, nil, urgentRequest(), t0)
--- a/internal/dispatch/projection.go
+++ b/internal/dispatch/projection.go
@@ -8,8 +8,7 @@
 	// replica that queueing may take. The rest is for prompts longer than the mean.
 	queueMargin = 0.3
 	// noiseMargin times the standard deviation of a replica's load is subtracted from that level. A
-	// replica with a few slots free serves nearly as much, and one with a queue makes all late. With 1.0
-	// a third more of the requests of a burst were late in the replays, with 2.0 more were refused.
+	// replica with a few slots free serves nearly as much, and one with a queue makes all late.
 	noiseMargin = 1.5
 	// urgencyStep is the part of the slots that each priority leaves free for the more urgent ones.
 	// A pass of the engines in use admits 1 to 2 requests.
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -25,7 +25,7 @@
 	// Serves reports whether peers take its proofs.
 	Watches func() bool
 	Serves  func() bool
-	// StartWait is how long Run waits for a relay to tell the first state; 0: not at all.
+	// StartWait is how long Run waits for a relay to report the first state; 0: not at all.
 	StartWait time.Duration
 	// Uniform returns a random duration in [low, high).
 	Uniform func(low, high time.Duration) time.Duration
@@ -108,7 +108,7 @@
 	f.cancelWatch()
 }
 
-// awaitRelay waits up to StartWait until a relay has told the first state, unless this daemon itself
+// awaitRelay waits up to StartWait until a relay has reported the first state, unless this daemon itself
 // watches.
 func (f *Follower) awaitRelay(ctx context.Context) {
 	for end := f.Clock.Now().Add(f.StartWait); f.Known.ProvedAt().IsZero() && !f.Watches() && f.Clock.Now().Before(end); {
@@ -124,7 +124,7 @@
 func (f *Follower) readDue() time.Time {
 	provedAt := f.Known.ProvedAt()
 	if f.schedule.sentAt.IsZero() && !provedAt.IsZero() {
-		f.schedule.sentAt = provedAt // a relay told the first state
+		f.schedule.sentAt = provedAt // a relay reported the first state
 	}
 	return f.schedule.readDue(provedAt, maxProofAge(f.Bound(), f.Serves(), f.jitter))
 }
@@ -168,7 +168,7 @@
 	}
 	f.schedule.answered()
 	if f.Known.Apply(stateOf(r.listing, r.sentAt), FromListing) {
-		f.cancelWatch() // it has not told the change, or begins before it
+		f.cancelWatch() // it has not reported the change, or begins before it
 	}
 }
 
--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -127,7 +127,7 @@
 	})
 }
 
-// Guards against a daemon that watches and hears of a change only by its next listing.
+// Guards against a daemon that watches and learns of a change only by its next listing.
 func TestWatchTellsChangesAtOnce(t *testing.T) {
 	runFollower(t, true, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
 		time.Sleep(1500 * time.Millisecond)
@@ -139,7 +139,7 @@
 	})
 }
 
-// A daemon without a relay reads by itself, and one that a relay tells reads nothing.
+// A daemon without a relay reads by itself, and one that gets reports from a relay reads nothing.
 func TestListIsReadByAgeOfProof(t *testing.T) {
 	runFollower(t, false, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
 		time.Sleep(30 * time.Second)
@@ -203,7 +203,7 @@
 	})
 }
 
-// At the first start of all daemons the list is not read by those that a relay tells in time.
+// At the first start of all daemons the list is not read by those that get a report from a relay in time.
 func TestFirstStateIsTakenFromRelay(t *testing.T) {
 	runFollower(t, false, func(f *Follower) { f.StartWait = 2 * time.Second }, func(t *testing.T, feed *fakeFeed, f *Follower) {
 		time.Sleep(time.Second)
--- a/internal/evacuation/zones.go
+++ b/internal/evacuation/zones.go
@@ -3,7 +3,7 @@
 //
 // The store holds one object per evacuated zone, named after it. Known is what this daemon knows of
 // them, Follower the loop that keeps it current. Known never returns to an older revision within an
-// era of the store, whatever the order in which reads, watches and relays tell; while the store does
+// era of the store, whatever the order in which reads, watches and reports of relays arrive; while the store does
 // not answer, it stays in force. A state is proved by a listing, as of when that was sent: a watch may
 // receive nothing, so it brings changes early but proves nothing.
 package evacuation
@@ -130,7 +130,7 @@
 	return NewState(names, l.Revision, sentAt)
 }
 
-// after returns the state after changes, at least one, that a watch from the state's revision told. Its revision is
+// after returns the state after changes, at least one, that a watch from the state's revision reported. Its revision is
 // that of the last change and not the watch's: a watch that missed later changes would otherwise
 // outrank a listing that shows them.
 func (s State) after(c objectapi.Changes) State {
--- a/internal/evacuation/zones_test.go
+++ b/internal/evacuation/zones_test.go
@@ -71,7 +71,7 @@
 	must.Nil(t, s.Zones)
 }
 
-// Callbacks are told each change once, and waiting peers are notified of the first state and of changes
+// Callbacks are called once for each change, and waiting peers are notified of the first state and of changes
 // only.
 func TestChangesAreToldOnce(t *testing.T) {
 	var told []string
--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -10,7 +10,7 @@
 	"pearlanding/internal/objectapi"
 )
 
-// Guards against an instance that started and of which nobody is told, against an entry of an ended
+// Guards against an instance that started and of which nobody is notified, against an entry of an ended
 // incarnation that is taken for the latest one, and against one that is taken for new because a listing
 // shows it again.
 func TestEntriesAreReported(t *testing.T) {
--- a/internal/front/simevacuations_test.go
+++ b/internal/front/simevacuations_test.go
@@ -11,7 +11,7 @@
 type simEvacuated struct {
 	era    uint64 // of the answers about this kind; the other kinds do not change with it
 	events []objectapi.Event
-	deaf   bool // watches hear nothing
+	deaf   bool // watches receive nothing
 	reads  int  // listings
 	waits  int  // watches
 }
@@ -59,7 +59,7 @@
 	s.changed = make(chan struct{})
 }
 
-// setDeaf makes watches of evacuations hear nothing.
+// setDeaf makes watches of evacuations receive nothing.
 func (s *simStore) setDeaf() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -80,7 +80,7 @@
 	})
 }
 
-// retryHeaderCodec tells callers when to retry.
+// retryHeaderCodec records when callers are to retry.
 type retryHeaderCodec struct{ simCodec }
 
 func (retryHeaderCodec) SetRetryAfter(h http.Header, d time.Duration) {
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -75,7 +75,7 @@
 	must.True(t, withheld())
 }
 
-// Guards against callers that are told something else, or nothing, where all zones are evacuated, and
+// Guards against callers that get another reason, or none, where all zones are evacuated, and
 // against this answer after a request may have run.
 func TestRequestIsRefusedWhenAllZonesAreEvacuated(t *testing.T) {
 	known := &evacuation.Known{}
--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -247,7 +247,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := benchExchange(&countingCaller{header: http.Header{}})
 		start := time.Now()
-		// A clock that stands still: the process is not scheduled.
+		// The clock does not advance: the process is not scheduled.
 		clock := steady.NewClockFrom(func() (time.Time, time.Duration) { return start, 0 }, func() time.Duration { return 0 })
 		x.gateway.RunClock = steady.NewRunClock(clock)
 		x.beginWrite(&handover{x: x, from: &streamSend{eventAt: x.gateway.runClockNow()}})
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -64,8 +64,8 @@
 	x.refuse(http.StatusServiceUnavailable, string(x.admission.Reason), x.admission.RetryAfter)
 }
 
-// noteCompleted tells the picker how long a completed answer was, from which it learns what a model's
-// requests cost. The rest of a stream that began at another daemon tells nothing, nor does a stated number
+// noteCompleted reports to the picker how long a completed answer was, from which it learns what a model's
+// requests cost. The rest of a stream that began at another daemon shows nothing, nor does a stated number
 // of prompt tokens that no replica reads in the time that the request took.
 func (x *exchange) noteCompleted() {
 	e := x.service.Engine
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -115,7 +115,7 @@
 	must.NotNil(t, x.nextTarget(t.Context()))
 }
 
-// With free slots a stream is sent, and what the log tells is the verdict of its first send.
+// With free slots a stream is sent, and the log shows the verdict of its first send.
 func TestStreamIsPlacedByReportedLoads(t *testing.T) {
 	x := newFleetExchange(5)
 	must.NotNil(t, x.nextTarget(t.Context()))
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -31,7 +31,7 @@
 	coldConfirmRetry    = 250 * time.Millisecond
 	// coldConfirmTimeout bounds such a read.
 	coldConfirmTimeout = time.Second
-	// coldConfirmWait is when a daemon is told to ask again while its relay reads the record.
+	// coldConfirmWait is when a daemon is asked to retry while its relay reads the record.
 	coldConfirmWait = 20 * time.Millisecond
 )
 
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -6,7 +6,7 @@
 	"pearlanding/internal/evacuation"
 )
 
-// EvacuationReport is which zones are evacuated, as a relay tells it.
+// EvacuationReport is a relay's report of which zones are evacuated.
 type EvacuationReport struct {
 	Seq      uint64   `json:"seq"` // changes with the zones; of this relay process only
 	Zones    []string `json:"zones,omitempty"`
@@ -32,7 +32,7 @@
 	return &seq
 }
 
-// newEvacuations reports whether a peer is to be told of a change of the evacuated zones.
+// newEvacuations reports whether a peer is to be notified of a change of the evacuated zones.
 func (r *PollRequest) newEvacuations(s evacuation.Snapshot) bool {
 	return r.EvacuationSeq != nil && s.Seq != 0 && *r.EvacuationSeq != s.Seq
 }
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against a proof that counts as younger at a peer than it is, and against one of the relay's
-// state that a peer never hears.
+// state that a peer never receives.
 func TestPeersKnowWhatTheirRelayKnows(t *testing.T) {
 	z, relay, peer := newEvacuationZone(t)
 	must.Zero(t, peer.opts.Evacuations.Snapshot().Seq, must.Sprint("the relay knows nothing yet"))
@@ -42,7 +42,7 @@
 	must.True(t, got.ProvedAt.After(proved.Add(-time.Millisecond)))
 }
 
-// Guards against a change that a peer hears only when its waiting poll ends.
+// Guards against a change that a peer receives only when its waiting poll ends.
 func TestEvacuationEndsWaitingPoll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		z, relay, _ := newEvacuationZone(t)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -240,7 +240,7 @@
 
 // Guards against requests that are refused as if no instance were reachable, because three instances of
 // a zone that has no power or is partitioned do not answer, while others work over open connections. No
-// answer within the timeout is no refusal: it is told as the instance's own failure.
+// answer within the timeout is no refusal: it is reported as the instance's own failure.
 func TestUnansweredDialIsTheInstancesFailureWhileOthersWork(t *testing.T) {
 	for _, works := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
