Slots of demand and flow are counted by the steady clock

Change: slots are counted from the first use; deadlines of connections come from package link. The check covers packages demand and evacuation too.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -95,7 +95,7 @@
 
 // slot holds the counts of one part of the window.
 type slot struct {
-	number int64 // of the part since the Unix epoch
+	number int64 // of the part since one window before the first request
 	counts Rate
 }
 
@@ -126,7 +126,10 @@
 		slots = &[slotCount]slot{}
 		c.keys[key] = slots
 	}
-	number := slotNumber(now)
+	number := c.slotNumber(now)
+	if number < 0 {
+		return // older than the first request
+	}
 	s := &slots[number%slotCount]
 	if s.number > number {
 		return // older than the window
@@ -137,7 +140,11 @@
 	s.counts.add(counts)
 }
 
-func slotNumber(now time.Time) int64 { return now.UnixNano() / int64(window/slotCount) }
+// slotNumber returns the number of the slot of a time, by the steady clock, because the time of day may
+// jump.
+func (c *Counter) slotNumber(now time.Time) int64 {
+	return int64(now.Sub(c.began.Add(-window)) / (window / slotCount))
+}
 
 // Rates returns the rates of the last window, ordered by key. Keys without a request in it are left
 // out.
@@ -145,7 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	measured := min(max(now.Sub(c.began), window/slotCount), window).Seconds()
-	number := slotNumber(now)
+	number := c.slotNumber(now)
 	var out []Rate
 	for key, slots := range c.keys {
 		sum := Rate{}
--- a/internal/dispatch/fleetflow.go
+++ b/internal/dispatch/fleetflow.go
@@ -14,7 +14,8 @@
 // effect is seen in a later one. The demand itself is known later than it is served, so that what is
 // recorded is multiplied by the latest one.
 type fleetFlow struct {
-	last int64 // number of the latest slot
+	origin time.Time // from which slots are counted; zero: nothing was recorded
+	last   int64     // number of the latest slot
 	// The replicas and the request of the latest decision, which is repeated with each report.
 	replicas  []Target
 	request   StreamRequest
@@ -46,7 +47,10 @@
 // advance makes the slot of a time the latest one. In slots without a decision as much was sent as in
 // the one before.
 func (f *fleetFlow) advance(now time.Time) {
-	number := now.UnixNano() / int64(flowSlot)
+	if f.origin.IsZero() {
+		f.origin = now.Add(-flowSlots * flowSlot)
+	}
+	number := int64(now.Sub(f.origin) / flowSlot)
 	if number-f.last >= flowSlots {
 		clear(f.targets)
 		f.last = number
--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -34,19 +34,23 @@
 // counts as zero, so that a burst at the start of the traffic does not count for more than a later one.
 type demandHistory struct {
 	samples  map[string]*[historySamples]modelDemand // by model
-	last     int64                                   // number of the last sample since the Unix epoch; 0: none
+	origin   time.Time                               // from which samples are counted; zero: there is none
+	last     int64                                   // number of the last sample; 0: none
 	smoothed map[string]modelDemand
 }
 
 // observe records the rates of a service at a time, at most once in sampleInterval, and how many groups
 // of each model serve.
 func (h *demandHistory) observe(rates []demand.Rate, service string, models []routes.Model, serving []int, now time.Time) {
-	number := now.UnixNano() / int64(sampleInterval)
+	if h.origin.IsZero() {
+		h.origin = now.Add(-historySamples * sampleInterval)
+	}
+	number := int64(now.Sub(h.origin) / sampleInterval)
 	if number <= h.last {
 		return
 	}
 	first := max(h.last+1, number-historySamples+1)
-	if h.samples == nil || now.Sub(time.Unix(0, h.last*int64(sampleInterval))) > maxSampleGap {
+	if h.samples == nil || now.Sub(h.origin.Add(time.Duration(h.last)*sampleInterval)) > maxSampleGap {
 		h.samples, first = map[string]*[historySamples]modelDemand{}, number
 	}
 	h.last, h.smoothed = number, map[string]modelDemand{}
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/link"
 	"pearlanding/internal/membudget"
 	"pearlanding/internal/upstream"
 )
@@ -120,7 +121,7 @@
 // limitWrites bounds the writing of the response, as a caller that reads nothing would hold it for good.
 // The server sets a new limit for the next request on the connection.
 func (x *exchange) limitWrites() {
-	x.setWriteDeadline(time.Now().Add(x.gateway.Clock.Until(x.deadline) + callerWriteGrace))
+	x.setWriteDeadline(link.DeadlineAfter(x.gateway.Clock.Until(x.deadline) + callerWriteGrace))
 }
 
 // setWriteDeadline sets the time, by the system clock, at which writing to the caller fails. It does
@@ -133,7 +134,7 @@
 // good.
 func (x *exchange) limitReads() {
 	x.readsLimited = true
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.gateway.Clock.Until(x.deadline)))
+	_ = http.NewResponseController(x.w).SetReadDeadline(link.DeadlineAfter(x.gateway.Clock.Until(x.deadline)))
 }
 
 // unlimitReads undoes limitReads, because the server watches the connection by a read.
--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"pearlanding/internal/link"
 	"pearlanding/internal/membudget"
 	"pearlanding/internal/upstream"
 )
@@ -237,7 +238,7 @@
 	c.err, c.blocks, c.bytes = err, nil, 0
 	x.cancelRequest()
 	if !c.closed {
-		x.setWriteDeadline(time.Now()) // ends a write that blocks
+		x.setWriteDeadline(link.DeadlineAfter(0)) // ends a write that blocks
 	}
 	c.changed.Signal()
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -123,7 +123,7 @@
 	fields := []zap.Field{zap.Int64("expected_ms", a.Expected.Milliseconds()), zap.Int64("floor_ms", a.Floor.Milliseconds()), zap.Int64("limit_ms", a.Limit.Milliseconds()),
 		zap.Int("priority", x.priority), zap.Bool("returned", x.priorWait > 0)}
 	if a.ByFleet {
-		fields = append(fields, zap.Float64("load", roundTenth(a.Load)), zap.Float64("level", roundTenth(a.Level)), zap.Float64("admitted_share", math.Round(100*a.Share)/100),
+		fields = append(fields, zap.Float64("load", roundTo(a.Load, 10)), zap.Float64("level", roundTo(a.Level, 10)), zap.Float64("admitted_share", roundTo(a.Share, 100)),
 			zap.Int64("loads_age_ms", a.Age.Milliseconds()), zap.Bool("late_already", a.Late), zap.Bool("reserved", a.Reserved))
 	}
 	if a.RetryAfter > 0 {
@@ -132,8 +132,8 @@
 	return fields
 }
 
-// roundTenth rounds for the log.
-func roundTenth(x float64) float64 { return math.Round(10*x) / 10 }
+// roundTo rounds to a part of one, for the log.
+func roundTo(x, parts float64) float64 { return math.Floor(parts*x+0.5) / parts }
 
 // timeLimit returns the time from arrival to the deadline, or 0 if the request was refused
 // before its deadline was set.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -47,3 +47,8 @@
 	}
 	return setErr
 }
+
+// DeadlineAfter returns the deadline for a connection's reads or writes that ends after a duration. The
+// library compares deadlines of connections with its own clock, which does not count suspensions: after
+// one a connection's limit ends later, never earlier.
+func DeadlineAfter(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/internal/steady/steady_test.go
+++ b/internal/steady/steady_test.go
@@ -20,7 +20,7 @@
 }
 
 // checkedPackages are the packages whose decisions depend on ages.
-var checkedPackages = []string{"dispatch", "fleet", "formation", "front", "gateway", "quarantine", "relay", "upstream"}
+var checkedPackages = []string{"demand", "dispatch", "evacuation", "fleet", "formation", "front", "gateway", "quarantine", "relay", "upstream"}
 
 // wallClockFuncs are the methods and functions that drop the monotonic reading.
 var wallClockFuncs = map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true, "Round": true, "Truncate": true}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pearlanding/internal/link"
 )
 
 // Writing of requests.
@@ -25,7 +27,7 @@
 		return err
 	}
 	limit := writeTimeout + time.Duration(float64(len(call.Body))/(1<<20)*float64(writeTimePerMB))
-	if err := c.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+	if err := c.SetWriteDeadline(link.DeadlineAfter(limit)); err != nil {
 		return err
 	}
 	if _, err := c.Write(encodeHead(call)); err != nil {
