Models are placed by demand only in fleets that admit by the load of all daemons

Suspected: moves of capacity towards a utilization at which daemons that know their own requests only do not keep requests in time. Change: placement by demand and loads to hosts before the first request need more than 16 daemons that report, as admission does. Result: TestModelsAreNotPlacedByDemandUnlessItIsFollowed fails without it.

--- a/internal/dispatch/busy_test.go
+++ b/internal/dispatch/busy_test.go
@@ -63,7 +63,7 @@
 		"few requests": func(time.Duration) PeerReports { return busyReports(minBusyStreams-1, false) },
 		"few daemons": func(time.Duration) PeerReports {
 			r := busyReports(60, false)
-			r.Daemons = maxOwnLoadDaemons
+			r.Daemons = MaxOwnLoadDaemons
 			return r
 		},
 		"no daemons": func(time.Duration) PeerReports { return PeerReports{} },
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -17,9 +17,9 @@
 	knownLoadZonePenalty = 1.5
 )
 
-// maxOwnLoadDaemons is the largest number of daemons with which a daemon estimates its replicas'
+// MaxOwnLoadDaemons is the largest number of daemons with which a daemon estimates its replicas'
 // load best by its own requests alone.
-const maxOwnLoadDaemons = 16
+const MaxOwnLoadDaemons = 16
 
 // PeerReports holds the reports of the other daemons, summed up.
 type PeerReports struct {
@@ -60,7 +60,7 @@
 // queued. Moved to another replica, it would wait in that one's queue, and the retry that it took
 // would be missing for streams of groups that died.
 func (p *Picker) reportedBusy(t *Target, now time.Time) bool {
-	return now.Sub(p.othersAt) < stallReportTTL && p.others.Daemons > maxOwnLoadDaemons &&
+	return now.Sub(p.othersAt) < stallReportTTL && p.others.Daemons > MaxOwnLoadDaemons &&
 		p.others.InFlight[t.Instance] >= minBusyStreams && !p.others.StalledGroups[t.Group]
 }
 
@@ -143,7 +143,7 @@
 
 // loadsKnown reports whether the other daemons' requests in flight are used. p.mu is held.
 func (p *Picker) loadsKnown(now time.Time) bool {
-	return now.Sub(p.othersAt) < loadTTL && p.others.Daemons > maxOwnLoadDaemons
+	return now.Sub(p.othersAt) < loadTTL && p.others.Daemons > MaxOwnLoadDaemons
 }
 
 // isHealthy reports whether a target is neither suspect nor stalled, by this daemon's streams or,
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -78,7 +78,7 @@
 
 // maxOwnAdmissionDaemons is the largest number of daemons with which streams are admitted and placed by
 // this daemon's own streams alone.
-const maxOwnAdmissionDaemons = maxOwnLoadDaemons
+const maxOwnAdmissionDaemons = MaxOwnLoadDaemons
 
 // fleetState returns the predicted state of a model's replicas; ok is false if it can't be predicted.
 // The result is valid until the next call. p.mu is held.
--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -61,6 +61,8 @@
 	// Demand returns what callers ask of all daemons; nil: models are placed by their configured
 	// shares only.
 	Demand func(now time.Time) []demand.Rate
+	// FollowsDemand reports whether models are placed by demand; nil: they are.
+	FollowsDemand func() bool
 	// SuspectsChanged is signaled when there may be more such heads; nil: plans find them later.
 	SuspectsChanged <-chan struct{}
 	Log             *zap.Logger
--- a/internal/formation/prestage_test.go
+++ b/internal/formation/prestage_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/demand"
 )
 
 // Times from a change of the demand until the capacity matches it where hosts hold the other model: 5.25 s
@@ -101,3 +103,19 @@
 	test.GreaterEq(t, 17, s.serving()["small"])
 	test.GreaterEq(t, 5, s.serving()["large"])
 }
+
+// Guards against capacity that moves where daemons admit requests by their own knowledge: nine daemons lost a
+// quarter of the credit of their worst class of requests.
+func TestModelsAreNotPlacedByDemandUnlessItIsFollowed(t *testing.T) {
+	rates := []demand.Rate{{Key: demand.Key{Service: simService, Model: "small"}, Requests: 1, Work: 100}}
+	follows := false
+	m := &Manager{Demand: func(time.Time) []demand.Rate { return rates }, FollowsDemand: func() bool { return follows }}
+	p := NewPlanner(simService, 1, nil, time.Unix(1000, 0))
+	m.setPlacementInputs(p, time.Unix(1000, 0))
+	must.Nil(t, p.Demand)
+	must.False(t, p.Prestages)
+	follows = true
+	m.setPlacementInputs(p, time.Unix(1000, 0))
+	must.Eq(t, rates, p.Demand)
+	must.True(t, p.Prestages)
+}
--- a/internal/formation/report.go
+++ b/internal/formation/report.go
@@ -34,13 +34,16 @@
 
 // setPlacementInputs passes the reported demand and the evacuated zones to a planner.
 func (m *Manager) setPlacementInputs(p *Planner, now time.Time) {
-	p.Prestages = m.Demand != nil
-	if m.Demand != nil {
+	p.Demand, p.Prestages = nil, m.Demand != nil && m.followsDemand()
+	if p.Prestages {
 		p.Demand = append([]demand.Rate{}, m.Demand(now)...) // not nil: models are placed by demand
 	}
 	p.Evacuated = m.evacuated()
 }
 
+// followsDemand reports whether models are placed by demand.
+func (m *Manager) followsDemand() bool { return m.FollowsDemand == nil || m.FollowsDemand() }
+
 // reportPlacement logs the moves that a planner decided and sets the gauges of its models' capacity.
 func (m *Manager) reportPlacement(p *Planner, revision uint64) {
 	for _, move := range p.TakeMoves() {
--- a/internal/front/demand.go
+++ b/internal/front/demand.go
@@ -16,6 +16,12 @@
 // being one, all others.
 const fleetDemandTTL = 3 * time.Second
 
+// followsDemand reports whether models are placed by demand: in fleets whose daemons admit requests by the
+// load of all. In smaller ones they admit by their own requests, which does not keep a model in time
+// at the utilization that the planner aims at: on a quiet day of nine daemons its worst class of
+// requests fell from 0.85 to 0.62 of its credit.
+func (d *Daemon) followsDemand() bool { return d.largeFleet.Load() }
+
 // currentDemand returns what callers ask of all daemons, of this one alone if no reports of others are
 // recent or there are no others.
 func (d *Daemon) currentDemand(now time.Time) []demand.Rate {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -130,6 +130,7 @@
 	budgets       dispatch.Budgets
 	demand        demand.Counter
 	fleetDemand   atomic.Pointer[fleetDemand] // as last reported
+	largeFleet    atomic.Bool                 // more than dispatch.MaxOwnLoadDaemons daemons have reported at once
 	gateway       *gateway.Gateway
 	calls         *countedFeed
 	relay         *relay.Node // nil: this daemon has no address for peers
@@ -311,6 +312,7 @@
 		View: d.instances.View, ViewChanged: d.instances.Changed(), ViewConfirmedAt: d.instances.ProvedAt, RefreshView: d.instances.Refresh, RoutingTable: d.config.Table,
 		BeforeFirstRequest: d.gateway.NoRequestsYet,
 		Demand:             d.currentDemand,
+		FollowsDemand:      d.followsDemand,
 		Evacuated:          d.evacuatedZones,
 		UsesRelay:          func() bool { return d.followMode() == followRelayed },
 		IsRelay:            func() bool { return d.followMode() == followAsRelay },
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -134,6 +134,9 @@
 // takeLoads applies the loads that all other daemons reported.
 func (d *Daemon) takeLoads(others dispatch.PeerReports, _ time.Time) {
 	d.loadReporters.Store(int64(others.Daemons))
+	if others.Daemons > dispatch.MaxOwnLoadDaemons {
+		d.largeFleet.Store(true)
+	}
 	d.fleetDemand.Store(&fleetDemand{others.Demand, d.Clock.Now()})
 	d.picker.SetPeerReports(others, d.runClock.Now())
 }
