--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -151,12 +151,14 @@
 func TestOnlyLateRequestsOfReturnedCallersWait(t *testing.T) {
 	for name, c := range map[string]struct {
 		priorWait time.Duration
+		here      time.Duration // since its arrival
 		held      time.Duration // at most
-	}{"returned and late": {300 * time.Millisecond, 500 * time.Millisecond}, "returned, may be in time": {20 * time.Millisecond, 0}, "new": {0, 0}} {
+	}{"returned and late": {300 * time.Millisecond, 0, 500 * time.Millisecond}, "returned, may be in time": {20 * time.Millisecond, 0, 0},
+		"new": {0, 0, 0}, "new and late": {0, 300 * time.Millisecond, 0}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				x := newFleetExchange(80)
-				x.priorWait = c.priorWait
+				x.priorWait, x.arrivedAt = c.priorWait, x.arrivedAt.Add(-c.here)
 				began := time.Now()
 				must.Nil(t, x.openStream(t.Context()))
 				must.Eq(t, http.StatusServiceUnavailable, x.recorder.Code)
