Relays exchange loads also while nobody polls them

Cause: a daemon exchanged loads with the relays of other zones only while peers polled it. One that was alone in its zone, or with the planner, which follows the store, asked nobody: it did not know what other daemons had in flight, and while it was cut off from all instances it knew no daemon to reach them through but another zone's relay.

Change: an active relay exchanges loads whether or not it is polled.

Result: TestRelayThatNobodyPollsExchangesLoads and TestCallersOfADaemonAloneInItsZoneAreServed fail without the change.

--- a/internal/front/cut_from_instances_test.go
+++ b/internal/front/cut_from_instances_test.go
@@ -42,14 +42,20 @@
 
 // run plays the case and checks that requests sent to cut daemons are served like those sent to others,
 // from some time after the cut began to its end.
-func (c cutCase) run(t *testing.T, after time.Duration) {
+func (c cutCase) run(t *testing.T, after time.Duration) { c.runWith(t, after, nil) }
+
+// runWith is run with the daemons that are cut off; nil: they are drawn.
+func (c cutCase) runWith(t *testing.T, after time.Duration, which []int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newSimFleet(ctx, t, c.simFleetOptions, c.seed)
 		defer f.stop(cancel)
 		time.Sleep(startupTime)
 		isCut := map[string]bool{}
-		for _, i := range f.rng.Perm(c.daemons)[:c.cut] {
+		if which == nil {
+			which = f.rng.Perm(c.daemons)[:c.cut]
+		}
+		for _, i := range which {
 			isCut[f.daemons[i].Settings().Node] = true
 		}
 		begun := time.Now()
@@ -93,6 +99,15 @@
 	}
 }
 
+// Guards against callers of a daemon that is alone in its zone and knows no other daemon to reach instances
+// through but the relay of another zone, which is cut off, too.
+func TestCallersOfADaemonAloneInItsZoneAreServed(t *testing.T) {
+	for _, relay := range []int{0, 2} { // one of them is the relay of their zone
+		c := cutCase{simFleetOptions{daemons: 3, zones: 2, instances: 12, callInterval: 60 * time.Millisecond}, 2, onlyNewRefused, 16}
+		t.Run(fmt.Sprint("d1 and d", relay), func(t *testing.T) { c.runWith(t, cutServedAfter, []int{1, relay}) })
+	}
+}
+
 // Guards against requests that are quarantined at all daemons, until an operator releases them,
 // because the instances that ran them refuse connections from daemons that are cut off.
 func TestDaemonsCutOffFromAllInstancesDetectNoCrashes(t *testing.T) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -134,7 +134,10 @@
 func (x *LoadExchange) runOnce(ctx context.Context) {
 	n := x.Node
 	now := n.now()
-	if n.ServesPeers() || n.IsRelay() && !n.opts.Gate.HasNoLimits() {
+	// A relay exchanges loads also while nobody polls it: it may be alone in its zone, or with the planner, which
+	// follows the store. Both need what the other zones report, and the daemons that reach instances.
+	isRelay := n.isActiveRelay()
+	if isRelay || n.IsRelay() && !n.opts.Gate.HasNoLimits() {
 		x.refreshRelays(ctx, now)
 	}
 	timed, cancel := n.opts.RunClock.WithTimeout(ctx, shareTimeout)
@@ -142,7 +145,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	wait.Go(func() { x.syncLimits(timed) })
-	if n.ServesPeers() {
+	if isRelay {
 		n.share.pool.Add(n.opts.Traffic.TakeSpareRetries(now), n.opts.Traffic.RetryPoolRule(), now)
 		x.collectZoneLoads(timed)
 		return
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -84,6 +84,42 @@
 	must.Eq(t, map[string]int{"x": 7}, a.othersInFlight)
 }
 
+// Guards against a relay that asks no other zone because nobody polls it: its daemon is alone in its zone, or
+// the only other one follows the store itself as the planner.
+func TestRelayThatNobodyPollsExchangesLoads(t *testing.T) {
+	for name, planner := range map[string]bool{"alone": false, "with the planner": true} {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(1)
+			z.stepAll(t, 2)
+			relay := z.daemons[0]
+			must.True(t, relay.isActiveRelay())
+			if planner {
+				p := z.addDaemon()
+				z.stepAll(t, 2)
+				must.True(t, p.FollowsRelay())
+				p.planner = true
+				p.inFlight = map[string]int{"y": 2}
+			}
+			z.advance(recentContact + 1)
+			z.stepAll(t, 1)
+			must.False(t, relay.ServesPeers())
+			other, remoteRelay, _, c := zoneWithRelay(t)
+			c.inFlight = map[string]int{"x": 7}
+			other.exchangeAll()
+			relay.opts.Peers, relay.opts.Address = other, "here" // both zones name their daemons alike
+			x := &LoadExchange{Node: relay.Node, ListRecords: recordsOf("here", remoteRelay.name)}
+			x.runOnce(context.Background())
+			must.Eq(t, 7, relay.othersInFlight["x"])
+			must.Eq(t, 4, relay.reportingDaemons)
+			if planner {
+				p := z.daemons[1]
+				(&LoadExchange{Node: p.Node, ListRecords: recordsOf()}).runOnce(context.Background())
+				must.Eq(t, map[string]int{"x": 7}, p.othersInFlight)
+			}
+		})
+	}
+}
+
 // Spare retry credit of one daemon may be used by another one, once.
 func TestRetriesAreShared(t *testing.T) {
 	z, relay, a, b := zoneWithRelay(t)
