Run the tests of small simulated fleets in parallel

Cause: internal/front took 299 s with the race detector on a quiet machine and, beside other work, more than its time limit of 8 minutes: 53 tests one after the other, each with one fleet of up to 40 daemons in virtual time, used 1.5 processors.

Change: their subtests run in parallel, four fleets at a time, as the race detector supports 8,128 goroutines and a fleet has 500 to 800.

No check, bound or seed changed.

--- a/internal/front/cut_from_instances_test.go
+++ b/internal/front/cut_from_instances_test.go
@@ -89,31 +89,41 @@
 // Guards against callers that are refused for as long as their daemon is cut off from all
 // instances, while other daemons reach them.
 func TestCallersOfDaemonsCutOffFromAllInstancesAreServed(t *testing.T) {
+	t.Parallel()
 	small := simFleetOptions{daemons: 9, zones: 3, instances: 12, callInterval: 60 * time.Millisecond}
 	var cases []cutCase
 	for how := packetsVanish; how < instanceCuts; how++ {
 		cases = append(cases, cutCase{small, 2, how, 1}, cutCase{small, 6, how, 2}, cutCase{small, 8, how, 3})
 	}
 	for _, c := range cases {
-		t.Run(c.String(), func(t *testing.T) { c.run(t, cutServedAfter) })
+		t.Run(c.String(), func(t *testing.T) {
+			parallelFleet(t)
+			c.run(t, cutServedAfter)
+		})
 	}
 }
 
 // Guards against callers of a daemon that is alone in its zone and knows no other daemon to reach instances
 // through but the relay of another zone, which is cut off, too.
 func TestCallersOfADaemonAloneInItsZoneAreServed(t *testing.T) {
+	t.Parallel()
 	for _, relay := range []int{0, 2} { // one of them is the relay of their zone
 		c := cutCase{simFleetOptions{daemons: 3, zones: 2, instances: 12, callInterval: 60 * time.Millisecond}, 2, onlyNewRefused, 16}
-		t.Run(fmt.Sprint("d1 and d", relay), func(t *testing.T) { c.runWith(t, cutServedAfter, []int{1, relay}) })
+		t.Run(fmt.Sprint("d1 and d", relay), func(t *testing.T) {
+			parallelFleet(t)
+			c.runWith(t, cutServedAfter, []int{1, relay})
+		})
 	}
 }
 
 // Guards against requests that are quarantined at all daemons, until an operator releases them,
 // because the instances that ran them refuse connections from daemons that are cut off.
 func TestDaemonsCutOffFromAllInstancesDetectNoCrashes(t *testing.T) {
+	t.Parallel()
 	small := simFleetOptions{daemons: 9, zones: 3, instances: 12, callInterval: 60 * time.Millisecond}
 	for _, c := range []cutCase{{small, 7, connectionsEnd, 11}, {small, 9, connectionsEnd, 12}, {small, 3, connectionsEnd, 13}} {
 		t.Run(c.String(), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newSimFleet(ctx, t, c.simFleetOptions, c.seed)
@@ -142,9 +152,11 @@
 // While no daemon reaches any instance, callers are told at once to come back, and nothing waits for its
 // deadline. Once the links are back they are served at once.
 func TestRequestsThatNoDaemonCanServeAreRejectedAtOnce(t *testing.T) {
+	t.Parallel()
 	for how := packetsVanish; how <= connectionsEnd; how++ {
 		c := cutCase{simFleetOptions{daemons: 9, zones: 3, instances: 12, callInterval: 60 * time.Millisecond}, 9, how, 15}
 		t.Run(c.String(), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newSimFleet(ctx, t, c.simFleetOptions, c.seed)
--- a/internal/front/evacuation_test.go
+++ b/internal/front/evacuation_test.go
@@ -122,6 +122,7 @@
 // Guards against requests to an evacuated zone later than the bound, whatever is out of order while the
 // evacuation begins, and later than the goal while relays and the store work.
 func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		within time.Duration
@@ -158,6 +159,7 @@
 	}
 	for _, e := range cases {
 		t.Run(e.name, func(t *testing.T) {
+			parallelFleet(t)
 			runEvacuation(t, smallEvacuation, func(t *testing.T, c *evacuationCase) {
 				must.Eq(t, 3, len(c.relays()))
 				must.Positive(t, c.arrivalsBetween(evacuatedZone, time.Now().Add(-time.Second), time.Now()))
--- a/internal/front/leaving_order_test.go
+++ b/internal/front/leaving_order_test.go
@@ -214,8 +214,10 @@
 // with most of its zone did not know all changes, and every daemon that asked it listed the
 // entries beside all that started, for seconds in a large fleet.
 func TestDepartureIsKnownInTimeDuringMassRestart(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{2, 5} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				b := newMassRestart(ctx, t, seed)
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -128,8 +128,10 @@
 // Guards against daemons in touch that send requests to a leaving instance for longer than the
 // bound, while relays crash or fall silent and most other daemons restart.
 func TestLeavingInstanceIsKnownInTimeDespiteFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				rng := rand.New(rand.NewPCG(seed, 3))
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -105,9 +105,11 @@
 // fall silent or are cut off and most daemons restart; and against a limit that is still applied
 // after its end. The daemons exchange loads over their own calls.
 func TestZoneKeepsLimitDespiteRelayFaults(t *testing.T) {
+	t.Parallel()
 	for daemons, seeds := range map[int]uint64{9: 2, 30: 1} {
 		for seed := range seeds {
 			t.Run(fmt.Sprint(daemons, " daemons, seed ", seed), func(t *testing.T) {
+				parallelFleet(t)
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					rng := rand.New(rand.NewPCG(seed, 4))
--- a/internal/front/recovery_test.go
+++ b/internal/front/recovery_test.go
@@ -145,6 +145,7 @@
 // The zone's daemons call the store only every two seconds while their relay does not reach it, as
 // its notification comes sooner: they must receive it.
 func TestRelayTellsItsZoneThatTheStoreIsBack(t *testing.T) {
+	parallelFleet(t)
 	for seed := range uint64(140) {
 		simulateZone(t, 4, seed, func(j *configChecker) {
 			j.setStoreDown(true)
@@ -162,6 +163,7 @@
 // Covers daemons cut off from the store, outages of the store, unreachable relays and bursts of
 // changes, in any order and more than one at once.
 func TestConfigChangeIsKnownInTimeDespiteFaults(t *testing.T) {
+	parallelFleet(t)
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		between := func(low, high time.Duration) time.Duration {
--- a/internal/front/silent_relays_test.go
+++ b/internal/front/silent_relays_test.go
@@ -24,8 +24,10 @@
 // enough for snapshots, while the relay and its successors are silent: calls to relays had a longer
 // timeout there, and a daemon that looked for a relay called two of them before it asked the store.
 func TestDepartureIsKnownInTimeWhileRelaysAreSilent(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				b := newMassRestart(ctx, t, seed)
--- a/internal/front/start_test.go
+++ b/internal/front/start_test.go
@@ -110,8 +110,10 @@
 // together: each read all entries over the store's one link, which took 3 s with 300 daemons and
 // 3,000 instances. CPU time is not simulated.
 func TestDaemonsThatStartTogetherKnowInstancesInTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				b := newMassRestart(ctx, t, seed)
@@ -130,6 +132,7 @@
 // another daemon is the relay already: they queued on its link of 20 Mbit/s. The former relay
 // restarts last, so that all others find its address closed at first.
 func TestRestartedRelayIsNotAskedForSnapshots(t *testing.T) {
+	parallelFleet(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		b := newMassRestart(ctx, t, 1)
@@ -154,6 +157,7 @@
 // The relay's machine does not return when all other daemons restart: one of them must replace it,
 // and none may wait longer than it takes to try for a snapshot and then to list by itself.
 func TestMassRestartWithoutRelay(t *testing.T) {
+	parallelFleet(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		b := newMassRestart(ctx, t, 5)
--- a/internal/front/zone_failure_test.go
+++ b/internal/front/zone_failure_test.go
@@ -116,6 +116,7 @@
 // failure on they are to be served like others. What is left is bounded by the retry budget and by the
 // one slow send with which each daemon finds each failed instance.
 func TestCallersAreServedWhileAZoneFails(t *testing.T) {
+	t.Parallel()
 	const zone = "zone-1"
 	for _, c := range []zoneFailure{
 		{"without power", true, true, 1500 * time.Millisecond},
@@ -123,6 +124,7 @@
 		{"partitioned and cut from the store", false, true, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			parallelFleet(t)
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newSimFleet(ctx, t, simFleetOptions{daemons: 9, zones: 3, instances: 27, callInterval: 30 * time.Millisecond, evacuate: evacuateBound, retryRatio: 0.2}, 1)
--- a/internal/front/zone_test.go
+++ b/internal/front/zone_test.go
@@ -42,6 +42,19 @@
 	logMu   sync.Mutex
 }
 
+// maxParallelFleets bounds the small fleets that run at once: the race detector supports 8,128 goroutines, and nine
+// daemons with callers have up to 800.
+const maxParallelFleets = 4
+
+var fleetSlots = make(chan struct{}, maxParallelFleets)
+
+// parallelFleet runs a test beside others that have a small fleet each. It is called outside of synctest's bubble.
+func parallelFleet(t *testing.T) {
+	t.Parallel()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+}
+
 // simBounds are the bounds that the daemons of a simulated zone must keep, as deployments set them.
 var simBounds = Bounds{Config: 2 * time.Second, Revoke: 5 * time.Second, StrictRevoke: true, Drain: 2 * time.Second}
 
