Decide admission of a stream once per send

A refused permit for a cold instance or of a rate limit, or a withheld send, made Place draw admission again, so that a stream of share s passed k choices with s to the k. StreamRequest.Admitted now says that the stream was admitted and no target was used yet; Place then only places it. A failed or "not run" send is judged again as before.

--- a/internal/dispatch/fleetadmission.go
+++ b/internal/dispatch/fleetadmission.go
@@ -47,6 +47,7 @@
 	highest := f.cost.maxLoad(within-extra, f.fastest) + 1
 	a.Late = highest <= 0
 	switch {
+	case req.Admitted:
 	case a.Late:
 		a.Level = lateLevel * f.cost.slots
 		if req.Returned {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,6 +19,10 @@
 	PromptTokens int            // 0: unknown
 	Returned     bool           // the caller or this daemon has made an attempt before
 	Unrefusable  bool           // part of the answer was sent, also by another daemon, or an instance may have run the request
+	// Admitted: the request was admitted, and the replica chosen for it was not used, for lack of a permit.
+	// It is only placed: a request that had to pass its share with each choice would be refused more
+	// often than planned.
+	Admitted bool
 	// HasIdle reports whether this daemon has an idle connection to an address that the request may
 	// use; nil: it has none.
 	HasIdle func(address string) bool
@@ -27,7 +31,7 @@
 // Place admits a stream and chooses its replica among those that were not tried, by the predicted load
 // that all daemons cause. It decides like Admit and Pick, by this daemon's own requests, if loads or
 // demand of other daemons or the timing of the replicas are not known; then admission is decided
-// only for the first send of a request.
+// only for the first send of a request. A request that was admitted before is only placed.
 //
 // The target is nil if the stream is refused or no replica is left. Otherwise the request counts as
 // in flight as after Pick.
@@ -37,7 +41,7 @@
 	if !ok {
 		p.mu.Unlock()
 		a := Admission{Admitted: true, Replicas: len(targets)}
-		if len(tried) == 0 && !req.Unrefusable {
+		if len(tried) == 0 && !req.Unrefusable && !req.Admitted {
 			a = p.Admit(targets, req.Model, req.Objective, now)
 		}
 		if !a.Admitted {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,7 @@
 	headerSent        bool          // to the caller
 	firstByteAfter    time.Duration // time from arrival to the first event or the complete response
 	admission         dispatch.Admission
+	admitted          bool      // the next send was admitted, and no target that was chosen for it was used
 	roomWaitEnd       time.Time // until when the request may wait for room; zero: not decided
 	heldBody          int       // bytes of the request's body accounted to the gateway's Memory
 	readsLimited      bool      // the caller's connection has a limit on the time of reading
@@ -456,6 +457,7 @@
 		IsOwnResponse: func(status int, h http.Header) bool { return x.gateway.Codec.IsResponseTo(x.req.ID, status, h) },
 	}
 	resp, err := x.gateway.Pool.Do(ctx, call)
+	x.admitted = x.admitted && errors.Is(err, upstream.ErrWithheld)
 	if err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrConnectionLimit)) {
 		x.keepRetry()
 		x.noPath = errors.Is(err, upstream.ErrNoPath)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -21,6 +21,7 @@
 	if !x.admission.Admitted || !a.Admitted {
 		x.admission = a // else the log keeps what the first send was based on
 	}
+	x.admitted = a.Admitted
 	return t
 }
 
@@ -38,6 +39,7 @@
 		Returned:     x.priorWait > 0 || len(x.sends) > 0,
 		HasIdle:      hasIdle,
 		Unrefusable:  x.mayHaveRun || x.req.LastEventID != "" || x.currentProgress().eventCount > 0,
+		Admitted:     x.admitted,
 	}
 }
 
