Keep learned costs and first events by service and model

Token counts, the fastest first event and the pauses of streams were kept by model name, so that services with models of the same name shared them. They are now keyed by dispatch.ModelKey.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -31,7 +31,7 @@
 
 // Admit decides on a new stream of a model. The stream is refused if its first event would be
 // late at every target, judged by the streams of this daemon.
-func (p *Picker) Admit(targets []Target, model string, objective time.Duration, now time.Time) Admission {
+func (p *Picker) Admit(targets []Target, model ModelKey, objective time.Duration, now time.Time) Admission {
 	a := Admission{Admitted: true, Replicas: len(targets), Floor: min(p.FastestFirstEvent(model), objective)}
 	expected, known := p.earliestFirstEvent(targets, now)
 	a.Expected = expected
--- a/internal/dispatch/busy_test.go
+++ b/internal/dispatch/busy_test.go
@@ -21,7 +21,7 @@
 // waitsFor returns how long a stream without any event waits at a target before it is moved, and
 // false if it is not moved within two seconds. Reports arrive every quarter of a second.
 func waitsFor(p *Picker, reports func(waited time.Duration) PeerReports) (time.Duration, bool) {
-	timeouts := p.StallTimeouts(StreamLimits{Model: "m", Objective: objective})
+	timeouts := p.StallTimeouts(StreamLimits{Model: testModel, Objective: objective})
 	p.NoteSent(&here, minStallTimeout, t0)
 	for waited := time.Duration(0); waited < 2*time.Second; waited += 50 * time.Millisecond {
 		now := t0.Add(waited)
@@ -43,7 +43,7 @@
 	after, moved := waitsFor(p, func(time.Duration) PeerReports { return busyReports(60, false) })
 	// Nobody reports a group that stalled before any stream began to run there: all count as queued.
 	must.True(t, moved, must.Sprint("its caller leaves after two seconds"))
-	must.GreaterEq(t, busyFactor*p.StallTimeouts(StreamLimits{Model: "m", Objective: objective}).First, after)
+	must.GreaterEq(t, busyFactor*p.StallTimeouts(StreamLimits{Model: testModel, Objective: objective}).First, after)
 }
 
 // Guards against streams that stay at a group that died because they were taken for queued.
@@ -72,7 +72,7 @@
 			p := NewPicker("z", keepFirst)
 			after, moved := waitsFor(p, reports)
 			must.True(t, moved)
-			must.Eq(t, p.StallTimeouts(StreamLimits{Model: "m", Objective: objective}).First, after)
+			must.Eq(t, p.StallTimeouts(StreamLimits{Model: testModel, Objective: objective}).First, after)
 		})
 	}
 	p := NewPicker("z", keepFirst)
--- a/internal/dispatch/candidates_test.go
+++ b/internal/dispatch/candidates_test.go
@@ -180,7 +180,7 @@
 	must.Eq(t, Unknown, p.Health(&group, t0.Add(stallReportTTL)))
 	p.Pick([]Target{group}, nil, t0)
 	p.NoteSent(&group, minStallTimeout, t0)
-	p.NoteFirstEvent(&group, "m", t0, t0)
+	p.NoteFirstEvent(&group, testModel, t0, t0)
 	p.NoteProgress(&group, t0)
 	must.Eq(t, Progressing, p.Health(&group, t0), must.Sprint("its streams make progress at this daemon"))
 	must.Eq(t, "here", pickOne(p, t0, group))
@@ -194,7 +194,7 @@
 		p.Pick([]Target{*target}, nil, t0)
 		p.NoteSent(target, minStallTimeout, t0)
 		p.NoteProgress(target, t0)
-		p.NoteFirstEvent(target, "m", t0, t0)
+		p.NoteFirstEvent(target, testModel, t0, t0)
 	}
 	later := t0.Add(time.Second)
 	p.NoteProgress(&b, later)
--- a/internal/dispatch/demandtrend.go
+++ b/internal/dispatch/demandtrend.go
@@ -16,8 +16,9 @@
 	maxTrendFactor = 2.5
 )
 
-// modelKey identifies a model of a service.
-type modelKey struct{ service, model string }
+// ModelKey identifies a model of a service. Services may have models of the same name, whose engines and
+// requests differ.
+type ModelKey struct{ Service, Model string }
 
 // priorityRate is the demand for a model by requests of one priority, per second.
 type priorityRate struct {
@@ -28,13 +29,13 @@
 func (r priorityRate) sum() float64 { return r.first + r.returns }
 
 // ratesByModel returns the valid rates of the reported demand by model, ordered by priority.
-func (r *PeerReports) ratesByModel() map[modelKey][]priorityRate {
-	out := map[modelKey][]priorityRate{}
+func (r *PeerReports) ratesByModel() map[ModelKey][]priorityRate {
+	out := map[ModelKey][]priorityRate{}
 	for _, d := range r.Demand { // ordered by key
 		if !d.Valid() {
 			continue
 		}
-		key := modelKey{d.Service, d.Model}
+		key := ModelKey{d.Service, d.Model}
 		out[key] = append(out[key], priorityRate{priority: d.Priority, first: d.Requests, returns: d.Returns})
 	}
 	return out
@@ -43,7 +44,7 @@
 // currentRates returns the demand at the other daemons, of which this one knows no requests in flight
 // since the last report. Rates are measured over a second, too long to react to a burst of a few
 // seconds: a significant change between the reports is extrapolated to what arrived between them.
-func currentRates(previous, latest *PeerReports, between time.Duration) map[modelKey][]priorityRate {
+func currentRates(previous, latest *PeerReports, between time.Duration) map[ModelKey][]priorityRate {
 	out, before := latest.ratesByModel(), previous.ratesByModel()
 	daemons := float64(max(latest.Daemons, 1))
 	for key, rates := range out {
--- a/internal/dispatch/fleetreplay_test.go
+++ b/internal/dispatch/fleetreplay_test.go
@@ -206,7 +206,7 @@
 func (r *fleetReplay) event(c *simCall, at time.Duration) {
 	if c.first == 0 {
 		c.first = at
-		c.picker.NoteFirstEvent(c.target, "m", t0.Add(c.arrived), t0.Add(at))
+		c.picker.NoteFirstEvent(c.target, testModel, t0.Add(c.arrived), t0.Add(at))
 	}
 	if c.passes%2 == 0 { // often enough not to count as stalled
 		c.picker.NoteProgress(c.target, t0.Add(at))
@@ -217,7 +217,7 @@
 func (r *fleetReplay) over(c *simCall, _ time.Duration) {
 	c.picker.EndStream(c.target, t0.Add(c.arrived), c.first > 0)
 	if c.first > 0 {
-		c.picker.NoteCompleted("m", c.prompt, c.answer)
+		c.picker.NoteCompleted(testModel, c.prompt, c.answer)
 	}
 }
 
--- a/internal/dispatch/modelcost.go
+++ b/internal/dispatch/modelcost.go
@@ -125,7 +125,7 @@
 
 // NoteCompleted records a stream that was answered completely from its beginning. Token counts of 0
 // are not known.
-func (p *Picker) NoteCompleted(model string, promptTokens, answerTokens int) {
+func (p *Picker) NoteCompleted(model ModelKey, promptTokens, answerTokens int) {
 	learn := func(mean, observed *float64, tokens int) {
 		if tokens > 0 {
 			*observed = min(*observed+1, learnedRequests)
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -74,13 +74,13 @@
 	uniform  func(n int) int
 	mu       sync.Mutex
 	records  map[incarnation]*record
-	floors   map[string]time.Duration // fastest recent first events, by model
-	stats    map[string]*modelStats   // by model
-	others   PeerReports              // reports of the other daemons
-	othersAt time.Time                // when they were received
+	floors   map[ModelKey]time.Duration // fastest recent first events
+	stats    map[ModelKey]*modelStats
+	others   PeerReports // reports of the other daemons
+	othersAt time.Time   // when they were received
 	// othersRates is the demand at the other daemons.
-	othersRates map[modelKey][]priorityRate
-	flows       map[modelKey]*fleetFlow
+	othersRates map[ModelKey][]priorityRate
+	flows       map[ModelKey]*fleetFlow
 	stalls      chan struct{}
 	// Scratch space of Pick, reused because there may be thousands of targets.
 	all, healthy []scoredTarget
@@ -91,7 +91,7 @@
 
 // NewPicker returns a picker for a daemon in a zone. uniform returns a random number in [0, n).
 func NewPicker(zone string, uniform func(n int) int) *Picker {
-	return &Picker{zone: zone, uniform: uniform, records: map[incarnation]*record{}, floors: map[string]time.Duration{}, stats: map[string]*modelStats{}, flows: map[modelKey]*fleetFlow{}, stalls: make(chan struct{}, 1)}
+	return &Picker{zone: zone, uniform: uniform, records: map[incarnation]*record{}, floors: map[ModelKey]time.Duration{}, stats: map[ModelKey]*modelStats{}, flows: map[ModelKey]*fleetFlow{}, stalls: make(chan struct{}, 1)}
 }
 
 // Pick returns the least loaded target that was not tried, nil if there is none. The request
@@ -213,7 +213,7 @@
 }
 
 // NoteFirstEvent records the first event of a stream that was sent at a time.
-func (p *Picker) NoteFirstEvent(t *Target, model string, sent, now time.Time) {
+func (p *Picker) NoteFirstEvent(t *Target, model ModelKey, sent, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateFloor(model, now.Sub(sent))
@@ -229,7 +229,7 @@
 const floorRise = 0.001
 
 // updateFloor updates the fastest recent first event of a model; p.mu is held.
-func (p *Picker) updateFloor(model string, wait time.Duration) {
+func (p *Picker) updateFloor(model ModelKey, wait time.Duration) {
 	floor, known := p.floors[model]
 	if !known || wait < floor {
 		p.floors[model] = wait
@@ -240,7 +240,7 @@
 
 // FastestFirstEvent returns the fastest recent first event of a model, which is the time that one takes without
 // queueing; 0: unknown.
-func (p *Picker) FastestFirstEvent(model string) time.Duration {
+func (p *Picker) FastestFirstEvent(model ModelKey) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.floors[model]
--- a/internal/dispatch/picker_test.go
+++ b/internal/dispatch/picker_test.go
@@ -17,6 +17,9 @@
 	there     = Target{Instance: "there", Zone: "other"}
 )
 
+// testModel is the model of requests of tests that have one.
+var testModel = ModelKey{"s", "m"}
+
 func testPicker() *Picker { return NewPicker("z", keepFirst) }
 
 func pickOne(p *Picker, now time.Time, targets ...Target) string {
@@ -52,7 +55,7 @@
 	p.Pick([]Target{here}, nil, t0)
 	p.NoteSent(&here, minStallTimeout, t0)
 	p.NoteProgress(&here, t0.Add(100*time.Millisecond))
-	p.NoteFirstEvent(&here, "m", t0, t0.Add(100*time.Millisecond))
+	p.NoteFirstEvent(&here, testModel, t0, t0.Add(100*time.Millisecond))
 	must.Eq(t, Progressing, p.Health(&here, t0.Add(200*time.Millisecond)))
 	must.Eq(t, Unhealthy, p.Health(&here, t0.Add(time.Second)))
 	must.Eq(t, []string{"here"}, p.Unhealthy(t0.Add(time.Second)))
@@ -102,7 +105,7 @@
 	lowest, _ = p.earliestFirstEvent(targets, t0.Add(300*time.Millisecond))
 	must.Eq(t, 300*time.Millisecond, lowest)
 	p.NoteProgress(&there, t0.Add(200*time.Millisecond))
-	p.NoteFirstEvent(&there, "m", t0, t0.Add(200*time.Millisecond))
+	p.NoteFirstEvent(&there, testModel, t0, t0.Add(200*time.Millisecond))
 	lowest, _ = p.earliestFirstEvent(targets, t0.Add(300*time.Millisecond))
 	must.Eq(t, 100*time.Millisecond, lowest, must.Sprint("its queue has been draining for a tenth of a second"))
 	lowest, _ = p.earliestFirstEvent(targets, t0.Add(400*time.Millisecond))
@@ -119,7 +122,7 @@
 	p, other := testPicker(), Target{Instance: "other", Zone: "z"}
 	p.Pick([]Target{here}, nil, t0)
 	p.NoteSent(&here, minStallTimeout, t0)
-	p.NoteFirstEvent(&here, "m", t0, t0.Add(400*time.Millisecond))
+	p.NoteFirstEvent(&here, testModel, t0, t0.Add(400*time.Millisecond))
 	p.EndStream(&here, t0, true)
 	now := t0.Add(410 * time.Millisecond)
 	must.Eq(t, "here", pickOne(p, now, here, other))
@@ -130,12 +133,12 @@
 
 func TestFloorRisesSlowly(t *testing.T) {
 	p := testPicker()
-	must.Eq(t, 0, p.FastestFirstEvent("m"))
-	p.NoteFirstEvent(&here, "m", t0, t0.Add(200*time.Millisecond))
-	p.NoteFirstEvent(&here, "m", t0, t0.Add(150*time.Millisecond))
-	must.Eq(t, 150*time.Millisecond, p.FastestFirstEvent("m"))
-	p.NoteFirstEvent(&here, "m", t0, t0.Add(time.Second))
-	must.Between(t, 150*time.Millisecond, p.FastestFirstEvent("m"), 152*time.Millisecond)
+	must.Eq(t, 0, p.FastestFirstEvent(testModel))
+	p.NoteFirstEvent(&here, testModel, t0, t0.Add(200*time.Millisecond))
+	p.NoteFirstEvent(&here, testModel, t0, t0.Add(150*time.Millisecond))
+	must.Eq(t, 150*time.Millisecond, p.FastestFirstEvent(testModel))
+	p.NoteFirstEvent(&here, testModel, t0, t0.Add(time.Second))
+	must.Between(t, 150*time.Millisecond, p.FastestFirstEvent(testModel), 152*time.Millisecond)
 }
 
 func TestUnusedRecordsExpire(t *testing.T) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -28,6 +28,8 @@
 	HasIdle func(address string) bool
 }
 
+func (r *StreamRequest) key() ModelKey { return ModelKey{r.Service, r.Model} }
+
 // Place admits a stream and chooses its replica among those that were not tried, by the predicted load
 // that all daemons cause. It decides like Admit and Pick, by this daemon's own requests, if loads or
 // demand of other daemons or the timing of the replicas are not known; then admission is decided
@@ -42,7 +44,7 @@
 		p.mu.Unlock()
 		a := Admission{Admitted: true, Replicas: len(targets)}
 		if len(tried) == 0 && !req.Unrefusable && !req.Admitted {
-			a = p.Admit(targets, req.Model, req.Objective, now)
+			a = p.Admit(targets, req.key(), req.Objective, now)
 		}
 		if !a.Admitted {
 			a.Reason, a.RetryAfter = NoReplicaInTime, RetryAfter(Overload)
@@ -87,18 +89,18 @@
 // fleetState returns the predicted state of a model's replicas; ok is false if it can't be predicted.
 // The result is valid until the next call. p.mu is held.
 func (p *Picker) fleetState(targets []Target, req *StreamRequest, now time.Time) (f *fleetModel, ok bool) {
-	key := modelKey{req.Service, req.Model}
+	key := req.key()
 	rates := p.othersRates[key]
 	known := now.Sub(p.othersAt) < loadTTL && p.others.Daemons > maxOwnAdmissionDaemons
 	if !known || len(rates) == 0 || len(targets) == 0 {
 		return nil, false
 	}
 	f = &p.fleet
-	cost, ok := costOf(req.Engine, req.Model, p.statsOf(req.Model).usual)
+	cost, ok := costOf(req.Engine, req.Model, p.statsOf(key).usual)
 	if !ok {
 		return nil, false
 	}
-	f.cost, f.fastest, f.age = cost, p.floors[req.Model].Seconds(), p.others.Age+now.Sub(p.othersAt)
+	f.cost, f.fastest, f.age = cost, p.floors[key].Seconds(), p.others.Age+now.Sub(p.othersAt)
 	f.rates, f.flow, f.anyHealthy = rates, p.flowOf(key), false
 	f.flow.advance(now)
 	p.projectLoads(targets, now)
@@ -106,7 +108,7 @@
 }
 
 // flowOf returns what was sent to the replicas of a model. p.mu is held.
-func (p *Picker) flowOf(key modelKey) *fleetFlow {
+func (p *Picker) flowOf(key ModelKey) *fleetFlow {
 	f := p.flows[key]
 	if f == nil {
 		f = &fleetFlow{targets: map[incarnation]*targetFlow{}}
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -33,14 +33,31 @@
 func TestCostsFollowCompletedRequests(t *testing.T) {
 	p := testPicker()
 	for range 300 {
-		p.NoteCompleted("m", 674, 57)
-		p.NoteCompleted("m", 0, 0) // nothing known
+		p.NoteCompleted(testModel, 674, 57)
+		p.NoteCompleted(testModel, 0, 0) // nothing known
 	}
-	c, _ := costOf(ticketEngine, "m", p.statsOf("m").usual)
+	c, _ := costOf(ticketEngine, "m", p.statsOf(testModel).usual)
 	must.InDelta(t, 23.0/2, c.passes, 0.5)
 	must.InDelta(t, 674.0/46000*0.6, c.prefill, 0.0001)
 }
 
+// Guards against two services with models of the same name: the first events and pauses of one, which has
+// other engines, were taken for those of the other.
+func TestModelsOfTheSameNameAreKeptApart(t *testing.T) {
+	p, other := testPicker(), ModelKey{"other", "m"}
+	limits := StreamLimits{Model: testModel, Objective: 300 * time.Millisecond, MaxPause: 300 * time.Millisecond}
+	unknown := p.StallTimeouts(limits)
+	p.NoteFirstEvent(&here, other, t0, t0.Add(time.Second))
+	for range minPauses {
+		p.NotePause(other, 2*time.Second)
+	}
+	p.NoteCompleted(other, 10, 5000)
+	must.Zero(t, p.FastestFirstEvent(testModel))
+	must.Eq(t, unknown, p.StallTimeouts(limits))
+	must.Eq(t, usualRequest{}, p.statsOf(testModel).usual)
+	must.Eq(t, time.Second, p.FastestFirstEvent(other))
+}
+
 // knownFleet returns a picker of one of 100 daemons whose replicas have a number of requests each, with
 // a demand per second, and the replicas.
 func knownFleet(load int, perSecond float64) (*Picker, []Target) {
@@ -181,7 +198,7 @@
 		return &PeerReports{Daemons: daemons, Demand: []demand.Rate{{Key: demand.Key{Service: "s", Model: "m"}, Requests: perSecond}}}
 	}
 	current := func(before, latest *PeerReports) float64 {
-		return currentRates(before, latest, 250*time.Millisecond)[modelKey{"s", "m"}][0].first
+		return currentRates(before, latest, 250*time.Millisecond)[testModel][0].first
 	}
 	must.InDelta(t, 800, current(rates(100, 400), rates(100, 500)), 10)
 	must.InDelta(t, 420, current(rates(100, 400), rates(100, 420)), 10)
@@ -197,7 +214,7 @@
 	reports := p.others
 	reports.InFlight = map[string]int{"a": 60, "b": 60, "c": 60, "d": 60}
 	p.SetPeerReports(reports, t0.Add(250*time.Millisecond))
-	key := modelKey{"s", "m"}
+	key := testModel
 	must.Zero(t, p.flows[key].sent(targets[0].incarnation(), 1), must.Sprint("all refuse"))
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -42,7 +42,7 @@
 		for len(r.events) > 0 && !r.events[0].at.After(now) {
 			e := r.events[0]
 			r.events = r.events[1:]
-			p.NoteFirstEvent(&here, "m", e.sent, e.at)
+			p.NoteFirstEvent(&here, testModel, e.sent, e.at)
 			p.NoteProgress(&here, e.at)
 			p.EndStream(&here, e.sent, true)
 		}
@@ -72,7 +72,7 @@
 // time: the backlog does not outlast the overload.
 func TestBacklogDrainsAfterOverload(t *testing.T) {
 	late, sent, refused := replayOverload(func(p *Picker, now time.Time) bool {
-		return p.Admit([]Target{here}, "m", objective, now).Admitted
+		return p.Admit([]Target{here}, testModel, objective, now).Admitted
 	})
 	must.Eq(t, 0, late)
 	must.Greater(t, 30, sent)
@@ -85,8 +85,8 @@
 // moved; those queued at a replica that makes progress stay.
 func TestMoveOfSilentStreams(t *testing.T) {
 	p := NewPicker("z", keepFirst)
-	limit := p.StallTimeouts(StreamLimits{Model: "m", Objective: objective}).First
-	defaultLimit := p.StallTimeouts(StreamLimits{Model: "m"}).First
+	limit := p.StallTimeouts(StreamLimits{Model: testModel, Objective: objective}).First
+	defaultLimit := p.StallTimeouts(StreamLimits{Model: testModel}).First
 	must.Eq(t, defaultFirstEvent, defaultLimit)
 	for name, c := range map[string]struct {
 		silence SilentStream
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -25,7 +25,7 @@
 	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(284 * time.Millisecond) {
 		p.Pick([]Target{busy}, nil, now)
 		p.NoteSent(&busy, busy.StallTimeout, now)
-		p.NoteFirstEvent(&busy, "large", now, now)
+		p.NoteFirstEvent(&busy, ModelKey{"s", "large"}, now, now)
 		p.NoteProgress(&busy, now)
 		must.Eq(t, Progressing, p.Health(&Target{Instance: "busy"}, now.Add(283*time.Millisecond)))
 	}
@@ -39,7 +39,7 @@
 	dead := Target{Instance: "dead", Zone: "a", StallTimeout: StallTimeoutFor(readingEngine(), routes.Model{TimeFactor: 1})}
 	p.Pick([]Target{dead}, nil, now)
 	p.NoteSent(&dead, dead.StallTimeout, now)
-	p.NoteFirstEvent(&dead, "large", now, now)
+	p.NoteFirstEvent(&dead, ModelKey{"s", "large"}, now, now)
 	p.NoteProgress(&dead, now)
 	must.Eq(t, Unhealthy, p.Health(&Target{Instance: "dead"}, now.Add(400*time.Millisecond)))
 }
--- a/internal/dispatch/stalltimeout.go
+++ b/internal/dispatch/stalltimeout.go
@@ -11,7 +11,7 @@
 // StreamLimits are the limits on a stream's silence that follow from its route and from the
 // published costs of its engine.
 type StreamLimits struct {
-	Model       string
+	Model       ModelKey
 	Objective   time.Duration // for the first event; 0: none
 	MaxPause    time.Duration // for pauses; 0: none
 	LongestPass time.Duration // longest pass of its replica by the published costs; 0: unknown
@@ -87,7 +87,7 @@
 }
 
 // statsOf returns the statistics of a model; p.mu is held.
-func (p *Picker) statsOf(model string) *modelStats {
+func (p *Picker) statsOf(model ModelKey) *modelStats {
 	s := p.stats[model]
 	if s == nil {
 		s = &modelStats{}
@@ -97,7 +97,7 @@
 }
 
 // NotePause records a pause between two events of a running stream of a model.
-func (p *Picker) NotePause(model string, pause time.Duration) {
+func (p *Picker) NotePause(model ModelKey, pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.statsOf(model).addPause(pause)
--- a/internal/dispatch/stalltimeout_test.go
+++ b/internal/dispatch/stalltimeout_test.go
@@ -19,7 +19,7 @@
 // limitsOf returns the limits of a stream whose replica's longest pass takes 434 ms, with 300 ms
 // for a pause, all scaled.
 func limitsOf(scale float64) StreamLimits {
-	return StreamLimits{Model: "m", Objective: scaled(300*time.Millisecond, scale), MaxPause: scaled(300*time.Millisecond, scale), LongestPass: scaled(434*time.Millisecond, scale)}
+	return StreamLimits{Model: testModel, Objective: scaled(300*time.Millisecond, scale), MaxPause: scaled(300*time.Millisecond, scale), LongestPass: scaled(434*time.Millisecond, scale)}
 }
 
 // drawPause draws a pause of a replica that reads a prompt in about each third pass. That takes
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -104,7 +104,7 @@
 func (x *exchange) awaitBackoff(ctx context.Context) bool {
 	next := x.nextSend()
 	remaining := x.route.LatencyObjective - x.priorWait - x.gateway.Clock.Since(x.arrivedAt)
-	if !next.ThisDaemon || !dispatch.ShouldWait(next.After, remaining, x.gateway.Picker.FastestFirstEvent(x.req.Model)) {
+	if !next.ThisDaemon || !dispatch.ShouldWait(next.After, remaining, x.gateway.Picker.FastestFirstEvent(x.modelKey())) {
 		return false
 	}
 	pause.For(ctx, next.After)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -25,6 +25,11 @@
 	return t
 }
 
+// modelKey returns the model that the request is for, with its service.
+func (x *exchange) modelKey() dispatch.ModelKey {
+	return dispatch.ModelKey{Service: x.service.Name, Model: x.req.Model}
+}
+
 // streamRequest returns what the choice of a replica for the stream depends on.
 func (x *exchange) streamRequest() *dispatch.StreamRequest {
 	now := x.gateway.Clock.Now()
@@ -78,5 +83,5 @@
 	if m, _ := e.Model(x.req.Model); e.PrefillTime(m, prompt) > x.gateway.Clock.Since(x.arrivedAt) {
 		prompt = 0
 	}
-	x.gateway.Picker.NoteCompleted(x.req.Model, prompt, x.progress.eventCount*max(e.StepsPerPass, 1))
+	x.gateway.Picker.NoteCompleted(x.modelKey(), prompt, x.progress.eventCount*max(e.StepsPerPass, 1))
 }
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -210,6 +210,25 @@
 	must.Less(t, time.Second, other.admission.Expected)
 }
 
+// Guards against two services with models of the same name: the answers of one, ten times as long, changed
+// the predictions for the other.
+func TestAnswersOfAnotherServiceTeachNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expected := func(long int) time.Duration {
+			x := newFleetExchange(30)
+			other := newFleetExchange(0).exchange
+			other.service.Name, other.gateway.Picker = "t", x.gateway.Picker
+			other.progress.eventCount = 230
+			for range long {
+				other.noteCompleted()
+			}
+			x.place()
+			return x.admission.Expected
+		}
+		must.Eq(t, expected(0), expected(200))
+	})
+}
+
 // Guards against an answer that is lost in its middle: the rest of a stream that began at another daemon
 // is not a request that has not run, and it is late only by the time of the events that its caller has.
 func TestStreamThatBeganElsewhereIsNotRefused(t *testing.T) {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -94,7 +94,7 @@
 		target, picker := &r.targets()[0], r.gateway.Picker
 		sent := r.gateway.runClockNow()
 		picker.NoteSent(target, 200*time.Millisecond, sent)
-		picker.NoteFirstEvent(target, "", sent, sent)
+		picker.NoteFirstEvent(target, dispatch.ModelKey{}, sent, sent)
 		picker.NoteProgress(target, sent)
 		time.Sleep(50 * time.Millisecond)
 		r.unscheduled.Add(int64(time.Second))
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -60,7 +60,7 @@
 // startStream registers a send of the stream to a target.
 func (x *exchange) startStream(ctx context.Context, t *dispatch.Target) *streamSend {
 	s := &streamSend{sentAt: x.gateway.runClockNow()}
-	s.timeouts = x.gateway.Picker.StallTimeouts(dispatch.StreamLimits{Model: x.req.Model, Objective: x.route.LatencyObjective, MaxPause: x.route.EventGapObjective, LongestPass: t.StallTimeout})
+	s.timeouts = x.gateway.Picker.StallTimeouts(dispatch.StreamLimits{Model: x.modelKey(), Objective: x.route.LatencyObjective, MaxPause: x.route.EventGapObjective, LongestPass: t.StallTimeout})
 	x.gateway.Picker.NoteSent(t, s.timeouts.Pause, s.sentAt)
 	s.ctx, s.cancelSend = context.WithCancelCause(ctx)
 	s.send = x.startSend(t, func() { s.cancelSend(quarantine.ErrQuarantined) })
@@ -168,9 +168,9 @@
 		x.gateway.Picker.NoteProgress(s.target, now)
 		s.tracked.Event(x.gateway.Clock.Now())
 		if s.eventCount == 0 {
-			x.gateway.Picker.NoteFirstEvent(s.target, x.req.Model, s.sentAt, now)
+			x.gateway.Picker.NoteFirstEvent(s.target, x.modelKey(), s.sentAt, now)
 		} else {
-			x.gateway.Picker.NotePause(x.req.Model, now.Sub(s.eventAt))
+			x.gateway.Picker.NotePause(x.modelKey(), now.Sub(s.eventAt))
 		}
 		s.eventCount++
 		s.eventAt = now
