Correct reported loads and demand when reports of daemons are missing

With the reports of half of the daemons missing, loads and demand were low by half and replicas overfilled. If fewer daemons report than did before, both are now multiplied by a factor of at most the ratio of the numbers (and 3), which follows what replicas show: the pauses between events of own streams are their passes. NotePause gets the target. The factor is in the request log (loads_factor).

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -22,6 +22,7 @@
 	// The following fields are set if the loads of all daemons were used.
 	ByFleet  bool
 	Age      time.Duration // of the reports
+	Factor   float64       // by which they are too low, because some are missing
 	Load     float64       // predicted requests at the least loaded replicas, with this one
 	Level    float64       // up to which replicas are filled with requests like this one
 	Share    float64       // of requests like this one that can be admitted
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -38,6 +38,7 @@
 	others.Age = max(others.Age, 0)
 	p.othersRates = currentRates(&p.others, &others, now.Sub(p.othersAt))
 	p.others, p.othersAt = others, now
+	p.missing.note(others.Daemons, now)
 	p.followReports(now)
 }
 
--- a/internal/dispatch/fleetadmission.go
+++ b/internal/dispatch/fleetadmission.go
@@ -25,12 +25,16 @@
 	age        time.Duration
 	all        []projectedTarget // by target
 	anyHealthy bool
-	flow       *fleetFlow
+	missing    float64        // by which factor reports are too low, as some are missing
+	corrected  []priorityRate // rates with this factor
+	// Requests in progress at the replicas whose passes this daemon sees: as the passes show, and as predicted.
+	shown, taken float64
+	flow         *fleetFlow
 }
 
 // admit decides whether a stream is sent. chance returns random numbers in [0, 1).
 func (f *fleetModel) admit(req *StreamRequest, chance func() float64) Admission {
-	a := Admission{Admitted: true, ByFleet: true, Replicas: len(f.all), Age: f.age, Share: 1, Floor: seconds(f.fastest)}
+	a := Admission{Admitted: true, ByFleet: true, Replicas: len(f.all), Age: f.age, Factor: f.missing, Share: 1, Floor: seconds(f.fastest)}
 	a.Load = f.load()
 	within := (req.Objective - req.Waited).Seconds()
 	extra := f.longPrompt(req, within)
--- a/internal/dispatch/fleetburst_test.go
+++ b/internal/dispatch/fleetburst_test.go
@@ -98,6 +98,61 @@
 	must.LessEq(t, 0.05, after.lateShare(), must.Sprintf("after the burst: %+v", after))
 }
 
+// Reports that are missing make loads and demand too low: replicas were overfilled, and 0.28 to 0.45 of their
+// capacity served in time in a burst.
+func TestBurstWithMissingReports(t *testing.T) {
+	for name, c := range map[string]struct {
+		daemons     int
+		heard       func(daemon, zone int, at time.Duration) bool
+		utilisation float64
+	}{
+		"half of 79 daemons":  {79, func(daemon, _ int, at time.Duration) bool { return daemon%2 == 0 || at < time.Second }, 0.8},
+		"half of 300 daemons": {300, func(daemon, _ int, at time.Duration) bool { return daemon%2 == 0 || at < time.Second }, 0.65},
+		"other zones":         {79, func(daemon, zone int, at time.Duration) bool { return daemon%3 == zone || at < time.Second }, 0.82},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := measuredFleet()
+			l.daemons, l.kinds, l.heard = c.daemons, urgentBurst(l.replicas), c.heard
+			r := l.replay(1)
+			must.GreaterEq(t, c.utilisation, r.utilisation())
+			mustRecover(t, r, 0.8)
+		})
+	}
+}
+
+// Daemons that are lost report nothing either. Guards against a correction by the number of daemons that
+// reported before: requests would be refused while a fifth of the capacity is free.
+func TestLostDaemonsAreNotTakenForMissingReports(t *testing.T) {
+	lost := func(daemon int, at time.Duration) bool { return daemon%3 == 0 && at >= time.Second }
+	for name, rate := range map[string]func(capacity float64) func(time.Duration) float64{
+		"burst": func(capacity float64) func(time.Duration) float64 { return burst(0.85*capacity, 2) },
+		"burst, callers are lost too": func(capacity float64) func(time.Duration) float64 {
+			return func(at time.Duration) float64 {
+				if at >= time.Second {
+					return burst(0.85*capacity*2/3, 2)(at)
+				}
+				return 0.85 * capacity
+			}
+		},
+		"steady": func(capacity float64) func(time.Duration) float64 { return burst(0.95*capacity, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := measuredFleet()
+			l.kinds, l.lost = []fleetKind{{objective: 250 * time.Millisecond, rate: rate(replicaRate * float64(l.replicas))}}, lost
+			l.daemonOf = func(rng *rand.Rand, at time.Duration) int {
+				for {
+					if daemon := rng.IntN(l.daemons); !lost(daemon, at) {
+						return daemon
+					}
+				}
+			}
+			r := l.replay(1)
+			must.GreaterEq(t, 0.89, r.utilisation())
+			mustRecover(t, r, 0.9)
+		})
+	}
+}
+
 // Three priorities share a model. An overload must cost the less urgent ones first, and none may be
 // shut out: each kind is served no more often than a more urgent one.
 func TestOverloadCostsLessUrgentRequestsFirst(t *testing.T) {
--- a/internal/dispatch/fleetflow.go
+++ b/internal/dispatch/fleetflow.go
@@ -26,15 +26,18 @@
 // followReports repeats the latest decision on each model with a new report, as the other daemons
 // that get requests now do: this one may get none for longer than a report lasts. p.mu is held.
 func (p *Picker) followReports(now time.Time) {
+	shown, taken := 0.0, 0.0
 	for _, flow := range p.flows {
 		if now.Sub(flow.decidedAt) > recordTTL {
 			continue
 		}
 		if f, ok := p.fleetState(flow.replicas, &flow.request, now); ok {
+			shown, taken = shown+f.shown, taken+f.taken
 			f.admit(&flow.request, func() float64 { return 0 })
 			f.recordFlow(flow.replicas)
 		}
 	}
+	p.missing.observe(shown, taken)
 }
 
 // targetFlow holds the parts of the demand that were sent to a replica, by slot, times its length in
--- a/internal/dispatch/fleetreplay_test.go
+++ b/internal/dispatch/fleetreplay_test.go
@@ -26,10 +26,11 @@
 // fleetLoad is a load on a fleet of daemons and replicas of one model.
 type fleetLoad struct {
 	daemons, replicas, zones int
-	reportAge                time.Duration                              // when a report is received; 0: there are none
-	reported                 float64                                    // share of the daemons that report; 0: all
-	withoutDemand            bool                                       // reports hold no demand, as before it was exchanged
-	daemonOf                 func(rng *rand.Rand, at time.Duration) int // that gets a request; nil: any
+	reportAge                time.Duration                                 // when a report is received; 0: there are none
+	heard                    func(daemon, zone int, at time.Duration) bool // whether the daemons of a zone get its report; nil: yes
+	lost                     func(daemon int, at time.Duration) bool       // ended, with its streams; nil: none
+	withoutDemand            bool                                          // reports hold no demand, as before it was exchanged
+	daemonOf                 func(rng *rand.Rand, at time.Duration) int    // that gets a request; nil: any
 	kinds                    []fleetKind
 	lasts                    time.Duration
 }
@@ -43,6 +44,7 @@
 	picker           *Picker
 	target           *Target
 	first            time.Duration // when it got its first event; 0: none
+	eventAt          time.Duration // of its last event
 	refusals         int
 	reserved         bool
 }
@@ -109,8 +111,7 @@
 	engines  map[string]*simEngine
 	calls    []*simCall
 	returns  map[time.Duration][]*simCall // by tick
-	reports  []PeerReports                // in transit, oldest first
-	own      [][]map[string]int
+	reports  []fleetReport                // in transit, oldest first
 }
 
 const fleetTick = 5 * time.Millisecond
@@ -137,6 +138,7 @@
 	for i := range r.targets {
 		r.engines[r.targets[i].Instance].run(at, r.event, r.over)
 	}
+	r.endLost(at)
 	if r.reportAge > 0 && at%(250*time.Millisecond) == 0 {
 		r.report(at)
 	}
@@ -208,6 +210,10 @@
 		c.first = at
 		c.picker.NoteFirstEvent(c.target, testModel, t0.Add(c.arrived), t0.Add(at))
 	}
+	if c.eventAt > 0 {
+		c.picker.NotePause(c.target, testModel, at-c.eventAt, t0.Add(at))
+	}
+	c.eventAt = at
 	if c.passes%2 == 0 { // often enough not to count as stalled
 		c.picker.NoteProgress(c.target, t0.Add(at))
 	}
@@ -221,41 +227,69 @@
 	}
 }
 
+// fleetReport is a report in transit.
+type fleetReport struct {
+	sums []PeerReports    // by zone of the receiver
+	own  []map[string]int // by daemon, what the sums hold of its own
+}
+
 // report sends the loads and the demand of the daemons, and delivers those sent reportAge ago.
 func (r *fleetReplay) report(at time.Duration) {
-	sum := PeerReports{InFlight: map[string]int{}, Age: r.reportAge}
-	var own []map[string]int
-	var rates [][]demand.Rate
-	for i, p := range r.pickers {
-		own = append(own, p.InFlight())
-		if r.reported > 0 && float64(i) >= r.reported*float64(r.daemons) {
-			continue
+	sent := fleetReport{own: make([]map[string]int, r.daemons)}
+	for zone := range r.zones {
+		sum := PeerReports{InFlight: map[string]int{}, Age: r.reportAge}
+		var rates [][]demand.Rate
+		for i, p := range r.pickers {
+			if r.heard != nil && !r.heard(i, zone, at) || r.isLost(i, at) {
+				continue
+			}
+			own := p.InFlight()
+			sum.Daemons++
+			for id, n := range own {
+				sum.InFlight[id] += n
+			}
+			rates = append(rates, r.counters[i].Rates(t0.Add(at)))
+			if i%r.zones == zone {
+				sent.own[i] = own
+			}
 		}
-		sum.Daemons++
-		for id, n := range own[i] {
-			sum.InFlight[id] += n
+		if !r.withoutDemand {
+			sum.Demand = demand.Sum(rates...)
 		}
-		rates = append(rates, r.counters[i].Rates(t0.Add(at)))
+		sent.sums = append(sent.sums, sum)
 	}
-	if !r.withoutDemand {
-		sum.Demand = demand.Sum(rates...)
-	}
-	r.reports, r.own = append(r.reports, sum), append(r.own, own)
+	r.reports = append(r.reports, sent)
 	if len(r.reports) <= int(r.reportAge/(250*time.Millisecond)) {
 		return
 	}
-	sum, own = r.reports[0], r.own[0]
-	r.reports, r.own = r.reports[1:], r.own[1:]
+	received := r.reports[0]
+	r.reports = r.reports[1:]
 	for i, p := range r.pickers {
-		others := sum
+		others := received.sums[i%r.zones]
+		loads := others.InFlight
 		others.InFlight = map[string]int{}
-		for id, n := range sum.InFlight {
-			others.InFlight[id] = n - own[i][id]
+		for id, n := range loads {
+			others.InFlight[id] = n - received.own[i][id]
 		}
 		p.SetPeerReports(others, t0.Add(at))
 	}
 }
 
+func (r *fleetReplay) isLost(daemon int, at time.Duration) bool {
+	return r.lost != nil && r.lost(daemon, at)
+}
+
+// endLost ends the streams of daemons that are lost.
+func (r *fleetReplay) endLost(at time.Duration) {
+	if r.lost == nil {
+		return
+	}
+	lost := func(c *simCall) bool { return r.isLost(slices.Index(r.pickers, c.picker), at) }
+	for _, e := range r.engines {
+		e.running, e.waiting = slices.DeleteFunc(e.running, lost), slices.DeleteFunc(e.waiting, lost)
+	}
+}
+
 // outcome counts the requests of a period.
 type outcome struct {
 	arrived, inTime, late, inTimeLater, failed int
--- a/internal/dispatch/modelcost.go
+++ b/internal/dispatch/modelcost.go
@@ -80,6 +80,15 @@
 	return (c.passTime + n*c.passPerRequest) / (1 - c.rate(n)*c.prefill)
 }
 
+// passGrowth returns by how much a request in progress makes a mean pass longer, with its part of the prompts
+// that are read.
+func (c *replicaCost) passGrowth() float64 { return c.passPerRequest + c.prefill/c.passes }
+
+// inProgress returns with how many requests in progress a mean pass takes a time, in seconds.
+func (c *replicaCost) inProgress(pass float64) float64 {
+	return min(max((pass-c.passTime)/c.passGrowth(), 0), c.slots)
+}
+
 // firstEvent returns the expected wait for a first event at a replica with n other requests, in
 // seconds. fastest is the fastest one measured; it includes the network.
 func (c *replicaCost) firstEvent(n, fastest float64) float64 {
--- a/internal/dispatch/picker.go
+++ b/internal/dispatch/picker.go
@@ -80,6 +80,7 @@
 	othersAt time.Time   // when they were received
 	// othersRates is the demand at the other daemons.
 	othersRates map[ModelKey][]priorityRate
+	missing     missingReports // of othersRates and others.InFlight
 	flows       map[ModelKey]*fleetFlow
 	stalls      chan struct{}
 	// Scratch space of Pick, reused because there may be thousands of targets.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -101,7 +101,11 @@
 		return nil, false
 	}
 	f.cost, f.fastest, f.age = cost, p.floors[key].Seconds(), p.others.Age+now.Sub(p.othersAt)
-	f.rates, f.flow, f.anyHealthy = rates, p.flowOf(key), false
+	f.missing, f.corrected = p.missing.factor, f.corrected[:0]
+	for _, r := range rates {
+		f.corrected = append(f.corrected, priorityRate{r.priority, r.first * f.missing, r.returns * f.missing})
+	}
+	f.rates, f.flow, f.anyHealthy = f.corrected, p.flowOf(key), false
 	f.flow.advance(now)
 	p.projectLoads(targets, now)
 	return f, true
@@ -126,7 +130,7 @@
 // replicas that it does not use have the same. p.mu is held.
 func (p *Picker) projectLoads(targets []Target, now time.Time) {
 	f := &p.fleet
-	f.all, f.loads = f.all[:0], f.loads[:0]
+	f.all, f.loads, f.shown, f.taken = f.all[:0], f.loads[:0], 0, 0
 	age, queued, observed := f.age.Seconds(), 0.0, 0.0
 	full := f.cost.firstEvent(f.cost.slots-1, f.fastest)
 	elapsed := min(age, f.cost.stay(f.cost.slots))
@@ -134,7 +138,7 @@
 		t := &targets[i]
 		id := t.incarnation()
 		r := p.records[id]
-		load, others := 0.0, float64(p.others.InFlight[t.Instance])
+		load, others := 0.0, f.missing*float64(p.others.InFlight[t.Instance])
 		if r != nil {
 			load = float64(r.inFlight)
 		}
@@ -147,6 +151,10 @@
 		}
 		healthy := p.isHealthy(t, r, now)
 		seen := healthy && r != nil && r.observed(now)
+		if healthy && r != nil && now.Sub(r.pauseAt) < pauseTTL && f.cost.passGrowth() > 0 {
+			f.shown += f.cost.inProgress(r.meanPause)
+			f.taken += min(load, f.cost.slots)
+		}
 		if seen {
 			before := load
 			if late := r.expectedWait(now).Seconds() - full; late > 0 {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -49,7 +49,7 @@
 	unknown := p.StallTimeouts(limits)
 	p.NoteFirstEvent(&here, other, t0, t0.Add(time.Second))
 	for range minPauses {
-		p.NotePause(other, 2*time.Second)
+		p.NotePause(&here, other, 2*time.Second, t0)
 	}
 	p.NoteCompleted(other, 10, 5000)
 	must.Zero(t, p.FastestFirstEvent(testModel))
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -29,6 +29,8 @@
 	stalledAt        time.Time      // when a running stream was last moved because of a stall
 	group            fleet.GroupKey // group that the target led at the last send
 	usedAt           time.Time
+	meanPause        float64   // moving average of the pauses between events, seconds
+	pauseAt          time.Time // end of the last pause
 	deferredAt       time.Time // when a stream was last sent that waits there behind more urgent ones
 }
 
@@ -60,6 +62,23 @@
 // deferredTTL is how long a stream that waits behind more urgent ones may wait there.
 const deferredTTL = time.Second
 
+// Parameters of the mean pause between the events of a target's streams.
+const (
+	// pauseTTL is how long it is used to estimate what the target has in progress.
+	pauseTTL = 500 * time.Millisecond
+	// pauseWeight is the weight of a new pause. Ten take 0.2 to 0.4 s with one stream.
+	pauseWeight = 0.1
+)
+
+// addPause adds a pause between two events of a stream.
+func (r *record) addPause(pause time.Duration, now time.Time) {
+	if now.Sub(r.pauseAt) > pauseTTL {
+		r.meanPause = pause.Seconds()
+	}
+	r.meanPause += pauseWeight * (pause.Seconds() - r.meanPause)
+	r.pauseAt = now
+}
+
 // observed reports whether expectedWait shows the queue of the replica: streams of this daemon wait
 // there or began recently, all in their turn.
 func (r *record) observed(now time.Time) bool {
--- a/internal/dispatch/stalltimeout.go
+++ b/internal/dispatch/stalltimeout.go
@@ -96,11 +96,12 @@
 	return s
 }
 
-// NotePause records a pause between two events of a running stream of a model.
-func (p *Picker) NotePause(model ModelKey, pause time.Duration) {
+// NotePause records a pause between two events of a running stream of a model at a target, that ends now.
+func (p *Picker) NotePause(t *Target, model ModelKey, pause time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.statsOf(model).addPause(pause)
+	p.record(t.incarnation()).addPause(pause, now)
 }
 
 // addFirstEvent adds the wait for a first event; p.mu is held.
--- a/internal/dispatch/stalltimeout_test.go
+++ b/internal/dispatch/stalltimeout_test.go
@@ -39,7 +39,7 @@
 		p.NoteSent(&target, time.Hour, now)
 		p.NoteFirstEvent(&target, limits.Model, now, now.Add(scaled(70*time.Millisecond, scale)))
 		for range 25 {
-			p.NotePause(limits.Model, scaled(pause(), scale))
+			p.NotePause(&here, limits.Model, scaled(pause(), scale), t0)
 		}
 	}
 }
@@ -86,16 +86,16 @@
 			limits, p := limitsOf(scale), testPicker()
 			must.Eq(t, limits.MaxPause, p.StallTimeouts(limits).Pause, must.Sprint("no pauses observed"))
 			for range minPauses {
-				p.NotePause(limits.Model, scaled(50*time.Millisecond, scale))
+				p.NotePause(&here, limits.Model, scaled(50*time.Millisecond, scale), t0)
 			}
 			before := p.StallTimeouts(limits).Pause
 			for range 100 {
-				p.NotePause(limits.Model, scaled(280*time.Millisecond, scale))
+				p.NotePause(&here, limits.Model, scaled(280*time.Millisecond, scale), t0)
 			}
 			must.Greater(t, before, p.StallTimeouts(limits).Pause)
 			must.GreaterEq(t, scaled(280*time.Millisecond, scale), p.StallTimeouts(limits).Pause)
 			for range 100 {
-				p.NotePause(limits.Model, time.Hour)
+				p.NotePause(&here, limits.Model, time.Hour, t0)
 			}
 			must.Eq(t, limits.LongestPass, p.StallTimeouts(limits).Pause, must.Sprint("the longest pass is the upper bound"))
 		})
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -94,7 +94,7 @@
 	for _, f := range x.admissionFields() {
 		f.AddTo(enc)
 	}
-	for _, field := range []string{"load", "level", "admitted_share", "loads_age_ms", "retry_after_ms", "priority", "returned"} {
+	for _, field := range []string{"load", "level", "admitted_share", "loads_age_ms", "loads_factor", "retry_after_ms", "priority", "returned"} {
 		must.MapContainsKey(t, enc.Fields, field)
 	}
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -124,7 +124,7 @@
 		zap.Int("priority", x.priority), zap.Bool("returned", x.priorWait > 0)}
 	if a.ByFleet {
 		fields = append(fields, zap.Float64("load", roundTo(a.Load, 10)), zap.Float64("level", roundTo(a.Level, 10)), zap.Float64("admitted_share", roundTo(a.Share, 100)),
-			zap.Int64("loads_age_ms", a.Age.Milliseconds()), zap.Bool("late_already", a.Late), zap.Bool("reserved", a.Reserved))
+			zap.Int64("loads_age_ms", a.Age.Milliseconds()), zap.Float64("loads_factor", roundTo(a.Factor, 100)), zap.Bool("late_already", a.Late), zap.Bool("reserved", a.Reserved))
 	}
 	if a.RetryAfter > 0 {
 		fields = append(fields, zap.Int64("retry_after_ms", a.RetryAfter.Milliseconds()))
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -170,7 +170,7 @@
 		if s.eventCount == 0 {
 			x.gateway.Picker.NoteFirstEvent(s.target, x.modelKey(), s.sentAt, now)
 		} else {
-			x.gateway.Picker.NotePause(x.modelKey(), now.Sub(s.eventAt))
+			x.gateway.Picker.NotePause(s.target, x.modelKey(), now.Sub(s.eventAt), now)
 		}
 		s.eventCount++
 		s.eventAt = now
