Mutants of the new guards of admission; a written stream is judged again

Cause: gateway-admitted-for-good survived, because the second send of TestWithheldStreamIsOnlyPlacedAgain was refused for want of a retry and not by admission. The test now has a retry and checks the reason.

--- a/internal/gateway/admitonce_test.go
+++ b/internal/gateway/admitonce_test.go
@@ -67,6 +67,7 @@
 				x.gateway.Pool = upstream.NewPool(time.Second, time.Minute)
 				x.gateway.Pool.Dial = notRunDialer(t)
 				x.withCold(ask, "g0", "g1", "g2", "g3")
+				x.gateway.BorrowRetry = func(context.Context, string) bool { return true }
 				x.req.Method, x.req.RequestTarget = "POST", "/"
 				target := x.nextTarget(t.Context())
 				must.NotNil(t, target)
@@ -78,6 +79,7 @@
 				answer = grantAll
 				x.reportInFlight(80)
 				must.Eq(t, c.placed, x.nextTarget(t.Context()) != nil)
+				must.Eq(t, c.placed, x.admission.Reason == "", must.Sprint(x.admission.Reason))
 			})
 		})
 	}
