--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -106,6 +106,7 @@
 	x.sends, x.triedInstances = make([]sendLog, 1), map[string]bool{"g0": true}
 	must.Nil(t, x.openStream(t.Context()))
 	must.Eq(t, http.StatusServiceUnavailable, x.recorder.Code)
+	must.SliceLen(t, 1, x.sends, must.Sprint("not sent again"))
 
 	x = newFleetExchange(80)
 	x.mayHaveRun = true
