--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -12,6 +12,9 @@
 
 var coldRule = ColdRule{Duration: 3 * time.Second, PerSecond: 26}
 
+// coldRuleOf returns coldRule for each service.
+func coldRuleOf(string) ColdRule { return coldRule }
+
 // coldEntry returns an entry of instance i at a version.
 func coldEntry(version uint64, startedAt time.Time) ColdEntry {
 	return ColdEntry{Incarnation: Incarnation{"i", startedAt.UnixMilli()}, Service: "s", Zone: "z", Version: version}
@@ -201,15 +204,14 @@
 // with each instance that ever was.
 func TestColdSweepForgetsAndCounts(t *testing.T) {
 	cold, now := &Cold{}, simStart
-	rule := func(string) ColdRule { return coldRule }
 	must.True(t, cold.None(coldRule, now))
 	cold.Entry(coldEntry(1, now), now)
 	must.True(t, cold.None(ColdRule{}, now))
 	must.False(t, cold.None(coldRule, now))
-	must.Eq(t, 1, cold.Sweep(rule, now, zap.NewNop()))
+	must.Eq(t, 1, cold.Sweep(coldRuleOf, now, zap.NewNop()))
 	must.True(t, cold.None(coldRule, now.Add(coldRule.Duration)))
 	cold.Removed("i", now)
-	must.Eq(t, 0, cold.Sweep(rule, now.Add(coldRetention+1), zap.NewNop()))
+	must.Eq(t, 0, cold.Sweep(coldRuleOf, now.Add(coldRetention+1), zap.NewNop()))
 	must.MapEmpty(t, cold.instances)
 }
 
@@ -231,25 +233,23 @@
 // Guards against a memory that grows with each zone name that an evacuation ever had.
 func TestColdSweepForgetsZones(t *testing.T) {
 	cold, now := &Cold{}, simStart
-	rule := func(string) ColdRule { return coldRule }
 	cold.Zone("z", now)
-	cold.Sweep(rule, now.Add(MaxCold), zap.NewNop())
+	cold.Sweep(coldRuleOf, now.Add(MaxCold), zap.NewNop())
 	must.MapContainsKey(t, cold.zoneSince, "z")
-	cold.Sweep(rule, now.Add(MaxCold+1), zap.NewNop())
+	cold.Sweep(coldRuleOf, now.Add(MaxCold+1), zap.NewNop())
 	must.MapEmpty(t, cold.zoneSince)
 }
 
 // Guards against a lock and a search for each target of each request long after the last instance was cold.
 func TestWarmInstancesAreToldWithoutALock(t *testing.T) {
 	cold, now := &Cold{}, simStart
-	rule := func(string) ColdRule { return coldRule }
 	cold.Entry(coldEntry(1, now), now)
-	must.True(t, cold.IsColdInstance("i", rule, now))
-	must.False(t, cold.IsColdInstance("i", rule, now.Add(coldRule.Duration)))
+	must.True(t, cold.IsColdInstance("i", coldRuleOf, now))
+	must.False(t, cold.IsColdInstance("i", coldRuleOf, now.Add(coldRule.Duration)))
 	cold.mu.Lock()
 	defer cold.mu.Unlock()
 	warm := make(chan bool, 1)
-	go func() { warm <- !cold.IsColdInstance("i", rule, now.Add(MaxCold)) }()
+	go func() { warm <- !cold.IsColdInstance("i", coldRuleOf, now.Add(MaxCold)) }()
 	select {
 	case w := <-warm:
 		must.True(t, w)
--- a/internal/formation/orders_unchanged_test.go
+++ b/internal/formation/orders_unchanged_test.go
@@ -28,11 +28,7 @@
 		prepare(p)
 		for _, o := range p.Plan(s.view(), s.engine, s.now) {
 			fmt.Fprintf(hash, "%d %v\n", step, o)
-			outcome := Refused
-			if s.apply(o) {
-				outcome = Taken
-			}
-			p.RecordOutcome(o, outcome)
+			s.carryOut(p, o)
 		}
 		s.step(250 * time.Millisecond)
 	}
--- a/internal/formation/placement_sim_test.go
+++ b/internal/formation/placement_sim_test.go
@@ -91,11 +91,7 @@
 		s.fastLoads = p.BeforeFirstRequest
 		for _, o := range p.Plan(v, s.engine, s.now) {
 			s.note(o)
-			if s.apply(o) {
-				p.RecordOutcome(o, Taken)
-			} else {
-				p.RecordOutcome(o, Refused)
-			}
+			s.carryOut(p, o)
 		}
 		for _, m := range p.TakeMoves() {
 			if !m.Canceled {
--- a/internal/formation/prestage_test.go
+++ b/internal/formation/prestage_test.go
@@ -14,12 +14,17 @@
 // until the change is no burst, 1.5 s until a closed group has finished its requests, and joins.
 const prestagedCapacityTime = 9 * time.Second
 
+// newPrestagingSim returns a simulation whose planners load other models to hosts.
+func newPrestagingSim(t *testing.T) *placementSim {
+	s := newPlacementSim(t, 0.5, 0.5)
+	s.prestages, s.planner.Prestages = true, true
+	return s
+}
+
 // prestagedSim returns a simulation in which all groups of equal shares serve, and whose hosts were loaded
 // with the other model until some time after the start.
 func prestagedSim(t *testing.T, until time.Duration) *placementSim {
-	s := newPlacementSim(t, 0.5, 0.5)
-	s.prestages = true
-	s.planner.Prestages = true
+	s := newPrestagingSim(t)
 	s.runUntil(until, nil)
 	must.Eq(t, map[string]int{"large": 10, "small": 16}, s.serving())
 	s.began = s.now.Add(-trafficStart)
@@ -78,9 +83,7 @@
 // Loads that begin after the first request count against the ceiling, whenever prestaging ended.
 func TestPrestagingStaysBelowTheCeiling(t *testing.T) {
 	for _, until := range []time.Duration{6, 8, 10, 14} {
-		s := newPlacementSim(t, 0.5, 0.5)
-		s.prestages = true
-		s.planner.Prestages = true
+		s := newPrestagingSim(t)
 		s.demand = after(until*time.Second, nil, work(3.7, 13.1))
 		s.runUntil((until+20)*time.Second, nil)
 		test.LessEq(t, 81, mostWithin(s.loads, simWindow), test.Sprint(until))
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -260,14 +260,21 @@
 			p.RecordOutcome(o, Unanswered)
 		case lost || !s.engines[o.Instance].alive:
 			p.RecordOutcome(o, Unanswered)
-		case s.apply(o):
-			p.RecordOutcome(o, Taken)
 		default:
-			p.RecordOutcome(o, Refused)
+			s.carryOut(p, o)
 		}
 	}
 }
 
+// carryOut carries out an order of a planner and tells it the outcome.
+func (s *sim) carryOut(p *Planner, o Order) {
+	outcome := Refused
+	if s.apply(o) {
+		outcome = Taken
+	}
+	p.RecordOutcome(o, outcome)
+}
+
 // onTime delivers every order at once.
 func onTime() (bool, bool, time.Duration) { return false, false, 0 }
 
--- a/internal/formation/warm_test.go
+++ b/internal/formation/warm_test.go
@@ -21,11 +21,7 @@
 			if o.Op == OpJoin && len(o.Members) == 1 {
 				warmed[o.Instance]++
 			}
-			if s.apply(o) {
-				p.RecordOutcome(o, Taken)
-			} else {
-				p.RecordOutcome(o, Refused)
-			}
+			s.carryOut(p, o)
 		}
 	}
 	must.Eq(t, map[string]int{"large": 2, "small": 5}, s.serving())
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -96,7 +96,7 @@
 		r.simFleet.serve = func(s *simSend) {
 			s.conn.response.write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nSignature: a\r\nTransfer-Encoding: chunked\r\n\r\n", s.requestID), nil)
 			for s.wait(time.Millisecond) { // without end
-				s.conn.response.write(fmt.Appendf(nil, "%x\r\n%s\r\n", 8<<10, strings.Repeat("x", 8<<10)), nil)
+				s.chunk(strings.Repeat("x", 8<<10))
 			}
 		}
 		c := r.call("x", 0)
--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -175,8 +175,7 @@
 				modest.Add(1)
 			}
 			for id := 1; id <= 64 && s.wait(eventInterval); id++ {
-				text := fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", size))
-				s.conn.response.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text), nil)
+				s.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", size)))
 			}
 			s.finish()
 		}
@@ -204,8 +203,7 @@
 		r.simFleet.serve = func(s *simSend) {
 			s.header()
 			for id := 1; s.wait(eventInterval); id++ {
-				text := fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", 16<<10))
-				s.conn.response.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text), nil)
+				s.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", 16<<10)))
 				most.Store(max(most.Load(), r.gateway.Memory.Usage().Streams))
 			}
 		}
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -620,12 +620,7 @@
 				s.finish()
 			}
 		}
-		writes := 0
-		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: func() {
-			if writes++; writes == 2 {
-				time.Sleep(longPause)
-			}
-		}})
+		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: pauseAt(2, longPause)})
 		<-c.done
 		r.check(t)
 		must.SliceLen(t, 1, r.sendsOf("x"))
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -135,8 +135,7 @@
 		r.send(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nSignature: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, address))
 		for event := 1; event <= soundEvents; event++ {
 			time.Sleep(soundInterval)
-			text := fmt.Sprintf("id: %d\ndata: %0200d\n\n", event, event)
-			if r.send(c, fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) != nil {
+			if r.send(c, chunk(fmt.Sprintf("id: %d\ndata: %0200d\n\n", event, event))) != nil {
 				return
 			}
 		}
@@ -292,8 +291,7 @@
 		err := r.send(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nSignature: e\r\nTransfer-Encoding: chunked\r\n\r\n", id))
 		for event := 1; err == nil; event++ {
 			time.Sleep(10 * time.Millisecond)
-			text := fmt.Sprintf("id: %d\ndata: %02000d\n\n", event, event)
-			err = r.send(c, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+			err = r.send(c, chunk(fmt.Sprintf("id: %d\ndata: %02000d\n\n", event, event)))
 		}
 	}
 	inPeersRig(t, endless, func(t *testing.T, r *peersRig) {
--- a/internal/gateway/simreplica_test.go
+++ b/internal/gateway/simreplica_test.go
@@ -289,10 +289,15 @@
 
 func (s *simSend) event(id int) {
 	s.sentEvents.Add(1)
-	text := simEvent(s.requestID, id, s.replica)
-	s.conn.response.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text), nil)
+	s.chunk(simEvent(s.requestID, id, s.replica))
 }
 
+// chunk sends a part of the answer's body.
+func (s *simSend) chunk(text string) { s.conn.response.write([]byte(chunk(text)), nil) }
+
+// chunk returns a text in the encoding of a chunked body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
 // events sends events, each after an interval. It returns false if the daemon closed the
 // connection.
 func (s *simSend) events(from, to int, interval time.Duration) bool {
--- a/internal/relay/cold_sim_test.go
+++ b/internal/relay/cold_sim_test.go
@@ -317,59 +317,59 @@
 // coldFaults is the number of faults injected with several seeds.
 const coldFaults = 8
 
-// Guards against daemons that together send more to a cold instance than it takes, for any number of
-// daemons, while relays are killed, replaced or partitioned, the store is unavailable, daemons restart,
-// answers are lost and entries arrive 2 s late.
-func TestColdInstanceGetsNoMoreThanItsRate(t *testing.T) {
+// forColdFleets runs a test with each of coldFleets and each seed. faults is the number of faults to inject.
+func forColdFleets(t *testing.T, test func(t *testing.T, f *coldFleet, faults int)) {
 	for _, size := range coldFleets {
+		faults := size.faults
+		if *coldSeeds > 1 {
+			faults = coldFaults
+		}
 		for seed := range *coldSeeds {
 			t.Run(fmt.Sprint(size.daemons, "-daemons-", seed), func(t *testing.T) {
 				t.Parallel()
-				f := newColdFleet(t, seed, size.daemons, size.zones, 4*coldRate)
-				f.run(6 * time.Second)
-				var faults []string
-				faultCount := size.faults
-				if *coldSeeds > 1 {
-					faultCount = coldFaults
-				}
-				for round := range faultCount {
-					duration := 3 * time.Second
-					if round%2 == 0 {
-						duration = 8 * time.Second
-					}
-					f.startInstance(duration, 2*time.Second)
-					f.run(time.Duration(f.rng.IntN(2500)) * time.Millisecond)
-					faults = append(faults, f.injectFault())
-					f.run(8 * time.Second)
-					f.stopInstance()
-					f.run(time.Second) // requests that wait for connections end
-				}
-				t.Logf("at most %d in a second, %d in all", f.maxInSecond(), len(f.arrivals))
-				must.LessEq(t, coldRate+coldExtra, float64(f.maxInSecond()), must.Sprint(faults))
-				must.Greater(t, int(coldRate)*faultCount, len(f.arrivals), must.Sprint("arrivals"))
+				test(t, newColdFleet(t, seed, size.daemons, size.zones, 4*coldRate), faults)
 			})
 		}
 	}
 }
 
+// Guards against daemons that together send more to a cold instance than it takes, for any number of
+// daemons, while relays are killed, replaced or partitioned, the store is unavailable, daemons restart,
+// answers are lost and entries arrive 2 s late.
+func TestColdInstanceGetsNoMoreThanItsRate(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet, faultCount int) {
+		f.run(6 * time.Second)
+		var faults []string
+		for round := range faultCount {
+			duration := 3 * time.Second
+			if round%2 == 0 {
+				duration = 8 * time.Second
+			}
+			f.startInstance(duration, 2*time.Second)
+			f.run(time.Duration(f.rng.IntN(2500)) * time.Millisecond)
+			faults = append(faults, f.injectFault())
+			f.run(8 * time.Second)
+			f.stopInstance()
+			f.run(time.Second) // requests that wait for connections end
+		}
+		t.Logf("at most %d in a second, %d in all", f.maxInSecond(), len(f.arrivals))
+		must.LessEq(t, coldRate+coldExtra, float64(f.maxInSecond()), must.Sprint(faults))
+		must.Greater(t, int(coldRate)*faultCount, len(f.arrivals), must.Sprint("arrivals"))
+	})
+}
+
 // Guards against permits that hardly any daemon can use: while work waits and relays work, a cold
 // instance gets 0.8 of what it takes.
 func TestColdInstanceIsUsedWhereWorkWaits(t *testing.T) {
-	for _, size := range coldFleets {
-		for seed := range *coldSeeds {
-			t.Run(fmt.Sprint(size.daemons, "-daemons-", seed), func(t *testing.T) {
-				t.Parallel()
-				f := newColdFleet(t, seed, size.daemons, size.zones, 4*coldRate)
-				f.run(10 * time.Second)
-				f.startInstance(10*time.Second, 0)
-				f.run(10 * time.Second)
-				used := float64(len(f.arrivals)) / (10 * coldRate)
-				t.Logf("%.2f of the rate, at most %d in a second", used, f.maxInSecond())
-				must.GreaterEq(t, 0.8, used)
-				must.LessEq(t, coldRate+coldExtra, float64(f.maxInSecond()))
-			})
-		}
-	}
+	forColdFleets(t, func(t *testing.T, f *coldFleet, _ int) {
+		f.run(10 * time.Second)
+		f.startInstance(10*time.Second, 0)
+		f.run(10 * time.Second)
+		used := float64(len(f.arrivals)) / (10 * coldRate)
+		t.Logf("%.2f of the rate, at most %d in a second", used, f.maxInSecond())
+		must.GreaterEq(t, 0.8, used)
+		must.LessEq(t, coldRate+coldExtra, float64(f.maxInSecond()))
+	})
 }
 
 // Guards against daemons that together send too much to a cold instance while no relay grants permits for
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -187,19 +187,7 @@
 
 // Guards against an outcome that is reported as "not run" after a part of the request was sent.
 func TestUpstreamThatDoesNotReadTheRequestIsUnknown(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-			defer c.Close()
-		}
-	}()
+	address := startListener(t, func(c *net.TCPConn) { _ = c.SetReadBuffer(4 << 10) })
 	p := newTestPool()
 	p.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -208,9 +196,9 @@
 		}
 		return impatientConn{conn}, nil
 	}
-	call := newGetCall(l.Addr().String())
+	call := newGetCall(address)
 	call.Method, call.Body = http.MethodPost, make([]byte, 16<<20)
-	_, err = p.Do(t.Context(), call)
+	_, err := p.Do(t.Context(), call)
 	must.ErrorIs(t, err, ErrUnknown)
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	must.MapEmpty(t, p.openCount)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -188,22 +188,12 @@
 // not be written in that case; otherwise its outcome is unknown (140 responses "may have run" in
 // one incident).
 func TestRequestIsNotSentOnANewConnectionThatIsReset(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-		}
-	}()
-	call := newGetCall(l.Addr().String())
+	call := newGetCall(startListener(t, func(c *net.TCPConn) {
+		_ = c.SetLinger(0)
+		c.Close()
+	}))
 	call.NewConnection = true
-	_, err = readResponse(t, newTestPool(), call)
+	_, err := readResponse(t, newTestPool(), call)
 	must.ErrorIs(t, err, ErrNotSent)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -42,6 +42,26 @@
 	return "http://" + listener.Addr().String(), requests
 }
 
+// startListener accepts connections, calls onAccept for each, and returns its address. It closes them at
+// the end of the test.
+func startListener(t *testing.T, onAccept func(c *net.TCPConn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close() // when the listener is closed
+			onAccept(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
 func newRequest(t *testing.T, method, url, key string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(""))
