Bound the wait that a relay names with a very small rate of a cold instance

Cause: the time until the next permit is (1 - permits) / rate. With a rate of 1e-12 a second it exceeds what a duration holds and becomes negative, -2562 h on amd64, so that a refused daemon asks again after MinColdBlock (20 ms) in place of maxColdBlock (100 ms): five times the calls to the relay. Change: the wait is at most maxColdBlock, which is as long as a daemon waits in any case. The rate and the permits granted are unchanged.

--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -230,6 +230,17 @@
 	}
 }
 
+// Guards against a refusal that tells daemons to ask again at once because the configuration has a very small
+// rate: the time until the next permit exceeds what a duration holds.
+func TestTinyColdRateIsWaitedFor(t *testing.T) {
+	shares := Shares{Domain: "a", Domains: []string{"a"}, Count: 1}
+	for _, perSecond := range []float64{1e-6, 1e-9, 1e-12, 1e-300, 5e-324} {
+		a := (&ColdGrants{}).Take("i", perSecond, shares, simStart)
+		must.False(t, a.Granted)
+		must.GreaterEq(t, maxColdBlock, a.Wait, must.Sprint(perSecond))
+	}
+}
+
 // Guards against a memory that grows with each zone name that an evacuation ever had.
 func TestColdSweepForgetsZones(t *testing.T) {
 	cold, now := &Cold{}, simStart
--- a/internal/backpressure/coldgrants.go
+++ b/internal/backpressure/coldgrants.go
@@ -63,7 +63,8 @@
 	b.permits = min(b.permits+rate*now.Sub(b.refilledAt).Seconds(), capacity)
 	b.refilledAt = now
 	if b.permits < 1 {
-		return ColdAnswer{Granting: true, Wait: time.Duration((1 - b.permits) / rate * float64(time.Second))}
+		seconds := min((1-b.permits)/rate, maxColdBlock.Seconds()) // daemons wait no longer; with a very small rate it overflows
+		return ColdAnswer{Granting: true, Wait: time.Duration(seconds * float64(time.Second))}
 	}
 	b.permits--
 	return ColdAnswer{Granted: true, Granting: true}
