--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// Zone records that the evacuation of a zone ended: its instances are cold as after a start.
-func (c *Cold) Zone(zone string, endedAt time.Time) {
+// EvacuationEnded records that the evacuation of a zone ended: its instances are cold as after a start.
+func (c *Cold) EvacuationEnded(zone string, endedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.zoneSince == nil {
@@ -219,9 +219,8 @@
 	return cold
 }
 
-// ZoneCold records that the evacuation of a zone ended at a time: its instances are cold from then on
-// for as long as after a start.
-func (g *Gate) ZoneCold(zone string, endedAt time.Time) { g.Cold.Zone(zone, endedAt) }
+// ZoneCold is Cold.EvacuationEnded.
+func (g *Gate) ZoneCold(zone string, endedAt time.Time) { g.Cold.EvacuationEnded(zone, endedAt) }
 
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -244,7 +244,7 @@
 // Guards against a memory that grows with each zone name that an evacuation ever had.
 func TestColdSweepForgetsZones(t *testing.T) {
 	cold, now := &Cold{}, simStart
-	cold.Zone("z", now)
+	cold.EvacuationEnded("z", now)
 	cold.Sweep(coldRuleOf, now.Add(MaxCold), zap.NewNop())
 	must.MapContainsKey(t, cold.zoneSince, "z")
 	cold.Sweep(coldRuleOf, now.Add(MaxCold+1), zap.NewNop())
--- a/internal/formation/balance.go
+++ b/internal/formation/balance.go
@@ -75,8 +75,8 @@
 type capacityMove struct {
 	domain   *domainCapacity
 	from, to int    // indexes of the models
-	less     int    // groups of the first model
-	more     int    // groups of the other one
+	closed   int    // groups of the first model
+	gained   int    // groups of the other one
 	before   layout // the domain's before the move
 }
 
@@ -91,9 +91,9 @@
 	// minGain is the least factor by which a move for balance improves the headroom of the model
 	// that has least: each group moved costs loads and some seconds of its capacity.
 	minGain = 1.08
-	// minUse is the least part of the groups gained that a model must lack to get them at the expense
+	// minUsedShare is the least part of the groups gained that a model must lack to get them at the expense
 	// of a less urgent one that lacks capacity too.
-	minUse = 0.5
+	minUsedShare = 0.5
 )
 
 // balance returns the moves after which each model has what it needs, as far as that is possible. It
@@ -141,9 +141,9 @@
 	}
 }
 
-// headroom returns the ratio of capacity to need of a model with a number of groups more.
-func (b *balancer) headroom(model, more int) float64 {
-	return float64(b.capacity[model]+more) / b.needs[model].groups
+// headroom returns the ratio of capacity to need of a model with a number of additional groups.
+func (b *balancer) headroom(model, added int) float64 {
+	return float64(b.capacity[model]+added) / b.needs[model].groups
 }
 
 // nextMove returns the best move; ok is false if there is none. Moves for balance are considered only
@@ -197,32 +197,32 @@
 func (b *balancer) move(d *domainCapacity, from, to int) (capacityMove, bool) {
 	sizeFrom, sizeTo := b.models[from].ReplicaSize, b.models[to].ReplicaSize
 	free := max(d.size-d.layout.instances(b.models), 0)
-	more := max(sizeFrom/sizeTo, 1)
-	less := min((more*sizeTo+sizeFrom-1)/sizeFrom, d.layout[from])
-	settling := d.settling >= 0 && d.settling != to && len(d.serving[to]) < d.layout[to]+more // else the last move closed nothing yet
-	if less == 0 || less*sizeFrom+free < more*sizeTo || d.fixed || settling {
+	gained := max(sizeFrom/sizeTo, 1)
+	closed := min((gained*sizeTo+sizeFrom-1)/sizeFrom, d.layout[from])
+	settling := d.settling >= 0 && d.settling != to && len(d.serving[to]) < d.layout[to]+gained // else the last move closed nothing yet
+	if closed == 0 || closed*sizeFrom+free < gained*sizeTo || d.fixed || settling {
 		return capacityMove{}, false
 	}
-	return capacityMove{domain: d, from: from, to: to, less: less, more: more, before: d.layout}, true
+	return capacityMove{domain: d, from: from, to: to, closed: closed, gained: gained, before: d.layout}, true
 }
 
 // mayGive reports whether a model may give to one that is short: it keeps what it needs, or it is less
 // urgent and keeps one group.
 func (b *balancer) mayGive(m capacityMove) bool {
-	if b.capacity[m.from]-m.less < 1 {
+	if b.capacity[m.from]-m.closed < 1 {
 		return false
 	}
-	if b.headroom(m.from, -m.less) >= donorReserve {
+	if b.headroom(m.from, -m.closed) >= donorReserve {
 		return true
 	}
 	lacking := b.needs[m.to].groups - float64(b.capacity[m.to])
-	return b.needs[m.from].urgency > b.needs[m.to].urgency && lacking >= minUse*float64(m.more)
+	return b.needs[m.from].urgency > b.needs[m.to].urgency && lacking >= minUsedShare*float64(m.gained)
 }
 
 // improves reports whether the model with less headroom has clearly more after a move.
 func (b *balancer) improves(m capacityMove) bool {
-	after := min(b.headroom(m.from, -m.less), b.headroom(m.to, m.more))
-	return b.capacity[m.from]-m.less >= 1 && after >= minGain*b.headroom(m.to, 0)
+	after := min(b.headroom(m.from, -m.closed), b.headroom(m.to, m.gained))
+	return b.capacity[m.from]-m.closed >= 1 && after >= minGain*b.headroom(m.to, 0)
 }
 
 // preferred reports whether move a is better than c, which is between the same models. A move that an
@@ -230,7 +230,7 @@
 // the fewest groups of the model is chosen, so that the loss of a zone costs each model the same.
 func (b *balancer) preferred(a, c capacityMove) bool {
 	begun := func(m capacityMove) int {
-		return boolToInt(m.domain.staged[m.to] >= (m.domain.layout[m.to]+m.more)*b.models[m.to].ReplicaSize)
+		return boolToInt(m.domain.staged[m.to] >= (m.domain.layout[m.to]+m.gained)*b.models[m.to].ReplicaSize)
 	}
 	mixed := func(m capacityMove) int { return boolToInt(m.domain.layout[m.to] > 0) }
 	return cmp.Or(
@@ -246,8 +246,8 @@
 func (b *balancer) apply(m capacityMove) {
 	b.count(m.domain, -1)
 	l := slices.Clone(m.domain.layout)
-	l[m.from] -= m.less
-	l[m.to] += m.more
+	l[m.from] -= m.closed
+	l[m.to] += m.gained
 	m.domain.layout = l.fit(b.models, m.domain.size)
 	b.count(m.domain, 1)
 }
--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -80,10 +80,10 @@
 // missing.
 func unreportedFactor(d modelDemand, serving int) float64 {
 	served := d.work * (1 - d.refused)
-	if d.refused < refusedShort || served <= 0 {
+	if d.refused < overloadRefusedShare || served <= 0 {
 		return 1
 	}
-	return min(max(float64(serving)/served, 1), maxUnreported)
+	return min(max(float64(serving)/served, 1), maxUnreportedFactor)
 }
 
 // median returns the median of one figure of the samples.
--- a/internal/formation/move.go
+++ b/internal/formation/move.go
@@ -147,7 +147,7 @@
 				available += hostsWith(g, m)
 			}
 		}
-		if available < m.ReplicaSize || float64(serving[from]-len(chosen)) < pl.keeps(from, to, serving) {
+		if available < m.ReplicaSize || float64(serving[from]-len(chosen)) < pl.minServing(from, to, serving) {
 			continue
 		}
 		for _, g := range chosen {
@@ -159,9 +159,9 @@
 	return out
 }
 
-// keeps returns how many groups of a model serve at least while its domains move to another one: what it
+// minServing returns how many groups of a model serve at least while its domains move to another one: what it
 // needs. If the other one is more urgent and lacks capacity, it is what the layouts leave.
-func (pl *placement) keeps(from, to int, serving []int) float64 {
+func (pl *placement) minServing(from, to int, serving []int) float64 {
 	if pl.needs[to].urgency < pl.needs[from].urgency && float64(serving[to]) < pl.needs[to].groups {
 		return max(min(pl.minimum[from], float64(pl.totals[from])), 1)
 	}
--- a/internal/formation/placement.go
+++ b/internal/formation/placement.go
@@ -24,15 +24,15 @@
 	evacuationHold = 20 * time.Second
 	// settleTime is how long after a move a domain is not moved away from the model it got.
 	settleTime = 30 * time.Second
-	// fallenDemand is the part of the demand that caused a move from which it counts as fallen.
-	fallenDemand = 0.9
+	// fallenDemandRatio is the part of the demand that caused a move from which it counts as fallen.
+	fallenDemandRatio = 0.9
 	// restTime is how long after a reversal nothing moves against it: three times what a move takes.
 	restTime = 60 * time.Second
-	// refusedShort is the fraction of refused requests from which a model counts as overloaded,
+	// overloadRefusedShare is the fraction of refused requests from which a model counts as overloaded,
 	// whatever its reported work.
-	refusedShort = 0.1
-	// maxUnreported is the largest factor by which reports may be too low: half of them may be lost.
-	maxUnreported = 2
+	overloadRefusedShare = 0.1
+	// maxUnreportedFactor is the largest factor by which reports may be too low: half of them may be lost.
+	maxUnreportedFactor = 2
 )
 
 // placement is what a planner knows of the demand and the capacity of its service, and the layouts that
@@ -171,7 +171,7 @@
 	pl.layouts[m.domain.name] = m.domain.layout
 	p.assigned[m.domain.name] = engine.Models[m.domain.layout.main(engine.Models)].Name
 	move := p.describe(m.domain, m.from, m.to)
-	move.Closed, move.Gained = m.less, m.more
+	move.Closed, move.Gained = m.closed, m.gained
 	earlier, moved := pl.movedAt[m.domain.name]
 	if moved && m.to == earlier.from && !earlier.begun(m.domain) {
 		move.Canceled = true // it takes back a part of a move that has closed nothing
@@ -210,7 +210,7 @@
 		if d == nil || last.begun(d) {
 			continue
 		}
-		if need < fallenDemand*last.required && float64(serving[last.to]) >= donorReserve*need {
+		if need < fallenDemandRatio*last.required && float64(serving[last.to]) >= donorReserve*need {
 			pl.layouts[name], d.layout, d.settling = last.before, last.before, -1
 			delete(pl.movedAt, name)
 			move := p.describe(d, last.to, last.from)
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -51,7 +51,7 @@
 // coldSurcharge makes daemons prefer warm targets among those of about the same load: a request to a cold
 // one needs a permit, and permits are few.
 func (d *Daemon) coldSurcharge(t *dispatch.Target) float64 {
-	if d.coldServices() && d.gate.Cold.IsColdInstance(t.Instance, d.coldRule, d.Clock.Now()) {
+	if d.limitsColdInstances() && d.gate.Cold.IsColdInstance(t.Instance, d.coldRule, d.Clock.Now()) {
 		return coldSurcharge
 	}
 	return 0
@@ -60,8 +60,8 @@
 // coldSurcharge is the surcharge of a cold target, in requests in flight.
 const coldSurcharge = 2
 
-// coldServices reports whether the configuration has a rule on cold instances.
-func (d *Daemon) coldServices() bool {
+// limitsColdInstances reports whether the configuration has a rule on cold instances.
+func (d *Daemon) limitsColdInstances() bool {
 	table := d.config.Table()
 	return table != nil && table.LimitsColdInstances()
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -46,8 +46,8 @@
 const (
 	// maxEventBytes limits an event, and the empty lines between two events.
 	maxEventBytes = 1 << 20
-	// freeEventBytes is the size up to which an event is not accounted.
-	freeEventBytes = 4 << 10
+	// unaccountedEventBytes is the size up to which an event is not accounted.
+	unaccountedEventBytes = 4 << 10
 	// maxKeptEventBytes is the largest buffer that is kept for the next event.
 	maxKeptEventBytes = 64 << 10
 )
@@ -119,7 +119,7 @@
 	if size > maxEventBytes {
 		return errEventTooLarge
 	}
-	if size > cap(r.buf) && size > freeEventBytes {
+	if size > cap(r.buf) && size > unaccountedEventBytes {
 		if r.holder == nil {
 			r.holder = r.memory.NewHolder(r.onEnd)
 		}
--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -165,30 +165,27 @@
 func TestStreamsThatHoldMostAreEndedWhenTheBudgetIsSpent(t *testing.T) {
 	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
 		r.gateway.Memory = membudget.New(64 << 10)
-		var modest atomic.Int64
 		r.simFleet.serve = func(s *simSend) {
 			s.header()
 			size := 64
-			if s.requestID == "greedy" {
+			if s.requestID == "large" {
 				size = 2 << 10
-			} else {
-				modest.Add(1)
 			}
 			for id := 1; id <= 64 && s.wait(eventInterval); id++ {
 				s.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", size)))
 			}
 			s.finish()
 		}
-		greedy := r.callAs(&simCaller{id: "greedy", blockedFrom: 2, writeDeadline: make(chan struct{})})
-		calm := r.callAs(&simCaller{id: "calm", onWrite: pauseAt(2, callerPause)})
-		<-greedy.done
+		large := r.callAs(&simCaller{id: "large", blockedFrom: 2, writeDeadline: make(chan struct{})})
+		small := r.callAs(&simCaller{id: "small", onWrite: pauseAt(2, callerPause)})
+		<-large.done
 		must.SliceEmpty(t, r.gateway.Picker.Unhealthy(r.gateway.runClockNow()), must.Sprint("replicas are blamed for a slow caller"))
-		must.True(t, greedy.aborted)
-		must.StrContains(t, strings.Join(r.logOf("greedy"), ""), reasonSlowCaller)
-		<-calm.done
-		must.False(t, calm.aborted)
-		must.Eq(t, 64, strings.Count(calm.body.String(), "\n\n"))
-		must.SliceLen(t, 1, r.sendsOf("greedy"), must.Sprint("not sent again"))
+		must.True(t, large.aborted)
+		must.StrContains(t, strings.Join(r.logOf("large"), ""), reasonSlowCaller)
+		<-small.done
+		must.False(t, small.aborted)
+		must.Eq(t, 64, strings.Count(small.body.String(), "\n\n"))
+		must.SliceLen(t, 1, r.sendsOf("large"), must.Sprint("not sent again"))
 		u := r.gateway.Memory.Usage()
 		must.Eq(t, 1, u.Ended)
 		must.Zero(t, u.Streams+u.Ending+u.Bodies)
--- a/internal/gateway/peerfaults.go
+++ b/internal/gateway/peerfaults.go
@@ -8,8 +8,8 @@
 	"pearlanding/internal/upstream"
 )
 
-// blameless reports whether the error of a send says nothing about its target.
-func blameless(err error) bool {
+// unrelatedToTarget reports whether the error of a send says nothing about its target.
+func unrelatedToTarget(err error) bool {
 	return errors.Is(err, upstream.ErrWithheld) || errors.Is(err, upstream.ErrNoPath) || errors.Is(err, upstream.ErrMemory)
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -82,7 +82,7 @@
 // must not be sent again; the caller has been answered then.
 func (x *exchange) plainSendFailed(attempt context.Context, s *send, err error) bool {
 	x.recordEnd(s, endCause(attempt, err))
-	if !blameless(err) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
+	if !unrelatedToTarget(err) && (attempt.Err() == nil || errors.Is(context.Cause(attempt), errTooSlow)) {
 		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrConnectionLimit) {
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -198,13 +198,13 @@
 // brokeOff reports whether the replica broke off the connection, or may have: a stream whose end neither a
 // length nor chunks mark ends like a complete one, before its first event or inside one.
 func (f sendFailure) brokeOff() bool {
-	return !f.canceled && !blameless(f.err) && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errNoEvents) || errors.Is(f.err, errPartialEvent))
+	return !f.canceled && !unrelatedToTarget(f.err) && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errNoEvents) || errors.Is(f.err, errPartialEvent))
 }
 
 // recordFailure records a send whose stream did not complete.
 func (x *exchange) recordFailure(s *streamSend, f sendFailure) {
 	x.recordEnd(s.send, f.cause)
-	if !blameless(f.err) && !f.canceled {
+	if !unrelatedToTarget(f.err) && !f.canceled {
 		x.gateway.suspect(s.target, s.begunAt)
 	}
 	if !errors.Is(f.err, upstream.ErrNotSent) && !errors.Is(f.err, upstream.ErrConnectionLimit) {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -18,8 +18,8 @@
 	// maxHeadLines is the number of lines after which no more is read. Each header takes some 200 bytes
 	// of memory, however short it is.
 	maxHeadLines = 512
-	// freeHeadBytes is the size up to which a head is not accounted to the budget of the daemon.
-	freeHeadBytes = readBufferBytes
+	// unaccountedHeadBytes is the size up to which a head is not accounted to the budget of the daemon.
+	unaccountedHeadBytes = readBufferBytes
 	// headMemoryFactor is the memory that the rest of a head takes per byte: in the buffer that its line is
 	// collected in, and in the parsed header.
 	headMemoryFactor = 2
@@ -56,7 +56,7 @@
 	}
 	p = p[:min(len(p), maxHeadBytes-l.bytes)]
 	need := 0
-	if l.bytes >= freeHeadBytes {
+	if l.bytes >= unaccountedHeadBytes {
 		need = headMemoryFactor * len(p)
 	}
 	if !l.budget.TakeBody(need) {
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -133,7 +133,7 @@
 		must.NoError(t, err)
 		must.Eq(t, 1, n)
 	}
-	must.Eq(t, headMemoryFactor*(maxHeadBytes-freeHeadBytes), memory.Usage().Bodies)
+	must.Eq(t, headMemoryFactor*(maxHeadBytes-unaccountedHeadBytes), memory.Usage().Bodies)
 	_, err := l.Read(p)
 	must.ErrorIs(t, err, ErrHeadTooLarge)
 	l.release()
@@ -194,7 +194,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return impatientConn{conn}, nil
+		return shortDeadlineConn{conn}, nil
 	}
 	call := newGetCall(address)
 	call.Method, call.Body = http.MethodPost, make([]byte, 16<<20)
@@ -204,10 +204,10 @@
 	must.MapEmpty(t, p.openCount)
 }
 
-// impatientConn shortens the time limit of writes to a hundredth.
-type impatientConn struct{ net.Conn }
+// shortDeadlineConn shortens the time limit of writes to a hundredth.
+type shortDeadlineConn struct{ net.Conn }
 
-func (c impatientConn) SetWriteDeadline(t time.Time) error {
+func (c shortDeadlineConn) SetWriteDeadline(t time.Time) error {
 	if !t.IsZero() {
 		t = time.Now().Add(time.Until(t) / 100)
 	}
