Comments of the change for the hard load: units, errors, reasons

Some tests do not say which failure they guard against. Change: such comments state the unit, the errors, the reason or the failure; figures behind a constant stay. The magic 512 of encodeHead is headRoom.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -34,22 +34,23 @@
 	Service string
 	Zone    string
 	Version uint64
-	Left    time.Duration // how much longer the instance is cold, by its own account
-	// Reported: the entry says whether the instance is cold, and Left is 0 if it is not.
+	Left    time.Duration // how much longer the instance reports itself cold
+	// Reported is true if the entry states whether the instance is cold; Left is 0 if it is not.
 	Reported bool
-	// First: the entry was there when this daemon started.
+	// First is true if the entry was there when this daemon started.
 	First bool
-	// BeforeTraffic: the deployment has had no request yet. Instances that start then are not cold.
+	// BeforeTraffic is true if the deployment has had no request yet. Instances that start then are not
+	// cold.
 	BeforeTraffic bool
 }
 
-// Cold knows which instances are cold: those that started or whose zone's evacuation ended a short
-// while ago, and those that say so. What is not known for certain counts as cold. The zero value is
-// ready to use. Safe for concurrent use; time is passed in.
+// Cold tracks which instances are cold: those that started, or whose zone's evacuation ended, a short
+// while ago, and those that report it themselves. What is not known for certain counts as cold. The zero
+// value is ready to use. Safe for concurrent use; time is passed in.
 type Cold struct {
-	// startBound is the latest start or end of an evacuation, untilBound the latest time until which
-	// an instance says to be cold, blockBound the latest end of a block: requests need no lock
-	// while all of them are past. Unix nanoseconds.
+	// startBound is the latest start or end of an evacuation, untilBound the latest time until which an
+	// instance reports itself cold, blockBound the latest end of a block. While all of them are past,
+	// requests need no lock. Unix nanoseconds of steady.Clock, whose times have no monotonic reading.
 	startBound, untilBound, blockBound atomic.Int64
 
 	mu        sync.Mutex
@@ -61,17 +62,17 @@
 // coldInstance is what is known of the instance with an id. Requests for an earlier incarnation reach
 // the latest one, so the state is not kept by incarnation.
 type coldInstance struct {
-	startedAt int64
+	startedAt int64 // of the latest incarnation, in Unix milliseconds; 0: its entry does not state it
 	service   string
 	zone      string
 	version   uint64
-	since     time.Time // when this daemon first saw it
-	// age is how old it was then by its own account, if this daemon found it at its own start, and
-	// unlimited before the deployment's first request or if its entries say whether it is cold; 0: it
-	// may have started just then.
+	since     time.Time // when this daemon first saw that incarnation
+	// age is how long it had run then. It is taken from the entry's start time if this daemon found the
+	// instance at its own start. It is unlimited if the deployment had had no request, or if the entry
+	// reports whether the instance is cold. 0: it may just have started.
 	age         time.Duration
-	entryUntil  time.Time // until when it is cold by its entry
-	signalUntil time.Time // until when it is cold by its answers
+	entryUntil  time.Time // until when it is cold according to its entry
+	signalUntil time.Time // until when it is cold according to its responses
 	removedAt   time.Time // zero: it has an entry
 	// blockedUntil is until when this daemon asks for no permit for it.
 	blockedUntil time.Time
@@ -107,7 +108,7 @@
 		c.instances[e.Instance] = in
 	}
 	in.service, in.zone, in.removedAt = e.Service, e.Zone, time.Time{}
-	if e.Version > in.version || e.Version == 0 { // a listing shows entries again that are known
+	if e.Version > in.version || e.Version == 0 { // listings repeat known entries
 		in.version, in.entryUntil = e.Version, now.Add(e.Left)
 		raise(&c.untilBound, in.entryUntil)
 	}
@@ -135,7 +136,7 @@
 	raise(&c.startBound, endedAt)
 }
 
-// signal records that an instance said to be cold for a while longer.
+// signal records that a response of an instance reported it cold for a while longer.
 func (c *Cold) signal(instance string, left time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,8 +190,8 @@
 	return end
 }
 
-// Sweep forgets instances that were removed and evacuations that ended long ago, logs which instances became cold or warm, and
-// returns the number of cold ones. rule returns the rule of a service.
+// Sweep forgets instances that were removed, and evacuations that ended, long ago. It logs which instances
+// became cold or warm, and returns the number of cold ones. rule returns the rule of a service.
 func (c *Cold) Sweep(rule func(service string) ColdRule, now time.Time, log *zap.Logger) (cold int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/backpressure/coldgrants.go
+++ b/internal/backpressure/coldgrants.go
@@ -7,10 +7,10 @@
 
 // Parameters of the grants for cold instances.
 const (
-	// coldGrantShare is the part of the rule's rate that is granted: sends within a second may hold the
-	// permits of 1.1 s, and a few more are sent without permits where relays are lost.
+	// coldGrantShare is the part of the rule's rate that is granted. The sends within a second may hold the
+	// permits of 1.1 s (ColdPermitTTL), and some are sent without permits where relays are lost.
 	coldGrantShare = 0.92
-	// coldBurst is the rule's burst. The domains share it evenly.
+	// coldBurst is the rule's burst in requests. The domains share it evenly.
 	coldBurst = 5.0
 	// coldBurstTime is how long permits accumulate after there is one, while no daemon asks for them:
 	// most refused daemons ask again within that time.
@@ -63,7 +63,8 @@
 	b.permits = min(b.permits+rate*now.Sub(b.refilledAt).Seconds(), capacity)
 	b.refilledAt = now
 	if b.permits < 1 {
-		seconds := min((1-b.permits)/rate, maxColdBlock.Seconds()) // daemons wait no longer; with a very small rate it overflows
+		// Daemons wait no longer than maxColdBlock. With a very small rate, a duration would overflow.
+		seconds := min((1-b.permits)/rate, maxColdBlock.Seconds())
 		return ColdAnswer{Granting: true, Wait: time.Duration(seconds * float64(time.Second))}
 	}
 	b.permits--
--- a/internal/backpressure/coldpermit.go
+++ b/internal/backpressure/coldpermit.go
@@ -22,7 +22,8 @@
 	// without permits.
 	coldGrantTimeout = time.Second
 	// coldUnpermittedShare is the part of the rule's rate that all daemons together use without
-	// permits while nobody grants any. Some of them may be cut off from relays that do grant.
+	// permits while nobody grants any. It is small because some of them may only be cut off from relays
+	// that do grant.
 	coldUnpermittedShare = 0.1
 	// unpermittedSendTTL is how long a drawn time of a send without a permit may be used. Without it,
 	// times that passed while there was no work would be used together.
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -22,7 +22,7 @@
 	// uniform returns a random duration in [low, high).
 	uniform func(low, high time.Duration) time.Duration
 
-	// Cold knows which instances are cold.
+	// Cold tracks which instances are cold and the permits for them.
 	Cold Cold
 
 	// version rises with each incarnation of which something becomes known.
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -30,12 +30,12 @@
 	Backoff time.Duration
 	// Leaving reports that the instance stops soon and accepts no new requests.
 	Leaving bool
-	// Cold is for how much longer the instance is cold; 0: it does not say.
+	// Cold is for how much longer the instance reports itself cold; 0: it is not, or it does not report it.
 	Cold time.Duration
 }
 
 // MaxBackoff replaces longer backoffs.
 const MaxBackoff = 10 * time.Minute
 
-// MaxCold replaces longer times for which an instance is cold, by its own account or by the configuration.
+// MaxCold replaces longer times for which an instance is cold, as reported by itself or as configured.
 const MaxCold = 10 * time.Minute
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -27,7 +27,8 @@
 	Work     float64 `json:"work"`     // seconds of one full replica that Requests take
 }
 
-// maxRate bounds each figure of a rate: more than any fleet serves, and its sums remain finite.
+// maxRate is the largest value of each figure of a valid rate. It is more than any fleet serves, and sums
+// of such values remain finite.
 const maxRate = 1e9
 
 // Valid reports whether all figures are possible. Reports of other daemons may be of another version.
@@ -76,8 +77,8 @@
 
 // Parameters of the measurement.
 const (
-	// window is the period over which rates are measured: with a few requests a second at each of
-	// hundreds of daemons a shorter one shows chance, and a burst lasts some seconds.
+	// window is the period over which rates are measured. Each of hundreds of daemons gets a few requests
+	// a second, so that a shorter one measures chance; a burst, which must be seen, lasts some seconds.
 	window = time.Second
 	// slotCount is the number of slots of the window; counts leave it slot by slot.
 	slotCount = 8
@@ -95,7 +96,7 @@
 
 // slot holds the counts of one part of the window.
 type slot struct {
-	number int64 // of the part since one window before the first request
+	number int64 // counted from one window before the first request
 	counts Rate
 }
 
--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -27,6 +27,7 @@
 	}
 }
 
+// notifyRemoved calls OnRemoved for an instance whose entry was removed.
 func (f *Follower) notifyRemoved(id string) {
 	if f.OnRemoved != nil {
 		f.OnRemoved(id)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -53,8 +53,8 @@
 	// UpdatePause returns the pause after a call that brought changes; nil: defaultUpdatePause.
 	UpdatePause func() time.Duration
 	// OnEntry, if set, is called with each entry received that describes the latest known incarnation of
-	// an instance, before a view contains it; first: no view has been published yet. OnRemoved is called
-	// with the ids of removed entries.
+	// an instance, before a view contains it. first is true until a view was published. OnRemoved, if set,
+	// is called with the ids of removed entries. Both are called by the goroutine of Run.
 	OnEntry      func(in *Instance, first bool)
 	OnRemoved    func(id string)
 	provedAt     steady.Time // when the last call that succeeded was sent
--- a/internal/formation/assign.go
+++ b/internal/formation/assign.go
@@ -15,8 +15,7 @@
 
 // assign chooses the model of each domain. A domain keeps its assigned model, or the one that
 // most of its instances hold. Each remaining domain gets a model that is short of its share,
-// spread over zones.
-// Models whose demand exceeds their capacity then get parts of other domains.
+// spread over zones. Models whose demand exceeds their capacity then get parts of other domains.
 func (p *Planner) assign(state *planState, now time.Time) assignment {
 	v, engine := state.view, state.engine
 	byDomain := map[string][]*fleet.Instance{}
--- a/internal/formation/balance.go
+++ b/internal/formation/balance.go
@@ -59,8 +59,8 @@
 	usable  []int            // of these, instances that are in no ready group of another model
 	serving [][]*fleet.Group // groups that serve and are not being closed, by model
 	closing []fleet.GroupKey // groups that close because their instances move
-	lack    []int            // instances that must yet load each model; nil: no layout was chosen for the domain
-	fixed   bool             // its zone is evacuated
+	lack    []int            // instances that have yet to load each model; nil: no layout was chosen for the domain
+	fixed   bool             // nothing moves in it: its zone is evacuated, or all its instances were lost a moment ago
 	// settling is the index of the model to which the domain was moved recently, -1: none.
 	settling int
 }
@@ -96,11 +96,11 @@
 	minUsedShare = 0.5
 )
 
-// balance returns the moves after which each model has what it needs, as far as that is possible. It
-// returns none unless a model is short of its need. Short models are served in the order of their
-// urgency, then of their deficit. Once models have what they need, the spare capacity is divided
-// evenly: it replaces domains that are lost. Nothing moves between the resting pairs of models. The
-// domains' layouts are changed accordingly.
+// balance returns the moves after which each model has what it needs, as far as that is possible, and
+// changes the domains' layouts accordingly. It returns none unless a model is short of its need. Short
+// models get groups in the order of their urgency, then of their deficit. Once models have what they need,
+// the spare capacity is divided evenly, as it replaces domains that are lost. Nothing moves in the
+// directions that are resting.
 func balance(models []routes.Model, needs []modelNeed, domains []*domainCapacity, resting map[modelPair]bool) []capacityMove {
 	b := &balancer{models: models, needs: needs, domains: domains, resting: resting, capacity: make([]int, len(models)), byZone: map[string][]int{}}
 	for _, d := range domains {
@@ -118,9 +118,10 @@
 	return out
 }
 
-// maxMovesPerDomain bounds the number of moves that one balance makes.
+// maxMovesPerDomain bounds the number of moves that one call of balance makes, per domain.
 const maxMovesPerDomain = 8
 
+// balancer is the state of one call of balance.
 type balancer struct {
 	models   []routes.Model
 	needs    []modelNeed
--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -10,14 +10,16 @@
 
 // Smoothing of the reported demand.
 const (
-	sampleInterval = 250 * time.Millisecond // that of the reports
+	// sampleInterval is the interval of the reports of demand.
+	sampleInterval = 250 * time.Millisecond
 	// historySamples is the number of samples whose median counts: 10.5 s. A burst of 4 s is visible
 	// for 5 s, as rates are those of the last second, and does not move the median; a change that
 	// lasts does after 5.25 s. A moving average would follow a short but high burst.
 	historySamples = 42
 	// maxSampleGap is the longest time without a sample that the next one stands for.
 	maxSampleGap = 2 * time.Second
-	// urgentShare is the least part of a model's work by which a priority counts for the model.
+	// urgentShare is the least part of a model's work that requests of a priority make up for the priority to
+	// count for the model.
 	urgentShare = 0.1
 )
 
--- a/internal/formation/orders_unchanged_test.go
+++ b/internal/formation/orders_unchanged_test.go
@@ -35,13 +35,14 @@
 	return fmt.Sprintf("%016x", hash.Sum64())
 }
 
-// Hashes of all orders that 27b2bf8 gave, which did not know the demand, for six domains and for one
-// that the models share.
+// Hashes of all orders that the planner gave before it knew the demand (27b2bf8), for six domains and for
+// one that the models share.
 const (
 	ordersOfSixDomains = "93ec2109446b86b6"
 	ordersOfOneDomain  = "e8d8b1c7b83df310"
 )
 
+// Guards against changes of the orders where the demand is not known.
 func TestOrdersWithoutDemandAreUnchanged(t *testing.T) {
 	test.Eq(t, ordersOfSixDomains, ordersHash(t, 6, func(*Planner) {}))
 	test.Eq(t, ordersOfOneDomain, ordersHash(t, 1, func(*Planner) {}))
--- a/internal/formation/placement.go
+++ b/internal/formation/placement.go
@@ -12,19 +12,20 @@
 // Rules of placement by demand.
 const (
 	// targetUtilization is the part of a group's time that may be in use before its model counts as
-	// short. Arrivals vary by a tenth within seconds, and at 0.82 of the nominal capacity requests
-	// waited for seconds in a run of the users' first day.
+	// short. Arrivals vary by a tenth within seconds, and requests have waited for seconds at 0.82 of the
+	// nominal capacity.
 	targetUtilization = 0.85
-	// minServingPart bounds what stalls are taken to cost a group.
+	// minServingPart is the least part of its time that a group is taken to serve, however many members it
+	// has whose deaths stall it.
 	minServingPart = 0.5
-	// capacityHold is how long a domain's loss of instances is not counted: entries lapse and
-	// instances restart within seconds.
+	// capacityHold is for how long a domain that lost instances is still counted with them: entries that
+	// lapse return, and instances restart, within seconds.
 	capacityHold = 5 * time.Second
 	// evacuationHold is how long an evacuated zone still counts as capacity: as long as a move takes.
 	evacuationHold = 20 * time.Second
 	// settleTime is how long after a move a domain is not moved away from the model it got.
 	settleTime = 30 * time.Second
-	// fallenDemandRatio is the part of the demand that caused a move from which it counts as fallen.
+	// fallenDemandRatio is the ratio to the demand that caused a move below which the demand counts as fallen.
 	fallenDemandRatio = 0.9
 	// restTime is how long after a reversal nothing moves against it: three times what a move takes.
 	restTime = 60 * time.Second
@@ -48,7 +49,7 @@
 	reversed  map[modelPair]time.Time // last move that reversed one in the other direction
 	evacuated map[string]time.Time    // since when, by zone
 	retiring  map[fleet.GroupKey]bool
-	moves     []Move // not taken yet
+	moves     []Move // decided since the last TakeMoves
 
 	// Of the current plan.
 	domains map[string]*domainCapacity
@@ -61,7 +62,7 @@
 type lastMove struct {
 	at       time.Time
 	from, to int
-	required float64 // groups that the gaining model needed
+	required float64 // number of groups that the gaining model needed
 	before   layout  // the domain's layout before the moves of that time
 }
 
--- a/internal/formation/placement_sim_test.go
+++ b/internal/formation/placement_sim_test.go
@@ -9,8 +9,8 @@
 	"pearlanding/internal/routes"
 )
 
-// placementSim is a simulation of 171 engines in nine domains of three zones, with the models of the
-// users' sites, and of the demand for them.
+// placementSim is a simulation of 171 engines in nine domains of three zones, with the models of
+// docs/design/hard-load.md, and of the demand for them.
 type placementSim struct {
 	*sim
 	planner *Planner
--- a/internal/formation/placement_test.go
+++ b/internal/formation/placement_test.go
@@ -28,8 +28,8 @@
 	return s
 }
 
-// Guards against the fault of the first ticketing day: with equal shares the small model was overloaded
-// from the start while the large one used a third of its groups.
+// Guards against a model that stays overloaded because its configured share is too small: with equal shares
+// the small model was overloaded from the start while the large one used a third of its groups.
 func TestCapacityFollowsDemandFromTheStart(t *testing.T) {
 	s := startedSim(t)
 	s.demand = after(trafficStart, nil, work(3.7, 13.1))
@@ -43,6 +43,8 @@
 	test.LessEq(t, 81, mostWithin(s.loads, simWindow))
 }
 
+// Guards against capacity that does not follow the demand a second time or in the other direction, and against
+// models that lose groups which they need, or domains that move to and fro, meanwhile.
 func TestCapacityFollowsDemandDuringTrafficAndBack(t *testing.T) {
 	s := startedSim(t)
 	s.demand = after(trafficStart, nil, work(5.5, 9))
@@ -95,6 +97,8 @@
 	}
 }
 
+// Guards against a model that loses its last group because nobody asks for it: its next request would wait for
+// a load.
 func TestModelWithoutDemandKeepsItsMinimum(t *testing.T) {
 	s := newPlacementSim(t, 0.3, 0.3, 0.4)
 	s.runUntil(trafficStart, nil)
@@ -217,6 +221,7 @@
 	test.Eq(t, 0, s.closes)
 }
 
+// Guards against a model that stays short after it lost domains while another one has groups to spare.
 func TestCapacityOfLostDomainsIsReplaced(t *testing.T) {
 	s := startedSim(t)
 	s.demand = after(0, nil, work(2.2, 10.5))
@@ -229,6 +234,8 @@
 	test.GreaterEq(t, 4, s.serving()["large"])
 }
 
+// Guards against groups of an evacuated zone that count as capacity for longer than a move takes, groups that
+// form there, and moves for a short evacuation.
 func TestEvacuatedZoneIsNoCapacity(t *testing.T) {
 	s := startedSim(t)
 	s.demand = after(0, nil, work(2.2, 10.5))
@@ -286,7 +293,7 @@
 	test.Eq(t, 0, s.closes)
 }
 
-// Deployments whose shares fit get the same orders as before.
+// Guards against changes of the orders for deployments whose shares fit the demand.
 func TestOrdersWithFittingDemandAreUnchanged(t *testing.T) {
 	fits := func(large, small float64) func(p *Planner) {
 		return func(p *Planner) {
--- a/internal/formation/prestage_test.go
+++ b/internal/formation/prestage_test.go
@@ -47,7 +47,7 @@
 	test.Less(t, loads+20, len(s.loads), test.Sprint("hosts of spares only"))
 }
 
-// The other direction, with the models' roles exchanged.
+// Guards against capacity that follows the demand only if the small model is the one that is short.
 func TestCapacityFollowsDemandForTheLargeModelWithinSeconds(t *testing.T) {
 	s := prestagedSim(t, 40*time.Second)
 	s.demand = after(trafficStart, nil, work(9, 6))
@@ -107,8 +107,8 @@
 	test.GreaterEq(t, 5, s.serving()["large"])
 }
 
-// Guards against capacity that moves where daemons admit requests by their own knowledge: nine daemons lost a
-// quarter of the credit of their worst class of requests.
+// Guards against capacity that moves where daemons admit requests by their own knowledge: with nine daemons, the
+// class of requests that was served worst lost a quarter of its credit.
 func TestModelsAreNotPlacedByDemandUnlessItIsFollowed(t *testing.T) {
 	rates := []demand.Rate{{Key: demand.Key{Service: simService, Model: "small"}, Requests: 1, Work: 100}}
 	follows := false
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -17,7 +17,7 @@
 }
 
 // followCold passes the entries of instances on to the gate, which derives from them which instances are
-// cold. All services are tracked, as the configuration may become known after the entries.
+// cold. It tracks the instances of all services, as the configuration may become known after the entries.
 func (d *Daemon) followCold() {
 	d.instances.OnEntry = func(in *fleet.Instance, first bool) {
 		d.gate.Cold.Entry(backpressure.ColdEntry{Incarnation: backpressure.Incarnation{Instance: in.ID, StartedAt: in.StartedAt},
@@ -48,8 +48,8 @@
 	return backpressure.ColdRule{Duration: s.ColdStart, PerSecond: s.ColdPerSecond}
 }
 
-// coldSurcharge makes daemons prefer warm targets among those of about the same load: a request to a cold
-// one needs a permit, and permits are few.
+// coldSurcharge returns the surcharge of a target in requests in flight. With it, daemons prefer warm targets
+// among those of about the same load: a request to a cold one needs a permit, and permits are few.
 func (d *Daemon) coldSurcharge(t *dispatch.Target) float64 {
 	if d.limitsColdInstances() && d.gate.Cold.IsColdInstance(t.Instance, d.coldRule, d.Clock.Now()) {
 		return coldSurcharge
--- a/internal/front/demand.go
+++ b/internal/front/demand.go
@@ -12,14 +12,14 @@
 	receivedAt time.Time
 }
 
-// fleetDemandTTL is how long reported demand is used: after that the daemon has lost its relay or,
-// being one, all others.
+// fleetDemandTTL is how long reported demand is used. Reports come four times a second: without one for so
+// long, the daemon has lost its relay or, if it is a relay itself, all others.
 const fleetDemandTTL = 3 * time.Second
 
-// followsDemand reports whether models are placed by demand: in fleets whose daemons admit requests by the
-// load of all. In smaller ones they admit by their own requests, which does not keep a model in time
-// at the utilization that the planner aims at: on a quiet day of nine daemons its worst class of
-// requests fell from 0.85 to 0.62 of its credit.
+// followsDemand reports whether models are placed by demand. They are in fleets whose daemons admit requests
+// by the load of all daemons. Daemons of smaller fleets admit by their own requests, which does not keep
+// requests in time at the utilization that the planner aims at: with nine daemons, the class of requests
+// that was served worst earned 0.62 in place of 0.85 of its credit.
 func (d *Daemon) followsDemand() bool { return d.largeFleet.Load() }
 
 // currentDemand returns what callers ask of all daemons, of this one alone if no reports of others are
--- a/internal/front/peermemory.go
+++ b/internal/front/peermemory.go
@@ -10,10 +10,10 @@
 
 // Memory that may be held for callers and instances.
 const (
-	// peerMemoryShare is the part of the process's memory, a third of what memoryLimitShare allows. The
-	// buffers and goroutines of streams are not accounted: with 1,000 callers that stop reading, daemon and
-	// simulated peers took 56 MB, 4 MB of them accounted. At 136 MB one plain response of the largest size
-	// fits.
+	// peerMemoryShare is the part of the process's memory that may be held, a third of what
+	// memoryLimitShare allows. Buffers and goroutines of streams are not accounted: with 1,000 callers that
+	// stop reading, daemon and simulated peers took 56 MB, 4 MB of it accounted. At 136 MB one plain response
+	// of the largest size (16 MiB) fits.
 	peerMemoryShare = 0.2
 	// defaultPeerMemory is the limit in bytes where the deployment sets no memory.
 	defaultPeerMemory = 64 << 20
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -37,10 +37,9 @@
 	return slices.DeleteFunc(slices.Clone(targets), blocked)
 }
 
-// withholdFunc returns a function that reports whether the request must not be written to the
-// target after all, because the instance has announced a limit, a backoff or its departure
-// since the target was chosen, its zone was evacuated, or it is cold and the request has no permit any
-// more.
+// withholdFunc returns a function that reports whether the request must not be written to the target
+// after all: since the target was chosen, the instance has announced a limit, a backoff or its departure,
+// its zone was evacuated, or it is cold and the request's permit has expired and can't be renewed.
 func (x *exchange) withholdFunc(t *dispatch.Target) func() bool {
 	incarnation, zone, permit, cold, rule, g := incarnationOf(t), t.Zone, x.hasPermit, x.coldPermit, x.coldRule(), x.gateway
 	return func() bool {
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -14,14 +14,14 @@
 	"pearlanding/internal/upstream"
 )
 
-// reasonMemory means that this daemon holds as much for its peers as it may.
+// reasonMemory means that the budget for memory held for callers and instances has no room.
 const reasonMemory = "memory_for_peers_spent"
 
-// Sizes of the buffers into which bodies are read.
+// Sizes in bytes of the buffers into which bodies are read.
 const (
 	minBodyBuffer = 512
-	// firstBodyBuffer is the largest buffer of a body of which nothing was received: a peer can announce
-	// a large body and send nothing.
+	// firstBodyBuffer is the largest buffer before anything was received, as a peer can announce a large
+	// body and send nothing.
 	firstBodyBuffer = 16 << 10
 	// maxBodyLimit replaces larger limits of a body, which would overflow the sizes of buffers.
 	maxBodyLimit = math.MaxInt / 4
@@ -29,14 +29,14 @@
 
 // bodyReader reads bodies and accounts their memory.
 type bodyReader struct {
-	limit  int // bytes
-	memory *membudget.Budget
+	limit  int               // largest body, in bytes
+	memory *membudget.Budget // nil: the buffers are not accounted
 	// onWait is called once, before the second read: most bodies arrive with their head. nil: nothing.
 	onWait func()
 }
 
-// read reads a body to its end. size is its announced length, negative if unknown. held is what is
-// accounted, also with an error; the caller must release it. The error is upstream.ErrTooLarge,
+// read reads a body to its end. size is its announced length, negative if unknown. held is the number of
+// bytes accounted, also with an error; the caller must release them. The error is upstream.ErrTooLarge,
 // upstream.ErrMemory, or that of r.
 func (b *bodyReader) read(r io.Reader, size int64) (body []byte, held int, err error) {
 	maximum := min(b.limit, maxBodyLimit)
@@ -74,7 +74,8 @@
 	}
 }
 
-// readAnswer reads the whole body of a response. release must be called when it is no longer used.
+// readAnswer reads the whole body of a response. release must be called when it is no longer used, also
+// with an error. The error is upstream.ErrTooLarge, or one that is also upstream.ErrUnknown.
 func (x *exchange) readAnswer(resp *http.Response) (body []byte, release func(), err error) {
 	memory := x.gateway.Memory
 	body, held, err := (&bodyReader{limit: maxAnswerBytes, memory: memory}).read(resp.Body, resp.ContentLength)
@@ -115,7 +116,7 @@
 // releaseBody ends the accounting of the request's body.
 func (x *exchange) releaseBody() { x.gateway.Memory.ReleaseBody(x.heldBody) }
 
-// callerWriteGrace is how long after the deadline of a request the writing of its response may take.
+// callerWriteGrace is how long after the deadline of a request its response may still be written.
 const callerWriteGrace = time.Second
 
 // limitWrites bounds the writing of the response, as a caller that reads nothing would hold it for good.
--- a/internal/gateway/dead_group_test.go
+++ b/internal/gateway/dead_group_test.go
@@ -43,8 +43,8 @@
 	return p
 }
 
-// Guards against streams that wait at a dead group until their callers leave. On one day 549 requests
-// did: the group's death was reported, the retries were spent, and the next group was full.
+// Guards against streams that wait at a dead group until their callers leave, as 549 requests of one run did:
+// the group's death was reported, the retries were spent, and the next group was full.
 func TestStreamLeavesDeadGroupAlsoWhenOtherGroupsAreFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -39,10 +39,10 @@
 	memory  *membudget.Budget
 	onEnd   func()
 	holder  *membudget.Holder // nil until the first large event
-	bufHeld int               // bytes of buf accounted to holder
+	bufHeld int               // size of buf that is accounted to holder
 }
 
-// Sizes of events.
+// Sizes of events, in bytes.
 const (
 	// maxEventBytes limits an event, and the empty lines between two events.
 	maxEventBytes = 1 << 20
@@ -113,7 +113,7 @@
 	r.buf = r.buf[:0]
 }
 
-// append adds a line, or a part of one, to the event.
+// append adds a line, or a part of one, to the event. The error is errEventTooLarge or upstream.ErrMemory.
 func (r *eventReader) append(line []byte) error {
 	size := len(r.buf) + len(line)
 	if size > maxEventBytes {
@@ -134,7 +134,7 @@
 	return nil
 }
 
-// detach leaves the buffer of the last event to somebody else, who still uses it. It stays accounted until
+// detach leaves the buffer of the last event to a goroutine that still uses it. It stays accounted until
 // close.
 func (r *eventReader) detach() { r.buf, r.bufHeld = nil, 0 }
 
--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -14,19 +14,21 @@
 	"pearlanding/internal/upstream"
 )
 
-// Events held for a caller that reads slowly.
+// Limits of events held for a caller that reads slowly.
 const (
 	// slowWriteTime is how long a write to the caller may block before another goroutine reads the replica,
 	// which would cut off an answer that stays unread for some seconds. It is longer than the time for
 	// which a process with a small CPU quota is usually not scheduled.
 	slowWriteTime = 100 * time.Millisecond
-	// maxHeldBytes limits what is held for one caller. The largest event fits.
+	// maxHeldBytes limits what is held for one caller, in bytes. The largest event (maxEventBytes) fits.
 	maxHeldBytes = 1 << 20
-	// heldBlockBytes is the size of the blocks in which events are held and written.
+	// heldBlockBytes is the size of the blocks in which events are held and written; a larger event has a
+	// block of its own.
 	heldBlockBytes = 4 << 10
 )
 
-// errReadElsewhere means that another goroutine has read the rest of the answer.
+// errReadElsewhere means that another goroutine has read the rest of the answer, and that all of it was
+// handled.
 const errReadElsewhere = errors.ConstError("gateway: another goroutine reads the stream")
 
 // errCallerTooSlow is the cause with which a stream ends because too much is held for its caller.
@@ -42,8 +44,8 @@
 // lost or repeated.
 type heldEvents struct {
 	timer *time.Timer // runs while a write is in progress; set with mu held
-	// elsewhere means that the timer's goroutine reads. It is set while the other one is in a write, so that
-	// both may read it without mu.
+	// elsewhere means that the timer's goroutine reads the stream. It is set, with mu held, while the
+	// request's goroutine is in a write. That one reads it after endWrite, so that neither needs mu for it.
 	elsewhere bool
 
 	mu         sync.Mutex
@@ -105,9 +107,10 @@
 	x.readOn(h)
 }
 
-// readOn reads a stream, and its successors, to the end of the answer.
+// readOn reads a stream, and its successors, to the end of the answer. The request's goroutine is still
+// writing the last event of h.
 func (x *exchange) readOn(h *handover) {
-	h.from.events.detach() // the other goroutine still writes the last event
+	h.from.events.detach()
 	h.eventPassedOn()
 	ev, err := x.nextEvent(h.from, &x.progress)
 	successor, err := x.endPass(h.ctx, h, x.copyEvents(ev, err, h))
@@ -124,7 +127,7 @@
 	c.changed.Signal()
 }
 
-// holdEvent holds an event for the caller.
+// holdEvent holds an event for the caller. The error is errCallerTooSlow, or why writing ended early.
 func (x *exchange) holdEvent(raw []byte) error {
 	c := &x.held
 	need, err := c.append(raw, nil)
@@ -142,8 +145,8 @@
 	return err
 }
 
-// append adds an event to the last block, or to a new one if that is not nil. It returns the size of the
-// block that the event needs, or 0 if it was added.
+// append adds an event to the last block, or to a new one if block is not nil. need is 0 if it was added,
+// else the size of the new block that it needs. The error is why writing ended early.
 func (c *heldEvents) append(raw, block []byte) (need int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,7 +64,7 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("pearlanding_first_byte_seconds{route=%q}", m.label(route))).Update(x.firstByteAfter.Seconds())
 }
 
-// countRefused counts a stream that was not admitted.
+// countRefused counts a stream that was not admitted, by the reason and its priority.
 func (m *Metrics) countRefused(x *exchange) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_admission_refused_total{reason=%q,priority=%q}", x.admission.Reason, m.label(strconv.Itoa(x.priority)))).Inc()
 }
--- a/internal/gateway/peerfaults.go
+++ b/internal/gateway/peerfaults.go
@@ -8,7 +8,8 @@
 	"pearlanding/internal/upstream"
 )
 
-// unrelatedToTarget reports whether the error of a send says nothing about its target.
+// unrelatedToTarget reports whether the error of a send has a cause other than its target: the target must not
+// be suspected for it.
 func unrelatedToTarget(err error) bool {
 	return errors.Is(err, upstream.ErrWithheld) || errors.Is(err, upstream.ErrNoPath) || errors.Is(err, upstream.ErrMemory)
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -132,7 +132,7 @@
 	return fields
 }
 
-// roundTo rounds to a part of one, for the log.
+// roundTo rounds a figure of the log to a multiple of 1/parts.
 func roundTo(x, parts float64) float64 { return math.Floor(parts*x+0.5) / parts }
 
 // timeLimit returns the time from arrival to the deadline, or 0 if the request was refused
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -31,7 +31,8 @@
 }
 
 // targetList returns the targets that the view contains, without regard to the signals that
-// their instances announced, or nil if there is no view. The list is built once per view and set of evacuated zones.
+// their instances announced, or nil if there is no view. The list is built once per view and set of
+// evacuated zones.
 func (g *Gateway) targetList(v *fleet.View, service *routes.Service, model string) *targetList {
 	if v == nil {
 		return nil
@@ -44,8 +45,8 @@
 	return index.list(service, model)
 }
 
-// targetIndex caches the target lists of one view and set of evacuated zones. With thousands of instances, building a
-// list would cost more than the rest of a request.
+// targetIndex caches the target lists of one view and set of evacuated zones. With thousands of
+// instances, building a list would cost more than the rest of a request.
 type targetIndex struct {
 	view      *fleet.View
 	evacuated *evacuation.Zones
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -7,8 +7,8 @@
 
 import "sync"
 
-// maxBodyShare is the part of the budget that bodies may use, so that bodies alone never cause streams
-// to be ended.
+// maxBodyShare is the part of the budget that bodies may use. Without it, bodies alone could use the whole
+// budget, and each stream whose caller reads late would be ended.
 const maxBodyShare = 0.75
 
 // Budget is the limit of one daemon. A nil Budget sets no limit. Safe for concurrent use.
@@ -17,9 +17,9 @@
 
 	mu      sync.Mutex
 	bodies  int64
-	streams int64 // of holders that have not been ended
-	ending  int64 // of holders that have been ended and still release their bytes
-	holders map[*Holder]struct{}
+	streams int64                // of holders that have not been ended
+	ending  int64                // of holders that have been ended and have not released their bytes yet
+	holders map[*Holder]struct{} // with bytes, not ended
 	refused uint64
 	ended   uint64
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -45,6 +45,7 @@
 	must.False(t, b.TakeBody(1))
 }
 
+// Guards against a daemon without a budget that ends by a panic or refuses what it holds for its peers.
 func TestNoBudgetSetsNoLimit(t *testing.T) {
 	var b *Budget
 	must.True(t, b.TakeBody(1<<40))
@@ -55,8 +56,8 @@
 	must.Eq(t, Usage{}, b.Usage())
 }
 
-// Whatever is taken and released in whatever order, what is granted never exceeds the limit, and all is
-// free at the end.
+// Guards against grants that together exceed the limit, and bytes that stay accounted after all holders closed,
+// in any order of calls.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		const limit = 1000
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -31,7 +31,7 @@
 	coldConfirmRetry    = 250 * time.Millisecond
 	// coldConfirmTimeout bounds such a read.
 	coldConfirmTimeout = time.Second
-	// coldConfirmWait is when a daemon is asked to retry while its relay reads the record.
+	// coldConfirmWait is after what time a daemon is to ask again while its relay reads the record.
 	coldConfirmWait = 20 * time.Millisecond
 )
 
@@ -145,7 +145,7 @@
 	return ColdPermitReply{a.Granted, a.Wait.Microseconds(), a.Granting}, nil
 }
 
-// errNoRelay: this daemon knows no relay.
+// errNoRelay means that this daemon knows no relay.
 const errNoRelay = errors.ConstError("relay: no relay is known")
 
 // ColdPermit asks the zone's relay for a permit for one send to a cold instance. It returns an error if
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -20,8 +20,8 @@
 	maxHeadLines = 512
 	// unaccountedHeadBytes is the size up to which a head is not accounted to the budget of the daemon.
 	unaccountedHeadBytes = readBufferBytes
-	// headMemoryFactor is the memory that the rest of a head takes per byte: in the buffer that its line is
-	// collected in, and in the parsed header.
+	// headMemoryFactor is the memory that the rest of a head takes, in bytes per byte received: in the buffer
+	// in which its line is collected, and in the parsed header.
 	headMemoryFactor = 2
 )
 
@@ -33,7 +33,8 @@
 // the upstream. If a byte was sent, it is ErrUnknown, too.
 const ErrMemory = errors.ConstError("upstream: memory for peers exhausted")
 
-// headLimiter reads from a connection and limits what is read of heads.
+// headLimiter reads from a connection and limits what is read of heads. Not safe for
+// concurrent use.
 type headLimiter struct {
 	conn   net.Conn
 	budget *membudget.Budget
@@ -44,7 +45,7 @@
 	err    error // why no more is read of the heads; nil: no limit is exceeded
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The error is that of the connection, ErrHeadTooLarge or ErrMemory.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
 		return l.conn.Read(p)
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -18,9 +18,12 @@
 	// reads requests reads them at the rate of its link.
 	writeTimeout   = 2 * time.Second
 	writeTimePerMB = time.Second
+	// headRoom is the memory in bytes that is reserved for the request line and headers, which fit as a rule.
+	headRoom = 512
 )
 
-// writeRequest writes the request within its time limit. The system clock is used, as the connection uses it.
+// writeRequest writes the request within its time limit. A request of at most maxWholeRequest has none, as
+// its write does not wait. After an error a part of the request may have been sent.
 func (c *pooledConn) writeRequest(call *Call) error {
 	if len(call.Body) <= maxWholeRequest {
 		_, err := c.Write(append(encodeHead(call), call.Body...))
@@ -42,7 +45,7 @@
 // encodeHead returns the request line and the headers of the request. A short body fits behind them.
 func encodeHead(call *Call) []byte {
 	var b bytes.Buffer
-	room := 512
+	room := headRoom
 	if len(call.Body) <= maxWholeRequest {
 		room += len(call.Body)
 	}
