Break lines of the gateway's, the relay's and the messages' fields

Cause: with the fields for demand, memory, cold instances and evacuations, four composite literals have lines of 240 to 430 characters. Change: fields are grouped by what they serve, a few on each line. The values and the order in which they are computed are the same where that matters.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -345,7 +345,12 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	g := &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Pool: d.pool, Memory: d.peerMemory, PathsLostAt: d.direct.LostAt, Evacuated: d.evacuations.Known.Zones, Picker: d.picker, Budgets: &d.budgets, Demand: &d.demand, Quarantine: d.detector, Gate: d.gate, ColdPermit: d.askColdPermit(), Clock: d.Clock, RunClock: d.runClock, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow, Starting: d.startingUp, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
+		Stopping: d.stopping.Load, Starting: d.startingUp,
+		Pool: d.pool, Memory: d.peerMemory, PathsLostAt: d.direct.LostAt,
+		Picker: d.picker, Demand: &d.demand, Evacuated: d.evacuations.Known.Zones,
+		Gate: d.gate, ColdPermit: d.askColdPermit(), Quarantine: d.detector,
+		Budgets: &d.budgets, BorrowRetry: d.borrow, CanBorrowRetry: d.mayBorrow,
+		Clock: d.Clock, RunClock: d.runClock, Metrics: gateway.NewMetrics(d.Metrics), Log: d.Log,
 	}
 	d.cold.gateway.Store(g)
 	return g
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -97,8 +97,10 @@
 		return relay.RelayAddresses(l), err
 	}}
 	return relay.NewNode(relay.Options{
-		Traffic: relay.Traffic{TakeSpareRetries: d.budgets.TakeSpareRetries, InFlight: d.picker.InFlight, Demand: d.demand.Rates, GroupProgress: d.progress, Stalls: d.picker.Stalls(), OnLoads: d.takeLoads, RetryPoolRule: d.poolRule},
-		Store:   d.Platform.Feed, Kind: d.Platform.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.PeerAddress, LinkMbps: s.LinkMbps,
+		Traffic: relay.Traffic{InFlight: d.picker.InFlight, Demand: d.demand.Rates, OnLoads: d.takeLoads,
+			GroupProgress: d.progress, Stalls: d.picker.Stalls(),
+			TakeSpareRetries: d.budgets.TakeSpareRetries, RetryPoolRule: d.poolRule},
+		Store: d.Platform.Feed, Kind: d.Platform.InstancesKind, Key: relayKind + "/" + s.Zone, Holder: holder, Address: s.PeerAddress, LinkMbps: s.LinkMbps,
 		Peers: d.peers, MustFollowStore: d.planning, OnConfigProof: d.config.confirm, ConfigInForce: d.config.stamp, OnConfigStamp: d.config.noteStamp, OnRelayUsed: d.config.storeRecovered,
 		StaleAfter:       func() time.Duration { return d.drainShare(staleShare, defaultStaleAfter) },
 		StalledInstances: d.stalledOrEndedHeads,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,7 +30,8 @@
 	if len(stalled) > maxReported {
 		stalled = nil // with so many, this daemon is probably cut off itself
 	}
-	return ShareRequest{From: n.opts.Holder, Address: n.tunnelAddress(), Loads: n.opts.Traffic.InFlight(), Demand: n.opts.Traffic.demand(now), StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
+	return ShareRequest{From: n.opts.Holder, Address: n.tunnelAddress(), Loads: n.opts.Traffic.InFlight(), Demand: n.opts.Traffic.demand(now),
+		StalledGroups: toRefs(stalled), ActiveGroups: toRefs(active), StalledInstances: n.opts.StalledInstances(now)}
 }
 
 // maxTunnelPeers bounds the daemons that a message names as peers for tunnels.
@@ -87,7 +88,9 @@
 	_, daemons := n.share.loads.countDaemons(now)
 	sum, err := n.share.loads.total(now)
 	return ShareReply{Retries: n.share.pool.Levels(rule, now), StalledGroups: n.share.loads.allStalledGroups(now), Daemons: daemons,
-		Demand: sum.demand, LoadsAgeMS: now.Sub(sum.reportedAt).Milliseconds(), Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), r.Address)}, sum, err
+		Demand: sum.demand, LoadsAgeMS: now.Sub(sum.reportedAt).Milliseconds(),
+		Limits: n.opts.Gate.Updates(now), QuarantineSeq: n.clusterWideSeq(),
+		TunnelPeers: n.sampleTunnelPeers(n.share.loads.allTunnelPeers(now), r.Address)}, sum, err
 }
 
 // LoadExchange sends this daemon's load to the others and receives theirs: through its relay, or,
