Split functions of placement that do two things

Cause: three functions each record a load to a host and build its order; domainCapacities also counts the holders of models, and observe also computes the smoothed figures. Change: stageOrder, countHolders and smooth. Result: go test -race ./internal/formation passes, with the hashes of all orders (TestOrdersWithoutDemandAreUnchanged) unchanged.

--- a/internal/formation/capacity.go
+++ b/internal/formation/capacity.go
@@ -47,18 +47,11 @@
 			continue
 		}
 		d := &domainCapacity{name: name, zone: zone, size: size, fixed: p.Evacuated[zone] || len(byDomain[name]) == 0, settling: -1,
-			staged: make([]int, len(engine.Models)), usable: make([]int, len(engine.Models)), serving: make([][]*fleet.Group, len(engine.Models))}
+			serving: make([][]*fleet.Group, len(engine.Models))}
 		if m, ok := pl.movedAt[name]; ok && now.Sub(m.at) < settleTime {
 			d.settling = m.to
 		}
-		for _, in := range byDomain[name] {
-			for i, m := range engine.Models {
-				if p.holdsOrLoads(in, m.Name) {
-					d.staged[i]++
-					d.usable[i] += boolToInt(p.usable(in, m.Name))
-				}
-			}
-		}
+		d.staged, d.usable = p.countHolders(engine, byDomain[name])
 		out[name] = d
 	}
 	p.addServing(state, out)
@@ -68,6 +61,20 @@
 	return out
 }
 
+// countHolders returns how many of some instances hold or load each model, and how many of these are usable.
+func (p *Planner) countHolders(engine *routes.Engine, instances []*fleet.Instance) (staged, usable []int) {
+	staged, usable = make([]int, len(engine.Models)), make([]int, len(engine.Models))
+	for _, in := range instances {
+		for i, m := range engine.Models {
+			if p.holdsOrLoads(in, m.Name) {
+				staged[i]++
+				usable[i] += boolToInt(p.usable(in, m.Name))
+			}
+		}
+	}
+	return staged, usable
+}
+
 // holdsOrLoads reports whether an instance is in a group of a model, or its host holds or loads it.
 func (p *Planner) holdsOrLoads(in *fleet.Instance, model string) bool {
 	return in.Group.Name != "" && slices.Contains(in.Models, model) || in.HasStaged(model) || p.staging[in.ID].model == model
--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -68,15 +68,22 @@
 		for n := first; n <= number; n++ {
 			ring[n%historySamples] = sample
 		}
-		smoothed := modelDemand{work: median(ring, func(d modelDemand) float64 { return d.work }),
-			refused: median(ring, func(d modelDemand) float64 { return d.refused }), urgency: sample.urgency,
-			unreported: max(median(ring, func(d modelDemand) float64 { return d.unreported }), 1)}
-		if smoothed.work > 0 {
+		if smoothed := smooth(ring, sample); smoothed.work > 0 {
 			h.smoothed[m.Name] = smoothed
 		}
 	}
 }
 
+// smooth returns the medians of the samples of a model, with the urgency of the last one.
+func smooth(ring *[historySamples]modelDemand, last modelDemand) modelDemand {
+	return modelDemand{
+		work:       median(ring, func(d modelDemand) float64 { return d.work }),
+		refused:    median(ring, func(d modelDemand) float64 { return d.refused }),
+		unreported: max(median(ring, func(d modelDemand) float64 { return d.unreported }), 1),
+		urgency:    last.urgency,
+	}
+}
+
 // unreportedFactor returns by what factor the demand of a model is higher than reported. Groups of a model
 // that refuses requests are in full use: if the work that they are reported to do is less, reports are
 // missing.
--- a/internal/formation/move.go
+++ b/internal/formation/move.go
@@ -37,9 +37,7 @@
 			}
 			inFlight++
 			d.lack[to]--
-			p.recordLoads(1, now)
-			p.staging[in.ID] = stagingLoad{model: m.Name, since: now, timeout: 2*m.LoadTime + formGrace}
-			out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "its domain moves to the model"})
+			out = append(out, p.stageOrder(in, m, "its domain moves to the model", now))
 		}
 	}
 	return out
--- a/internal/formation/prestage.go
+++ b/internal/formation/prestage.go
@@ -26,9 +26,7 @@
 		}
 		m := otherModel(state.engine, groupModel(in))
 		inFlight++
-		p.recordLoads(1, now)
-		p.staging[in.ID] = stagingLoad{model: m.Name, since: now, timeout: 2*m.LoadTime + formGrace}
-		out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "its domain may move to the model"})
+		out = append(out, p.stageOrder(in, m, "its domain may move to the model", now))
 	}
 	return out
 }
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -43,17 +43,22 @@
 			}
 			m := state.mostMissingModel(d.name, models[d.name])
 			inFlight++
-			p.recordLoads(1, now)
 			state.recount([]*fleet.Instance{in}, func() {
-				p.staging[in.ID] = stagingLoad{model: m.Name, since: now, timeout: 2*m.LoadTime + formGrace}
+				out = append(out, p.stageOrder(in, m, "a free instance is missing its domain's model", now))
 			})
 			p.placement.stagingStarted(d.name, m.Name)
-			out = append(out, Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: "a free instance is missing its domain's model"})
 		}
 	}
 	return out
 }
 
+// stageOrder records a load of a model to the host of an instance, and returns the order for it.
+func (p *Planner) stageOrder(in *fleet.Instance, m routes.Model, reason string, now time.Time) Order {
+	p.recordLoads(1, now)
+	p.staging[in.ID] = stagingLoad{model: m.Name, since: now, timeout: 2*m.LoadTime + formGrace}
+	return Order{Op: OpStage, Instance: in.ID, Address: in.Address, Model: m.Name, Reason: reason}
+}
+
 // holdsAny reports whether an instance or its host holds one of the models.
 func (p *Planner) holdsAny(in *fleet.Instance, models []routes.Model) bool {
 	for _, m := range models {
