Split the takeover of reading from the check of a slow write

Cause: checkWrite decides under the lock, with three unlocks, whether this goroutine takes over the reading of a stream, and then reads it. The simulation of cold instances sets the store's state of all zones in three places. Change: takeOverReading decides and records it, with one deferred unlock; setStoreDown in the simulation.

--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -85,26 +85,35 @@
 
 // checkWrite continues to read the stream in this goroutine if the write in progress takes too long.
 func (x *exchange) checkWrite() {
+	c := &x.held
+	h := x.takeOverReading()
+	if h == nil {
+		return
+	}
+	defer close(c.done)
+	defer c.end()
+	x.gateway.Metrics.set.GetOrCreateCounter("pearlanding_streams_held_total").Inc()
+	x.readOn(h)
+}
+
+// takeOverReading makes this goroutine the one that reads the stream if the write in progress takes too long.
+// It returns the handover of that write, nil if there is no write or it may take longer.
+func (x *exchange) takeOverReading() *handover {
 	c := &x.held
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	h := c.handover
 	if h == nil || c.elsewhere {
-		c.mu.Unlock()
-		return
+		return nil
 	}
 	if remaining := slowWriteTime - x.gateway.runClockNow().Sub(h.from.eventAt); remaining > 0 {
 		c.timer.Reset(remaining) // the timer also ran while this process was not scheduled
-		c.mu.Unlock()
-		return
+		return nil
 	}
 	c.elsewhere, c.changed.L, c.done = true, &c.mu, make(chan struct{})
 	c.holder = x.gateway.Memory.NewHolder(func() { x.endSlowCaller("daemon") })
 	c.stopExpiry = context.AfterFunc(h.ctx, func() { c.expire(x, h.ctx.Err()) })
-	c.mu.Unlock()
-	defer close(c.done)
-	defer c.end()
-	x.gateway.Metrics.set.GetOrCreateCounter("pearlanding_streams_held_total").Inc()
-	x.readOn(h)
+	return h
 }
 
 // readOn reads a stream, and its successors, to the end of the answer. The request's goroutine is still
--- a/internal/relay/cold_sim_test.go
+++ b/internal/relay/cold_sim_test.go
@@ -256,6 +256,13 @@
 	return nil
 }
 
+// setStoreDown makes the store unavailable to all zones, or ends that.
+func (f *coldFleet) setStoreDown(down bool) {
+	for _, z := range f.zones {
+		z.storeDown = down
+	}
+}
+
 // injectFault injects one random fault for a while.
 func (f *coldFleet) injectFault() string {
 	z := f.zones[f.rng.IntN(len(f.zones))]
@@ -284,14 +291,8 @@
 		})
 		return "relay cut off from daemons and store"
 	case 3:
-		for _, z := range f.zones {
-			z.storeDown = true
-		}
-		f.after(during, func() {
-			for _, z := range f.zones {
-				z.storeDown = false
-			}
-		})
+		f.setStoreDown(true)
+		f.after(during, func() { f.setStoreDown(false) })
 		return "store unavailable"
 	case 4:
 		for _, other := range f.daemons {
@@ -384,9 +385,7 @@
 			t.Parallel()
 			f := newColdFleet(t, 1, size.daemons, size.zones, 4*coldRate)
 			f.run(6 * time.Second)
-			for _, z := range f.zones {
-				z.storeDown = true
-			}
+			f.setStoreDown(true)
 			f.startInstance(time.Minute, 0)
 			f.run(coldLease + coldGrantTimeoutInSim)
 			granted := len(f.arrivals)
