Share the rest of a stream between two tests of the gateway

Cause: TestInstanceIsReadWhileItsCallerDoesNotRead and TestStreamIsNotMovedWhileItsCallerDoesNotRead repeat how a replica sends the events after the first ones. Change: finishStream. Result: go test -race of both tests and TestHeld* passes.

--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -34,11 +34,7 @@
 // answer off, and this daemon would be at fault.
 func TestInstanceIsReadWhileItsCallerDoesNotRead(t *testing.T) {
 	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
-		r.serveFirst = func(s *simSend) {
-			if s.events(eventsBeforePause+1, streamEvents, eventInterval) {
-				s.finish()
-			}
-		}
+		r.serveFirst = finishStream
 		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: pauseAt(2, callerPause)})
 		time.Sleep(2*eventInterval + slowWriteTime + streamEvents*eventInterval)
 		must.SliceEmpty(t, r.openSends(), must.Sprint("not read while the caller pauses"))
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// finishStream sends the events after the first ones, and the end of the answer.
+func finishStream(s *simSend) {
+	if s.events(eventsBeforePause+1, streamEvents, eventInterval) {
+		s.finish()
+	}
+}
+
 // continueStream answers as a replica that works, after the last event that the caller has.
 func continueStream(s *simSend) {
 	s.header()
@@ -615,11 +622,7 @@
 // for a while.
 func TestStreamIsNotMovedWhileItsCallerDoesNotRead(t *testing.T) {
 	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
-		r.serveFirst = func(s *simSend) {
-			if s.events(eventsBeforePause+1, streamEvents, eventInterval) {
-				s.finish()
-			}
-		}
+		r.serveFirst = finishStream
 		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: pauseAt(2, longPause)})
 		<-c.done
 		r.check(t)
