--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -261,16 +261,17 @@
 		return &net.OpError{Op: "dial", Net: r.network, Err: syscall.ECONNREFUSED}
 	case r.verdict != nil:
 		return r.verdict
-	case r.directErr != nil && (d.Direct.Usable() || r.onlyThisFails()):
+	case r.directErr != nil && (d.Direct.Usable() || r.onlyInstanceFails()):
 		return r.directErr
 	}
 	return errors.WithType(errors.Errorf("dial %s %s: %v", r.network, r.address, r.lastErr), upstream.ErrNoPath)
 }
 
-// onlyThisFails reports whether the instance did not answer while others show signs of life: several of
-// a zone that has no power, or that is partitioned, fail while those of other zones work. A refusal does
-// not count, as a daemon that is cut off may be refused beside open connections that live on.
-func (r *race) onlyThisFails() bool {
+// onlyInstanceFails reports whether the instance did not answer while other instances were reached recently:
+// those of a zone without power, or of a partitioned one, fail together while those of other zones work. A
+// refusal does not count, as new connections of a daemon that is cut off may be refused while its open ones
+// still work.
+func (r *race) onlyInstanceFails() bool {
 	direct := r.dialer.Direct
 	return !errors.Is(r.directErr, syscall.ECONNREFUSED) && !direct.Lost() && direct.ReachedWithin(reachedRecently)
 }
