Comments of tests and of the time of a request

Cause: comments of Work and PrefillTime leave out when the result is 0 and why it is bounded; three tests state a property and not the failure that they guard against. Change: the comments.

--- a/internal/formation/balance_test.go
+++ b/internal/formation/balance_test.go
@@ -13,8 +13,8 @@
 	"pearlanding/internal/routes"
 )
 
-// A burst of 4 s is visible for 5 s, as rates are those of the last second. It must not count,
-// also when it comes with the first requests; a change that lasts must count after 5.25 s.
+// Guards against moves for a burst of 4 s, also one with the first requests, and against a change that lasts and
+// is not followed after 5.25 s. A burst is visible for 5 s, as rates are those of the last second.
 func TestSmoothedDemandIgnoresBursts(t *testing.T) {
 	models := []routes.Model{{Name: "small", ReplicaSize: 4}}
 	smoothed := func(h *demandHistory, n int, work float64, now *time.Time) float64 {
@@ -34,8 +34,8 @@
 	must.Eq(t, 0, smoothed(h, 1, 10, &now), must.Sprint("nothing is known of the time before a gap"))
 }
 
-// Moves leave each model that gives what it needs, or a group if it is less urgent, fit into their
-// domains and end.
+// Guards against moves that take what a model needs, or the last group of a less urgent one, that exceed the
+// size of a domain, or that do not end.
 func TestBalanceKeepsWhatModelsNeed(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		models := []routes.Model{{Name: "a", ReplicaSize: rapid.IntRange(1, 8).Draw(r, "a")}, {Name: "b", ReplicaSize: rapid.IntRange(1, 8).Draw(r, "b")},
@@ -86,8 +86,8 @@
 	})
 }
 
-// Guards against moves that follow a report with absurd figures: a negative or infinite work of one
-// daemon would hide what the others need.
+// Guards against moves that follow a report with impossible figures: a negative or infinite work of
+// one daemon would hide what the others need.
 func TestInvalidRatesMoveNothing(t *testing.T) {
 	key := demand.Key{Service: "llm", Model: "small"}
 	for _, bad := range []demand.Rate{{Key: key, Work: -100}, {Key: key, Work: 1e308}, {Key: key, Requests: -1, Work: 100}} {
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -32,7 +32,7 @@
 	wasReady map[fleet.GroupKey]map[string]bool // members that were ready in a group at some time
 	opened   int                                // number of times that a group opened
 	// drain is how long a closed group finishes its requests. If it is not 0, entries list a loaded
-	// model only while the instance is in a group, as on the users' platform.
+	// model only while the instance is in a group, as engines do.
 	drain time.Duration
 	// fastLoads divides the time of loads by ten, as before the first request.
 	fastLoads bool
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -137,8 +137,9 @@
 func (x *LoadExchange) runOnce(ctx context.Context) {
 	n := x.Node
 	now := n.now()
-	// A relay exchanges loads also while nobody polls it: it may be alone in its zone, or with the planner, which
-	// follows the store. Both need what the other zones report, and the daemons that reach instances.
+	// A relay exchanges loads also while no daemon polls it: it may be alone in its zone, or with the planner,
+	// which follows the store. Both need what the other zones report, and the addresses of daemons that reach
+	// instances.
 	isRelay := n.isActiveRelay()
 	if isRelay || n.IsRelay() && !n.opts.Gate.HasNoLimits() {
 		x.refreshRelays(ctx, now)
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -124,8 +124,8 @@
 
 // Work returns the time of one full replica that a request takes: its share of the steps that
 // generate its tokens, and the reading of its prompt. Token counts of 0 stand for the means of the
-// service. It is 0 if the timing is not configured. Callers state the counts, which may be absurd: the
-// result is at most maxWork.
+// service. It is 0 if the timing is not configured. The result is at most maxWork, as callers state the
+// counts and may state any.
 func (e *Engine) Work(m Model, promptTokens, answerTokens int) time.Duration {
 	if promptTokens <= 0 {
 		promptTokens = e.MeanPromptTokens
@@ -141,7 +141,8 @@
 	return time.Duration(min(work*m.TimeFactor, float64(maxWork)))
 }
 
-// PrefillTime returns how long a replica takes to read a prompt, at most maxWork; 0: unknown.
+// PrefillTime returns how long a replica takes to read a prompt of promptTokens, at most maxWork. It is 0 if
+// the rate is not configured.
 func (e *Engine) PrefillTime(m Model, promptTokens int) time.Duration {
 	if e.PrefillTokensPerSecond <= 0 {
 		return 0
@@ -150,7 +151,8 @@
 	return time.Duration(min(seconds, maxWork.Seconds()) * float64(time.Second))
 }
 
-// maxWork bounds the time that one request takes, which overflows for counts near the largest integer.
+// maxWork is the longest time that one request is taken to need. For token counts near the largest integer,
+// the time would overflow.
 const maxWork = 24 * time.Hour
 
 // Service is a set of upstream instances. Engine is nil for a plain service, in which any instance
@@ -196,7 +198,7 @@
 	servicesByName   map[string]*Service
 	workspacesByKey  map[string]*Workspace
 	streamPriorities []int // of streams' routes and of workspaces, the most urgent first
-	limitsCold       bool
+	limitsCold       bool  // a service limits requests to cold instances
 }
 
 // Compile returns the routing table of a configuration, which must not be modified afterwards.
