fleet: report each entry that is gone, whatever the view contains

Cause: the instances that a listing lacks were found by the published view. After a listing that may be old no view is published, and an entry that cannot be decoded any more is dropped from the view without a report. An instance known by either and gone in the next listing was never reported by OnRemoved: backpressure.Cold kept it for ever and counted it as cold while its time lasted. Change: a listing is compared with the instances known before it, and an entry that describes no instance any more is reported at once.

--- a/internal/fleet/entries_test.go
+++ b/internal/fleet/entries_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
@@ -48,3 +49,35 @@
 	f.applyResult(callResult{listing: &objectapi.Listing{Revision: 9}, provedAt: now}, now)
 	must.Eq(t, []string{"a"}, removed)
 }
+
+// Guards against an instance that is tracked for ever because nobody is notified that its entry is gone: no view
+// has contained it, or the entry could not be decoded any more.
+func TestRemovalsAreReportedWhateverTheViewContains(t *testing.T) {
+	decodable := true
+	decode := func(id string, version uint64, _ []byte) (*Instance, error) {
+		if !decodable {
+			return nil, errors.New("not decodable")
+		}
+		return &Instance{ID: id, Service: "s", Version: version, StartedAt: 1}, nil
+	}
+	f := NewFollower(nil, "entries", decode, NewKnownState(heartbeat, sizes), zap.NewNop())
+	entries, removed := 0, []string{}
+	f.OnEntry = func(*Instance, bool) { entries++ }
+	f.OnRemoved = func(id string) { removed = append(removed, id) }
+	now := time.Unix(1000, 0)
+	event := func(o objectapi.Object) {
+		f.applyResult(callResult{changes: objectapi.Changes{Events: []objectapi.Event{{Object: o}}, Revision: o.Version}, provedAt: now}, now)
+	}
+	f.applyResult(callResult{listing: &objectapi.Listing{Objects: []objectapi.Object{object("a", 3)}, Revision: 3}, stale: true, provedAt: now}, now)
+	must.Eq(t, 1, entries)
+	must.Nil(t, f.View())
+	f.applyResult(callResult{listing: &objectapi.Listing{Revision: 4}, provedAt: now}, now)
+	must.Eq(t, []string{"a"}, removed)
+
+	event(object("b", 6))
+	decodable, removed = false, nil
+	event(object("b", 5))
+	must.SliceEmpty(t, removed, must.Sprint("an older version"))
+	event(object("b", 7))
+	must.Eq(t, []string{"b"}, removed)
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -54,7 +54,8 @@
 	UpdatePause func() time.Duration
 	// OnEntry, if set, is called with each entry received that describes the latest known incarnation of
 	// an instance, before a view contains it. first is true until a view was published. OnRemoved, if set,
-	// is called with the ids of removed entries. Both are called by the goroutine of Run.
+	// is called with the ids of entries that were removed or describe no instance any more. Both are called
+	// by the goroutine of Run.
 	OnEntry      func(in *Instance, first bool)
 	OnRemoved    func(id string)
 	provedAt     steady.Time // when the last call that succeeded was sent
@@ -182,13 +183,14 @@
 
 func (f *Follower) applyListing(l *objectapi.Listing, now time.Time) {
 	var all []*Instance
+	before := f.knownInstances()
 	for _, o := range l.Objects {
 		if in := f.decode(o, now); in != nil {
 			all = append(all, in)
 		}
 	}
 	f.state.Replace(all, l.Revision, f.provedAt.Load(), now)
-	f.notifyListing(all)
+	f.notifyListing(all, before)
 	f.Log.Info("instances listed", zap.Int("instances", len(all)), zap.Uint64("revision", l.Revision),
 		zap.Int("pages", l.Transfer.Pages), zap.Int("bytes", l.Transfer.Bytes), zap.Int64("wait_ms", l.Transfer.Wait.Milliseconds()),
 		zap.Int64("receive_ms", l.Transfer.Receive.Milliseconds()), zap.Int64("decode_ms", l.Transfer.Decode.Milliseconds()))
@@ -203,7 +205,11 @@
 			zap.Bool("believed", kept))
 		return
 	}
-	if in := f.decode(e.Object, now); in != nil {
+	in := f.decode(e.Object, now)
+	if id := f.instanceID(e.Object.Key); in == nil && f.state.instances[id] == nil {
+		f.notifyRemoved(id)
+	}
+	if in != nil {
 		f.state.Put(in)
 		f.notifyEntry(in)
 		f.Log.Debug("instance entry", zap.String("instance", in.ID), zap.Int64("born", in.StartedAt), zap.Bool("draining", in.Draining),
