--- a/internal/formation/demand_history.go
+++ b/internal/formation/demand_history.go
@@ -10,14 +10,16 @@
 
 // Smoothing of the reported demand.
 const (
-	sampleInterval = 250 * time.Millisecond // that of the reports
+	// sampleInterval is the interval of the reports of demand.
+	sampleInterval = 250 * time.Millisecond
 	// historySamples is the number of samples whose median counts: 10.5 s. A burst of 4 s is visible
 	// for 5 s, as rates are those of the last second, and does not move the median; a change that
 	// lasts does after 5.25 s. A moving average would follow a short but high burst.
 	historySamples = 42
 	// maxSampleGap is the longest time without a sample that the next one stands for.
 	maxSampleGap = 2 * time.Second
-	// urgentShare is the least part of a model's work by which a priority counts for the model.
+	// urgentShare is the least part of a model's work that requests of a priority make up for the priority to
+	// count for the model.
 	urgentShare = 0.1
 )
 
@@ -66,24 +68,31 @@
 		for n := first; n <= number; n++ {
 			ring[n%historySamples] = sample
 		}
-		smoothed := modelDemand{work: median(ring, func(d modelDemand) float64 { return d.work }),
-			refused: median(ring, func(d modelDemand) float64 { return d.refused }), urgency: sample.urgency,
-			unreported: max(median(ring, func(d modelDemand) float64 { return d.unreported }), 1)}
-		if smoothed.work > 0 {
+		if smoothed := smooth(ring, sample); smoothed.work > 0 {
 			h.smoothed[m.Name] = smoothed
 		}
 	}
 }
 
+// smooth returns the medians of the samples of a model, with the urgency of the last one.
+func smooth(ring *[historySamples]modelDemand, last modelDemand) modelDemand {
+	return modelDemand{
+		work:       median(ring, func(d modelDemand) float64 { return d.work }),
+		refused:    median(ring, func(d modelDemand) float64 { return d.refused }),
+		unreported: max(median(ring, func(d modelDemand) float64 { return d.unreported }), 1),
+		urgency:    last.urgency,
+	}
+}
+
 // unreportedFactor returns by what factor the demand of a model is higher than reported. Groups of a model
 // that refuses requests are in full use: if the work that they are reported to do is less, reports are
 // missing.
 func unreportedFactor(d modelDemand, serving int) float64 {
 	served := d.work * (1 - d.refused)
-	if d.refused < refusedShort || served <= 0 {
+	if d.refused < overloadRefusedShare || served <= 0 {
 		return 1
 	}
-	return min(max(float64(serving)/served, 1), maxUnreported)
+	return min(max(float64(serving)/served, 1), maxUnreportedFactor)
 }
 
 // median returns the median of one figure of the samples.
--- a/internal/formation/placement_sim_test.go
+++ b/internal/formation/placement_sim_test.go
@@ -9,8 +9,8 @@
 	"pearlanding/internal/routes"
 )
 
-// placementSim is a simulation of 171 engines in nine domains of three zones, with the models of the
-// users' sites, and of the demand for them.
+// placementSim is a simulation of 171 engines in nine domains of three zones, with the models of
+// docs/design/hard-load.md, and of the demand for them.
 type placementSim struct {
 	*sim
 	planner *Planner
@@ -91,11 +91,7 @@
 		s.fastLoads = p.BeforeFirstRequest
 		for _, o := range p.Plan(v, s.engine, s.now) {
 			s.note(o)
-			if s.apply(o) {
-				p.RecordOutcome(o, Taken)
-			} else {
-				p.RecordOutcome(o, Refused)
-			}
+			s.carryOut(p, o)
 		}
 		for _, m := range p.TakeMoves() {
 			if !m.Canceled {
--- a/internal/formation/prestage_test.go
+++ b/internal/formation/prestage_test.go
@@ -14,12 +14,17 @@
 // until the change is no burst, 1.5 s until a closed group has finished its requests, and joins.
 const prestagedCapacityTime = 9 * time.Second
 
+// newPrestagingSim returns a simulation whose planners load other models to hosts.
+func newPrestagingSim(t *testing.T) *placementSim {
+	s := newPlacementSim(t, 0.5, 0.5)
+	s.prestages, s.planner.Prestages = true, true
+	return s
+}
+
 // prestagedSim returns a simulation in which all groups of equal shares serve, and whose hosts were loaded
 // with the other model until some time after the start.
 func prestagedSim(t *testing.T, until time.Duration) *placementSim {
-	s := newPlacementSim(t, 0.5, 0.5)
-	s.prestages = true
-	s.planner.Prestages = true
+	s := newPrestagingSim(t)
 	s.runUntil(until, nil)
 	must.Eq(t, map[string]int{"large": 10, "small": 16}, s.serving())
 	s.began = s.now.Add(-trafficStart)
@@ -42,7 +47,7 @@
 	test.Less(t, loads+20, len(s.loads), test.Sprint("hosts of spares only"))
 }
 
-// The other direction, with the models' roles exchanged.
+// Guards against capacity that follows the demand only if the small model is the one that is short.
 func TestCapacityFollowsDemandForTheLargeModelWithinSeconds(t *testing.T) {
 	s := prestagedSim(t, 40*time.Second)
 	s.demand = after(trafficStart, nil, work(9, 6))
@@ -78,9 +83,7 @@
 // Loads that begin after the first request count against the ceiling, whenever prestaging ended.
 func TestPrestagingStaysBelowTheCeiling(t *testing.T) {
 	for _, until := range []time.Duration{6, 8, 10, 14} {
-		s := newPlacementSim(t, 0.5, 0.5)
-		s.prestages = true
-		s.planner.Prestages = true
+		s := newPrestagingSim(t)
 		s.demand = after(until*time.Second, nil, work(3.7, 13.1))
 		s.runUntil((until+20)*time.Second, nil)
 		test.LessEq(t, 81, mostWithin(s.loads, simWindow), test.Sprint(until))
@@ -104,8 +107,8 @@
 	test.GreaterEq(t, 5, s.serving()["large"])
 }
 
-// Guards against capacity that moves where daemons admit requests by their own knowledge: nine daemons lost a
-// quarter of the credit of their worst class of requests.
+// Guards against capacity that moves where daemons admit requests by their own knowledge: with nine daemons, the
+// class of requests that was served worst lost a quarter of its credit.
 func TestModelsAreNotPlacedByDemandUnlessItIsFollowed(t *testing.T) {
 	rates := []demand.Rate{{Key: demand.Key{Service: simService, Model: "small"}, Requests: 1, Work: 100}}
 	follows := false
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -32,7 +32,7 @@
 	wasReady map[fleet.GroupKey]map[string]bool // members that were ready in a group at some time
 	opened   int                                // number of times that a group opened
 	// drain is how long a closed group finishes its requests. If it is not 0, entries list a loaded
-	// model only while the instance is in a group, as on the users' platform.
+	// model only while the instance is in a group, as engines do.
 	drain time.Duration
 	// fastLoads divides the time of loads by ten, as before the first request.
 	fastLoads bool
@@ -260,14 +260,21 @@
 			p.RecordOutcome(o, Unanswered)
 		case lost || !s.engines[o.Instance].alive:
 			p.RecordOutcome(o, Unanswered)
-		case s.apply(o):
-			p.RecordOutcome(o, Taken)
 		default:
-			p.RecordOutcome(o, Refused)
+			s.carryOut(p, o)
 		}
 	}
 }
 
+// carryOut carries out an order of a planner and tells it the outcome.
+func (s *sim) carryOut(p *Planner, o Order) {
+	outcome := Refused
+	if s.apply(o) {
+		outcome = Taken
+	}
+	p.RecordOutcome(o, outcome)
+}
+
 // onTime delivers every order at once.
 func onTime() (bool, bool, time.Duration) { return false, false, 0 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -39,15 +39,15 @@
 	memory  *membudget.Budget
 	onEnd   func()
 	holder  *membudget.Holder // nil until the first large event
-	bufHeld int               // bytes of buf accounted to holder
+	bufHeld int               // size of buf that is accounted to holder
 }
 
-// Sizes of events.
+// Sizes of events, in bytes.
 const (
 	// maxEventBytes limits an event, and the empty lines between two events.
 	maxEventBytes = 1 << 20
-	// freeEventBytes is the size up to which an event is not accounted.
-	freeEventBytes = 4 << 10
+	// unaccountedEventBytes is the size up to which an event is not accounted.
+	unaccountedEventBytes = 4 << 10
 	// maxKeptEventBytes is the largest buffer that is kept for the next event.
 	maxKeptEventBytes = 64 << 10
 )
@@ -113,13 +113,13 @@
 	r.buf = r.buf[:0]
 }
 
-// append adds a line, or a part of one, to the event.
+// append adds a line, or a part of one, to the event. The error is errEventTooLarge or upstream.ErrMemory.
 func (r *eventReader) append(line []byte) error {
 	size := len(r.buf) + len(line)
 	if size > maxEventBytes {
 		return errEventTooLarge
 	}
-	if size > cap(r.buf) && size > freeEventBytes {
+	if size > cap(r.buf) && size > unaccountedEventBytes {
 		if r.holder == nil {
 			r.holder = r.memory.NewHolder(r.onEnd)
 		}
@@ -134,7 +134,7 @@
 	return nil
 }
 
-// detach leaves the buffer of the last event to somebody else, who still uses it. It stays accounted until
+// detach leaves the buffer of the last event to a goroutine that still uses it. It stays accounted until
 // close.
 func (r *eventReader) detach() { r.buf, r.bufHeld = nil, 0 }
 
--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -14,19 +14,21 @@
 	"pearlanding/internal/upstream"
 )
 
-// Events held for a caller that reads slowly.
+// Limits of events held for a caller that reads slowly.
 const (
 	// slowWriteTime is how long a write to the caller may block before another goroutine reads the replica,
 	// which would cut off an answer that stays unread for some seconds. It is longer than the time for
 	// which a process with a small CPU quota is usually not scheduled.
 	slowWriteTime = 100 * time.Millisecond
-	// maxHeldBytes limits what is held for one caller. The largest event fits.
+	// maxHeldBytes limits what is held for one caller, in bytes. The largest event (maxEventBytes) fits.
 	maxHeldBytes = 1 << 20
-	// heldBlockBytes is the size of the blocks in which events are held and written.
+	// heldBlockBytes is the size of the blocks in which events are held and written; a larger event has a
+	// block of its own.
 	heldBlockBytes = 4 << 10
 )
 
-// errReadElsewhere means that another goroutine has read the rest of the answer.
+// errReadElsewhere means that another goroutine has read the rest of the answer, and that all of it was
+// handled.
 const errReadElsewhere = errors.ConstError("gateway: another goroutine reads the stream")
 
 // errCallerTooSlow is the cause with which a stream ends because too much is held for its caller.
@@ -42,8 +44,8 @@
 // lost or repeated.
 type heldEvents struct {
 	timer *time.Timer // runs while a write is in progress; set with mu held
-	// elsewhere means that the timer's goroutine reads. It is set while the other one is in a write, so that
-	// both may read it without mu.
+	// elsewhere means that the timer's goroutine reads the stream. It is set, with mu held, while the
+	// request's goroutine is in a write. That one reads it after endWrite, so that neither needs mu for it.
 	elsewhere bool
 
 	mu         sync.Mutex
@@ -83,31 +85,41 @@
 
 // checkWrite continues to read the stream in this goroutine if the write in progress takes too long.
 func (x *exchange) checkWrite() {
+	c := &x.held
+	h := x.takeOverReading()
+	if h == nil {
+		return
+	}
+	defer close(c.done)
+	defer c.end()
+	x.gateway.Metrics.set.GetOrCreateCounter("pearlanding_streams_held_total").Inc()
+	x.readOn(h)
+}
+
+// takeOverReading makes this goroutine the one that reads the stream if the write in progress takes too long.
+// It returns the handover of that write, nil if there is no write or it may take longer.
+func (x *exchange) takeOverReading() *handover {
 	c := &x.held
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	h := c.handover
 	if h == nil || c.elsewhere {
-		c.mu.Unlock()
-		return
+		return nil
 	}
 	if remaining := slowWriteTime - x.gateway.runClockNow().Sub(h.from.eventAt); remaining > 0 {
 		c.timer.Reset(remaining) // the timer also ran while this process was not scheduled
-		c.mu.Unlock()
-		return
+		return nil
 	}
 	c.elsewhere, c.changed.L, c.done = true, &c.mu, make(chan struct{})
 	c.holder = x.gateway.Memory.NewHolder(func() { x.endSlowCaller("daemon") })
 	c.stopExpiry = context.AfterFunc(h.ctx, func() { c.expire(x, h.ctx.Err()) })
-	c.mu.Unlock()
-	defer close(c.done)
-	defer c.end()
-	x.gateway.Metrics.set.GetOrCreateCounter("pearlanding_streams_held_total").Inc()
-	x.readOn(h)
+	return h
 }
 
-// readOn reads a stream, and its successors, to the end of the answer.
+// readOn reads a stream, and its successors, to the end of the answer. The request's goroutine is still
+// writing the last event of h.
 func (x *exchange) readOn(h *handover) {
-	h.from.events.detach() // the other goroutine still writes the last event
+	h.from.events.detach()
 	h.eventPassedOn()
 	ev, err := x.nextEvent(h.from, &x.progress)
 	successor, err := x.endPass(h.ctx, h, x.copyEvents(ev, err, h))
@@ -124,7 +136,7 @@
 	c.changed.Signal()
 }
 
-// holdEvent holds an event for the caller.
+// holdEvent holds an event for the caller. The error is errCallerTooSlow, or why writing ended early.
 func (x *exchange) holdEvent(raw []byte) error {
 	c := &x.held
 	need, err := c.append(raw, nil)
@@ -142,8 +154,8 @@
 	return err
 }
 
-// append adds an event to the last block, or to a new one if that is not nil. It returns the size of the
-// block that the event needs, or 0 if it was added.
+// append adds an event to the last block, or to a new one if block is not nil. need is 0 if it was added,
+// else the size of the new block that it needs. The error is why writing ended early.
 func (c *heldEvents) append(raw, block []byte) (need int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// finishStream sends the events after the first ones, and the end of the answer.
+func finishStream(s *simSend) {
+	if s.events(eventsBeforePause+1, streamEvents, eventInterval) {
+		s.finish()
+	}
+}
+
 // continueStream answers as a replica that works, after the last event that the caller has.
 func continueStream(s *simSend) {
 	s.header()
@@ -615,17 +622,8 @@
 // for a while.
 func TestStreamIsNotMovedWhileItsCallerDoesNotRead(t *testing.T) {
 	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
-		r.serveFirst = func(s *simSend) {
-			if s.events(eventsBeforePause+1, streamEvents, eventInterval) {
-				s.finish()
-			}
-		}
-		writes := 0
-		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: func() {
-			if writes++; writes == 2 {
-				time.Sleep(longPause)
-			}
-		}})
+		r.serveFirst = finishStream
+		c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: pauseAt(2, longPause)})
 		<-c.done
 		r.check(t)
 		must.SliceLen(t, 1, r.sendsOf("x"))
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -133,7 +133,7 @@
 		must.NoError(t, err)
 		must.Eq(t, 1, n)
 	}
-	must.Eq(t, headMemoryFactor*(maxHeadBytes-freeHeadBytes), memory.Usage().Bodies)
+	must.Eq(t, headMemoryFactor*(maxHeadBytes-unaccountedHeadBytes), memory.Usage().Bodies)
 	_, err := l.Read(p)
 	must.ErrorIs(t, err, ErrHeadTooLarge)
 	l.release()
@@ -187,39 +187,27 @@
 
 // Guards against an outcome that is reported as "not run" after a part of the request was sent.
 func TestUpstreamThatDoesNotReadTheRequestIsUnknown(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-			defer c.Close()
-		}
-	}()
+	address := startListener(t, func(c *net.TCPConn) { _ = c.SetReadBuffer(4 << 10) })
 	p := newTestPool()
 	p.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return impatientConn{conn}, nil
+		return shortDeadlineConn{conn}, nil
 	}
-	call := newGetCall(l.Addr().String())
+	call := newGetCall(address)
 	call.Method, call.Body = http.MethodPost, make([]byte, 16<<20)
-	_, err = p.Do(t.Context(), call)
+	_, err := p.Do(t.Context(), call)
 	must.ErrorIs(t, err, ErrUnknown)
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	must.MapEmpty(t, p.openCount)
 }
 
-// impatientConn shortens the time limit of writes to a hundredth.
-type impatientConn struct{ net.Conn }
+// shortDeadlineConn shortens the time limit of writes to a hundredth.
+type shortDeadlineConn struct{ net.Conn }
 
-func (c impatientConn) SetWriteDeadline(t time.Time) error {
+func (c shortDeadlineConn) SetWriteDeadline(t time.Time) error {
 	if !t.IsZero() {
 		t = time.Now().Add(time.Until(t) / 100)
 	}
