Daemons that start learn which evacuations ended just before

Change: it takes all instances for cold until it knows which evacuations ended. It asks the store's history beside its other first reads; its relay's poll reply tells ends with their ages, and relays tell each other with the loads. The new fields are optional. Without the history and a relay all zones stay cold until cold-start-s after its first proof.

--- a/internal/backpressure/cold.go
+++ b/internal/backpressure/cold.go
@@ -55,7 +55,11 @@
 	mu        sync.Mutex
 	instances map[string]*coldInstance
 	zoneSince map[string]time.Time // latest end of an evacuation
-	permits   coldPermitState
+	// unseenEnds is the time up to which evacuations may have ended without the knowledge of this daemon:
+	// in unseenZones, nil: in any zone. Zero: none has.
+	unseenEnds  time.Time
+	unseenZones map[string]bool
+	permits     coldPermitState
 }
 
 // coldInstance is what is known of the instance with an id. Requests for an earlier incarnation reach
@@ -135,6 +139,15 @@
 	raise(&c.startBound, endedAt)
 }
 
+// UnseenEnds records that evacuations may have ended up to a time without the knowledge of this daemon: in
+// the given zones, nil: in any. It replaces what was recorded before.
+func (c *Cold) UnseenEnds(upTo time.Time, zones map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unseenEnds, c.unseenZones = upTo, zones
+	raise(&c.startBound, upTo)
+}
+
 // signal records that an instance said to be cold for a while longer.
 func (c *Cold) signal(instance string, left time.Duration, now time.Time) {
 	c.mu.Lock()
@@ -186,6 +199,9 @@
 	if ended, ok := c.zoneSince[in.zone]; ok {
 		end = later(end, ended.Add(rule.Duration))
 	}
+	if !c.unseenEnds.IsZero() && (c.unseenZones == nil || c.unseenZones[in.zone]) {
+		end = later(end, c.unseenEnds.Add(rule.Duration))
+	}
 	return end
 }
 
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -36,6 +36,7 @@
 	jitter      float64 // in [0, 1), drawn for each listing
 	unreachable bool    // as logged
 	watching    *runningWatch
+	pastEnds    pastEnds
 }
 
 // Intervals of Run.
@@ -51,10 +52,10 @@
 // Enabled reports whether zones can be evacuated.
 func (f *Follower) Enabled() bool { return f.Kind != "" && f.Bound() > 0 }
 
-// Settled reports whether a start need not wait for the first state any more: it is known, or cannot be
-// read.
+// Settled reports whether a start need not wait for the first state and for the ends of earlier
+// evacuations any more: they are known, or cannot be read.
 func (f *Follower) Settled() bool {
-	if !f.Enabled() || !f.Known.ProvedAt().IsZero() {
+	if !f.Enabled() || !f.Known.ProvedAt().IsZero() && f.endsSettled() {
 		return true
 	}
 	first := f.firstSentAt.Load()
@@ -89,12 +90,14 @@
 	}
 	f.awaitRelay(ctx)
 	reads, watches := make(chan readResult), make(chan watchResult)
+	histories := make(chan historyResult)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		f.sendRead(ctx, reads)
 		f.sendWatch(ctx, watches)
-		timer.Reset(min(f.Clock.Until(f.readDue()), f.untilWatch(), roleCheckInterval))
+		untilHistory := f.sendHistory(ctx, histories)
+		timer.Reset(min(f.Clock.Until(f.readDue()), f.untilWatch(), untilHistory, roleCheckInterval))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -103,6 +106,8 @@
 			f.applyRead(r)
 		case r := <-watches:
 			f.applyWatch(r)
+		case r := <-histories:
+			f.endHistory(r)
 		}
 	}
 	f.cancelWatch()
--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -25,8 +25,10 @@
 	history  []objectapi.Event
 	changed  chan struct{}
 	err      error // of listings
-	lists    int
-	waits    int
+	// followErr is the error of watches.
+	followErr error
+	lists     int
+	waits     int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -74,7 +76,11 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	f.waits++
+	err = f.followErr
 	f.mu.Unlock()
+	if err != nil {
+		return c, err
+	}
 	for {
 		f.mu.Lock()
 		c = objectapi.Changes{Revision: f.revision}
--- a/internal/evacuation/known.go
+++ b/internal/evacuation/known.go
@@ -29,9 +29,17 @@
 	// IsKnownZone reports whether a zone is one of the deployment's; nil: that is not known.
 	IsKnownZone func(zone string) bool
 	// OnChange, if set, is called with each change, in order, and OnEnded with each zone whose
-	// evacuation ended. They must not call Apply or Snapshot. All three must be set before use.
+	// evacuation ended at a time.
 	OnChange func(c Change)
-	OnEnded  func(zone string)
+	OnEnded  func(zone string, at time.Time)
+	// OnEndsKnown, if set, is called with the time after which every end is known. Earlier ones may be
+	// unknown in the given zones; nil: in any.
+	OnEndsKnown func(since time.Time, zones *Zones)
+	// ColdFor returns for how long an end matters; known: the configuration, which tells that, is known.
+	// 0: ends do not matter. Nil: they do not.
+	ColdFor func() (d time.Duration, known bool)
+	// Now returns the time; nil: time.Now. The functions must be set before use and must not call Known.
+	Now func() time.Time
 
 	zones atomic.Pointer[Zones] // of state, read by each request
 	mu    sync.Mutex
@@ -39,6 +47,7 @@
 	// seq is incremented when the first state and with each change of the zones.
 	seq     uint64
 	changed chan struct{} // closed at the next increment of seq; nil: nobody asked for it
+	ends    Ends
 }
 
 // KnowsZone reports whether a zone is one of the deployment's, as far as that is known.
@@ -59,6 +68,7 @@
 	State
 	Seq     uint64          // changes with the zones; 0: nothing is known
 	Changed <-chan struct{} // closed when Seq changes
+	Ends    Ends
 }
 
 // Snapshot returns what is known now.
@@ -68,7 +78,7 @@
 	if k.changed == nil {
 		k.changed = make(chan struct{})
 	}
-	return Snapshot{k.state, k.seq, k.changed}
+	return Snapshot{k.state, k.seq, k.changed, k.recentEnds()}
 }
 
 // Zones returns the evacuated zones.
@@ -88,6 +98,9 @@
 	s.Zones = s.Zones.bounded(k.IsKnownZone)
 	before := k.state
 	k.state = merge(before, s)
+	if k.ends.Since.IsZero() && !k.state.ProvedAt.IsZero() {
+		k.setEndsSince(k.state.ProvedAt)
+	}
 	c := Change{State: k.state, Source: source, Begun: k.state.Zones.without(before.Zones), Ended: before.Zones.without(k.state.Zones)}
 	if len(c.Begun)+len(c.Ended) == 0 {
 		k.state.Zones = before.Zones // the same pointer while the zones are the same
@@ -101,10 +114,8 @@
 	if k.OnChange != nil {
 		k.OnChange(c)
 	}
-	if k.OnEnded != nil {
-		for _, zone := range c.Ended {
-			k.OnEnded(zone)
-		}
+	for _, zone := range c.Ended {
+		k.noteEnd(zone, k.now())
 	}
 	return true
 }
--- a/internal/evacuation/zones_test.go
+++ b/internal/evacuation/zones_test.go
@@ -77,7 +77,7 @@
 	var told []string
 	k := &Known{
 		OnChange: func(c Change) { told = append(told, fmt.Sprint("+", c.Begun, " -", c.Ended)) },
-		OnEnded:  func(zone string) { told = append(told, "ended "+zone) },
+		OnEnded:  func(zone string, _ time.Time) { told = append(told, "ended "+zone) },
 	}
 	first := k.Snapshot()
 	must.Zero(t, first.Seq)
--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -12,7 +12,11 @@
 
 // buildEvacuations creates the loop that follows which zones are evacuated.
 func (d *Daemon) buildEvacuations(s Settings) {
-	known := &evacuation.Known{OnChange: d.logEvacuations, OnEnded: func(zone string) { d.gate.ZoneCold(zone, d.Clock.Now()) }}
+	known := &evacuation.Known{Now: d.Clock.Now, OnChange: d.logEvacuations, OnEnded: d.gate.ZoneCold, ColdFor: d.coldFor, OnEndsKnown: func(since time.Time, zones *evacuation.Zones) {
+		if !s.Bootstrap || !d.beforeTraffic() {
+			d.gate.Cold.UnseenEnds(since, zones.Set())
+		}
+	}}
 	if len(s.ZoneNames) > 0 {
 		known.IsKnownZone = func(zone string) bool { return slices.Contains(s.ZoneNames, zone) }
 	}
@@ -21,6 +25,9 @@
 	if !d.evacuations.Enabled() {
 		return
 	}
+	if !s.Bootstrap {
+		d.gate.Cold.UnseenEnds(d.Clock.Now(), nil) // until OnEndsKnown tells more
+	}
 	for _, zone := range s.ZoneNames {
 		d.registerZone(zone)
 	}
@@ -31,6 +38,19 @@
 // evacuateBound returns the bound on an evacuation.
 func (s *Settings) evacuateBound() time.Duration { return s.Bounds.Evacuate }
 
+// coldFor returns for how long after the end of an evacuation a zone's instances are cold; known: the
+// configuration is. Before the deployment's first request none are.
+func (d *Daemon) coldFor() (cold time.Duration, known bool) {
+	table := d.config.Table()
+	if table == nil {
+		return 0, false
+	}
+	if d.beforeTraffic() {
+		return 0, true
+	}
+	return table.LongestCold(), true
+}
+
 // registerZone registers the metric of a zone.
 func (d *Daemon) registerZone(zone string) {
 	d.Metrics.GetOrCreateGauge(fmt.Sprintf("pearlanding_zone_evacuated{zone=%q}", zone), func() float64 {
--- a/internal/front/evacuation_test.go
+++ b/internal/front/evacuation_test.go
@@ -96,6 +96,16 @@
 	return out
 }
 
+// othersThanRelays returns the numbers of the daemons that are not their zones' relays.
+func (c *evacuationCase) othersThanRelays() (out []int) {
+	for i, d := range c.daemons {
+		if !d.relay.IsRelay() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // killRelays ends the processes of all relays.
 func (c *evacuationCase) killRelays() {
 	for _, i := range c.relays() {
--- a/internal/front/simcallers_test.go
+++ b/internal/front/simcallers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"pearlanding/internal/backpressure"
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/pause"
 	"pearlanding/internal/routes"
@@ -99,6 +100,7 @@
 type simFleet struct {
 	*simZone
 	instances *instanceNet
+	cold      backpressure.ColdRule // of the service
 	rng       *rand.Rand
 	mu        sync.Mutex
 	calls     []*simCall
@@ -111,6 +113,8 @@
 	callInterval time.Duration
 	// evacuate is the bound on evacuations; 0: zones are not evacuated.
 	evacuate time.Duration
+	// cold is the service's rule on cold instances; its zero value: there is none.
+	cold backpressure.ColdRule
 	// retryRatio is the number of retries allowed per request; 0: none.
 	retryRatio float64
 	answer     func(c *instanceConn, r *http.Request) bool // see instanceNet
@@ -118,7 +122,7 @@
 
 // newSimFleet starts a fleet with callers that run until ctx ends.
 func newSimFleet(ctx context.Context, t *testing.T, o simFleetOptions, seed uint64) *simFleet {
-	f := &simFleet{instances: newInstanceNet(), rng: rand.New(rand.NewPCG(seed, 55))}
+	f := &simFleet{instances: newInstanceNet(), cold: o.cold, rng: rand.New(rand.NewPCG(seed, 55))}
 	f.instances.answer = o.answer
 	f.simZone = &simZone{t: t, store: newSimStore(), net: newSimNet(), startedAt: time.Now(), cancels: map[*Daemon]context.CancelFunc{}, zones: o.zones, evacuate: o.evacuate, retryRatio: o.retryRatio,
 		zoneOf: func(daemon string) string {
@@ -159,7 +163,7 @@
 func (f *simFleet) prepare(d *Daemon) {
 	d.Platform.Codec = simCodec{}
 	d.Platform.DecodeConfig = func(value []byte) (*routes.Config, error) {
-		c := &routes.Config{Routes: simRoutes(), Services: []routes.Service{{Name: simService}}}
+		c := &routes.Config{Routes: simRoutes(), Services: []routes.Service{{Name: simService, ColdStart: f.cold.Duration, ColdPerSecond: f.cold.PerSecond}}}
 		_, err := fmt.Sscan(string(value), &c.Version)
 		return c, err
 	}
--- a/internal/front/simevacuations_test.go
+++ b/internal/front/simevacuations_test.go
@@ -12,8 +12,10 @@
 	era    uint64 // of the answers about this kind; the other kinds do not change with it
 	events []objectapi.Event
 	deaf   bool // watches receive nothing
-	reads  int  // listings
-	waits  int  // watches
+	// compactedTo is the revision up to which the history is dropped.
+	compactedTo uint64
+	reads       int // listings
+	waits       int // watches
 }
 
 // objects returns the evacuated zones' objects.
@@ -59,6 +61,13 @@
 	s.changed = make(chan struct{})
 }
 
+// compactEvacuations drops the history of evacuations.
+func (s *simStore) compactEvacuations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations.compactedTo = objectapi.MakeRevision(s.evacuations.era, s.revision)
+}
+
 // setDeaf makes watches of evacuations receive nothing.
 func (s *simStore) setDeaf() {
 	s.mu.Lock()
@@ -78,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := &s.evacuations
-	if objectapi.Era(revision) != e.era {
+	if objectapi.Era(revision) != e.era || revision < e.compactedTo {
 		return out, s.changed, objectapi.ErrCompacted
 	}
 	out.Revision = objectapi.MakeRevision(e.era, s.revision)
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pearlanding/internal/evacuation"
@@ -12,6 +14,49 @@
 	Zones    []string `json:"zones,omitempty"`
 	Revision uint64   `json:"revision"` // of the store, up to which their changes are known
 	AgeMS    int64    `json:"age_ms"`   // of the proof, in milliseconds before the reply was made, rounded up
+	// Ended are the zones whose evacuations ended a short while ago. EndsKnownMS is for how many
+	// milliseconds before the reply was made that list is complete; 0: a relay of an earlier version, or
+	// one whose configuration has no rule on cold instances.
+	Ended       []EndedEvacuation `json:"ended,omitempty"`
+	EndsKnownMS int64             `json:"ends_known_ms,omitempty"`
+}
+
+// EndedEvacuation is a zone whose evacuation ended.
+type EndedEvacuation struct {
+	Zone  string `json:"zone"`
+	AgeMS int64  `json:"age_ms"` // milliseconds before the reply was made, rounded down
+}
+
+// newEvacuationReport returns a report of what is known.
+func newEvacuationReport(s evacuation.Snapshot, now time.Time) *EvacuationReport {
+	out := &EvacuationReport{Seq: s.Seq, Zones: s.Zones.Names(), Revision: s.Revision, AgeMS: ageMS(now, s.ProvedAt)}
+	if s.Ends.Since.IsZero() {
+		return out
+	}
+	out.EndsKnownMS = max(now.Sub(s.Ends.Since).Milliseconds(), 1)
+	for _, zone := range slices.Sorted(maps.Keys(s.Ends.At)) {
+		out.Ended = append(out.Ended, EndedEvacuation{zone, max(now.Sub(s.Ends.At[zone]).Milliseconds(), 0)})
+	}
+	return out
+}
+
+// state returns the state that a report shows which was made no earlier than at a time.
+func (r *EvacuationReport) state(made time.Time) evacuation.State {
+	return evacuation.NewState(r.Zones, r.Revision, made.Add(-time.Duration(max(r.AgeMS, 0))*time.Millisecond))
+}
+
+// ends returns the ends that a report shows which was made no earlier than at a time and received at
+// another. The age of an end counts from the former: counted from the latter, an end that relays report
+// to each other would never grow old. The list counts as complete from the latter.
+func (r *EvacuationReport) ends(made, received time.Time) evacuation.Ends {
+	if r.EndsKnownMS <= 0 {
+		return evacuation.Ends{}
+	}
+	out := evacuation.Ends{Since: received.Add(-time.Duration(r.EndsKnownMS) * time.Millisecond), At: map[string]time.Time{}}
+	for _, e := range r.Ended {
+		out.At[e.Zone] = made.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
+	}
+	return out
 }
 
 // evacuations returns what this daemon knows of the evacuated zones; zero if that is not exchanged.
@@ -42,7 +87,17 @@
 	if r.EvacuationSeq == nil || s.Seq == 0 {
 		return nil
 	}
-	return &EvacuationReport{Seq: s.Seq, Zones: s.Zones.Names(), Revision: s.Revision, AgeMS: ageMS(now, s.ProvedAt)}
+	return newEvacuationReport(s, now)
+}
+
+// endsReport returns the report to the relay of another zone, which may have started just now and knows no
+// ends; nil if ends are not exchanged.
+func (n *Node) endsReport(now time.Time) *EvacuationReport {
+	s := n.evacuations()
+	if s.Seq == 0 || s.Ends.Since.IsZero() {
+		return nil
+	}
+	return newEvacuationReport(s, now)
 }
 
 // noteEvacuations applies a relay's report, which was made no earlier than at a time.
@@ -51,6 +106,15 @@
 		return
 	}
 	n.evacuationSeq = r.Seq
-	age := time.Duration(max(r.AgeMS, 0)) * time.Millisecond
-	n.opts.Evacuations.Apply(evacuation.NewState(r.Zones, r.Revision, made.Add(-age)), evacuation.FromRelay)
+	n.opts.Evacuations.Apply(r.state(made), evacuation.FromRelay)
+	n.noteEnds(r, made)
+}
+
+// noteEnds applies the ends that another daemon reported in a message that was made no earlier than at a
+// time and received now.
+func (n *Node) noteEnds(r *EvacuationReport, made time.Time) {
+	if r == nil || n.opts.Evacuations == nil {
+		return
+	}
+	n.opts.Evacuations.ApplyEnds(r.state(made), r.ends(made, n.now()))
 }
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -85,3 +85,100 @@
 	must.Zero(t, peer.opts.Evacuations.Snapshot().Seq)
 	must.True(t, peer.FollowsRelay())
 }
+
+// followEnds gives a daemon the state of one that has just started, and records the ends that it learns.
+func followEnds(d *daemon, now func() time.Time) (ended map[string]time.Time) {
+	ended = map[string]time.Time{}
+	d.opts.Evacuations = &evacuation.Known{Now: now, ColdFor: func() (time.Duration, bool) { return 3 * time.Second, true },
+		OnEnded: func(zone string, at time.Time) { ended[zone] = at }}
+	return ended
+}
+
+// noteEnd gives a daemon's state an end of an evacuation of zone-1 that it noticed now.
+func noteEnd(k *evacuation.Known, now time.Time) {
+	k.Apply(evacuation.NewState([]string{"zone-1", "zone-2"}, 7, now), evacuation.FromListing)
+	k.Apply(evacuation.NewState([]string{"zone-2"}, 8, now), evacuation.FromListing)
+}
+
+// Guards against a daemon that starts just after the end of an evacuation and does not learn it from its
+// relay, or takes it for younger or older than it is.
+func TestStartingPeerLearnsEndsFromItsRelay(t *testing.T) {
+	z, relay, peer := newEvacuationZone(t)
+	now := func() time.Time { return z.now }
+	followEnds(relay, now)
+	relay.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-1"}, 6, z.now), evacuation.FromListing)
+	z.advance(10 * time.Second)
+	noteEnd(relay.opts.Evacuations, z.now)
+	endedAt := z.now
+	z.advance(700 * time.Millisecond)
+	must.NoError(t, relay.step())
+	ended := followEnds(peer, now)
+	peer.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-2"}, 8, z.now), evacuation.FromListing)
+	settled, _ := peer.opts.Evacuations.EndsSettled()
+	must.False(t, settled)
+	must.NoError(t, peer.step())
+	must.Eq(t, map[string]time.Time{"zone-1": endedAt}, ended)
+	settled, _ = peer.opts.Evacuations.EndsSettled()
+	must.True(t, settled)
+
+	z.advance(3 * time.Second)
+	must.SliceEmpty(t, newEvacuationReport(relay.opts.Evacuations.Snapshot(), z.now).Ended, must.Sprint("it is forgotten"))
+}
+
+// Guards against taking the silence of a relay of an earlier version for the report that no evacuation has
+// ended, and against fields in its poll that a deployment without a rule on cold instances does not need.
+func TestEndsAreOptional(t *testing.T) {
+	z, relay, peer := newEvacuationZone(t)
+	now := func() time.Time { return z.now }
+	relay.opts.Evacuations.ColdFor = func() (time.Duration, bool) { return 0, true }
+	relay.opts.Evacuations.Now = now
+	relay.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-1"}, 6, z.now), evacuation.FromListing)
+	z.advance(10 * time.Second)
+	noteEnd(relay.opts.Evacuations, z.now)
+	text, err := json.Marshal(newEvacuationReport(relay.opts.Evacuations.Snapshot(), z.now))
+	must.NoError(t, err)
+	must.StrNotContains(t, string(text), "end")
+	must.Nil(t, relay.endsReport(z.now))
+
+	must.NoError(t, relay.step())
+	ended := followEnds(peer, now)
+	must.NoError(t, peer.step())
+	must.Eq(t, []string{"zone-2"}, peer.opts.Evacuations.Zones().Names())
+	must.MapEmpty(t, ended)
+	settled, _ := peer.opts.Evacuations.EndsSettled()
+	must.False(t, settled)
+}
+
+// Guards against a relay that restarted and does not learn from the other zones' relays which evacuations
+// ended before.
+func TestRestartedRelayLearnsEndsFromOtherZones(t *testing.T) {
+	z, relay, _ := newEvacuationZone(t)
+	other, remoteRelay, _ := newEvacuationZone(t)
+	other.now = z.now
+	followEnds(remoteRelay, func() time.Time { return other.now })
+	remoteRelay.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-1"}, 6, other.now), evacuation.FromListing)
+	other.advance(10 * time.Second)
+	noteEnd(remoteRelay.opts.Evacuations, other.now)
+	endedAt := other.now
+	other.advance(500 * time.Millisecond)
+	z.now = other.now
+
+	must.NoError(t, relay.step())
+	ended := followEnds(relay, func() time.Time { return z.now })
+	relay.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-2"}, 8, z.now), evacuation.FromListing)
+	relay.opts.Peers, relay.opts.Address = other, "here" // both zones name their daemons alike
+	x := &LoadExchange{Node: relay.Node, ListRecords: recordsOf("here", remoteRelay.name, "nobody")}
+	x.runOnce(t.Context())
+	must.Eq(t, map[string]time.Time{"zone-1": endedAt}, ended)
+	settled, _ := relay.opts.Evacuations.EndsSettled()
+	must.True(t, settled)
+
+	// A relay of an earlier version reports none.
+	remoteRelay.opts.Evacuations = nil
+	ended = followEnds(relay, func() time.Time { return z.now })
+	relay.opts.Evacuations.Apply(evacuation.NewState([]string{"zone-2"}, 8, z.now), evacuation.FromListing)
+	x.runOnce(t.Context())
+	must.MapEmpty(t, ended)
+	settled, _ = relay.opts.Evacuations.EndsSettled()
+	must.False(t, settled)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -21,7 +21,8 @@
 	zoneDaemons, _ := n.share.loads.countDaemons(now)
 	rates, age := n.share.loads.zoneDemand(now)
 	return LoadsReply{Loads: n.share.loads.zoneTotal(now), StalledGroups: n.share.loads.stalledGroups(now), Daemons: zoneDaemons,
-		Demand: rates, LoadsAgeMS: age.Milliseconds(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.tunnelPeers(now), "")}, nil
+		Demand: rates, LoadsAgeMS: age.Milliseconds(), TunnelPeers: n.sampleTunnelPeers(n.share.loads.tunnelPeers(now), ""),
+		Evacuations: n.endsReport(now)}, nil
 }
 
 // shareRequest returns this daemon's report of its own requests, without spare retry credit.
@@ -211,13 +212,14 @@
 // collectZoneLoads asks all other relays in parallel for the loads of their zones.
 func (x *LoadExchange) collectZoneLoads(ctx context.Context) {
 	n := x.Node
-	addresses := n.otherRelays()
+	addresses, asked := n.otherRelays(), n.now()
 	replies := make([]LoadsReply, len(addresses))
 	var wait sync.WaitGroup
 	for i, address := range addresses {
 		wait.Go(func() {
 			if r, err := n.opts.Peers.ZoneLoads(ctx, address); err == nil {
 				replies[i] = r // a zone without a reply counts as idle until its next one
+				n.noteEnds(r.Evacuations, asked)
 			}
 		})
 	}
--- a/internal/relay/share_messages.go
+++ b/internal/relay/share_messages.go
@@ -130,4 +130,6 @@
 	LoadsAgeMS int64         `json:"loads_age_ms,omitempty"`
 	// TunnelPeers are as in ShareReply, of this zone.
 	TunnelPeers []string `json:"tunnel_peers,omitempty"`
+	// Evacuations are the evacuations that ended a short while ago; nil: that is not exchanged.
+	Evacuations *EvacuationReport `json:"evacuations,omitempty"`
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -197,6 +197,7 @@
 	workspacesByKey  map[string]*Workspace
 	streamPriorities []int // of streams' routes and of workspaces, the most urgent first
 	limitsCold       bool
+	longestCold      time.Duration
 }
 
 // Compile returns the routing table of a configuration, which must not be modified afterwards.
@@ -211,7 +212,9 @@
 	}
 	for i := range c.Services {
 		t.servicesByName[c.Services[i].Name] = &c.Services[i]
-		t.limitsCold = t.limitsCold || c.Services[i].ColdPerSecond > 0
+		if c.Services[i].ColdPerSecond > 0 {
+			t.limitsCold, t.longestCold = true, max(t.longestCold, c.Services[i].ColdStart)
+		}
 	}
 	for i := range c.Workspaces {
 		for _, key := range c.Workspaces[i].Keys {
@@ -261,6 +264,10 @@
 // LimitsColdInstances reports whether a service limits requests to cold instances.
 func (t *Table) LimitsColdInstances() bool { return t.limitsCold }
 
+// LongestCold returns the longest time for which a service that limits requests to cold instances takes an
+// instance for cold; 0: there is no such service.
+func (t *Table) LongestCold() time.Duration { return t.longestCold }
+
 // RequiresAPIKey reports whether requests require an API key, which they do once a workspace is configured.
 func (t *Table) RequiresAPIKey() bool { return len(t.Config.Workspaces) > 0 }
 
