A listing corrects what a watch of evacuations missed

Cause: a watch that missed one change and reported a later one gave a state of the latter's revision. A listing at that revision had no precedence, so the change stayed unknown until the store's next write, with a fresh proof all the while.

Change: a listing replaces a watch's state of the same revision, also at peers of the relay (optional field listed), and one of a lower revision proves nothing of it.

Result: TestListingCorrectsAWatch, TestListingCorrectsAWatchAtTheSameRevision and TestPeersTakeOverWhatAListingCorrects failed before and pass.

--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -145,6 +145,22 @@
 	})
 }
 
+// Guards against an evacuation that a watch missed and that stays unknown until the store's next write.
+func TestListingCorrectsAWatchAtTheSameRevision(t *testing.T) {
+	runFollower(t, true, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
+		time.Sleep(1500 * time.Millisecond)
+		feed.mu.Lock()
+		feed.revision++
+		feed.zones["a"] = feed.revision // no watch reports it
+		feed.mu.Unlock()
+		feed.set("b", true)
+		time.Sleep(minWatchPause)
+		must.Eq(t, []string{"b"}, f.Known.Zones().Names())
+		time.Sleep(maxProofAge(f.Bound(), true, 0) + 10*time.Millisecond)
+		must.Eq(t, []string{"a", "b"}, f.Known.Zones().Names())
+	})
+}
+
 // A daemon without a relay reads by itself, and one that gets reports from a relay reads nothing.
 func TestListIsReadByAgeOfProof(t *testing.T) {
 	runFollower(t, false, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
--- a/internal/evacuation/zones.go
+++ b/internal/evacuation/zones.go
@@ -94,23 +94,36 @@
 	// ProvedAt is when the listing was sent that last proved the state: it holds every change that the
 	// store acknowledged before. Zero: nothing is known.
 	ProvedAt time.Time
+	// Listed: a listing showed the zones as of Revision. False: a watch reported the last changes, and may
+	// have missed others.
+	Listed bool
 }
 
-// NewState returns the state in which the given zones are evacuated.
+// NewState returns the state in which the given zones are evacuated, as a listing shows it.
 func NewState(zones []string, revision uint64, provedAt time.Time) State {
-	return State{newZones(zones), revision, provedAt}
+	return State{newZones(zones), revision, provedAt, true}
 }
 
-// merge returns what is known from two states. The one of the higher revision is in force. Within an
-// era it contains the other, and thereby all that the proof of either shows. A restored store begins
-// anew: a state of an earlier era says nothing about it.
+// unlisted returns the state as a watch reports it.
+func (s State) unlisted() State {
+	s.Listed = false
+	return s
+}
+
+// merge returns what is known from two states. The one of the higher revision is in force, at the same
+// revision the one that a listing shows: a watch may have missed changes before the last one that it
+// reported. Within an era the later state contains the other, and thereby all that the proof of either
+// shows, unless the later one is a watch's. A restored store begins anew: a state of an earlier era says
+// nothing about it.
 func merge(known, other State) State {
 	out := known
 	switch {
 	case known.ProvedAt.IsZero():
 		return other
-	case other.Revision > known.Revision:
+	case other.Revision > known.Revision, other.Revision == known.Revision && other.Listed && !known.Listed:
 		out = other
+	case other.Revision < known.Revision && !known.Listed:
+		return known
 	}
 	if objectapi.Era(known.Revision) == objectapi.Era(other.Revision) {
 		out.ProvedAt = known.ProvedAt
@@ -156,7 +169,7 @@
 		}
 	}
 	s.Zones = newZones(names)
-	return s
+	return s.unlisted()
 }
 
 // zoneOf returns the zone that an object's key names.
--- a/internal/evacuation/zones_test.go
+++ b/internal/evacuation/zones_test.go
@@ -71,6 +71,23 @@
 	must.Nil(t, s.Zones)
 }
 
+// Guards against a watch that misses a change and reports a later one: a listing at the revision of the
+// latter shows both, and one that was sent before proves nothing of what the watch may have missed.
+func TestListingCorrectsAWatch(t *testing.T) {
+	k := &Known{}
+	k.Apply(NewState(nil, 10, at(0)), FromListing)
+	k.Apply(k.Snapshot().after(objectapi.Changes{Revision: 12, Events: []objectapi.Event{event("b", 12, false)}}), FromWatch)
+	must.Eq(t, []string{"b"}, k.Zones().Names())
+	k.Apply(NewState([]string{"a"}, 11, at(900)), FromListing)
+	must.Eq(t, at(0), k.ProvedAt(), must.Sprint("zone a was evacuated at revision 11"))
+	must.True(t, k.Apply(NewState([]string{"a", "b"}, 12, at(1000)), FromListing))
+	must.Eq(t, []string{"a", "b"}, k.Zones().Names())
+	must.Eq(t, at(1000), k.ProvedAt())
+	must.False(t, k.Apply(k.Snapshot().State.unlisted(), FromRelay), must.Sprint("a listing is not corrected by a watch"))
+	must.False(t, k.Apply(NewState([]string{"a", "b"}, 11, at(2000)), FromListing))
+	must.Eq(t, at(2000), k.ProvedAt())
+}
+
 // Callbacks are called once for each change, and waiting peers are notified of the first state and of changes
 // only.
 func TestChangesAreToldOnce(t *testing.T) {
--- a/internal/relay/evacuations.go
+++ b/internal/relay/evacuations.go
@@ -14,6 +14,9 @@
 	Zones    []string `json:"zones,omitempty"`
 	Revision uint64   `json:"revision"` // of the store, up to which their changes are known
 	AgeMS    int64    `json:"age_ms"`   // of the proof, in milliseconds before the reply was made, rounded up
+	// Listed: a listing showed the zones as of Revision. False: a watch reported the last change, or the
+	// relay is of an earlier version.
+	Listed bool `json:"listed,omitempty"`
 	// Ended are the zones whose evacuations ended a short while ago. EndsKnownMS is for how many
 	// milliseconds before the reply was made that list is complete; 0: a relay of an earlier version, or
 	// one whose configuration has no rule on cold instances.
@@ -29,7 +32,7 @@
 
 // newEvacuationReport returns a report of what is known.
 func newEvacuationReport(s evacuation.Snapshot, now time.Time) *EvacuationReport {
-	out := &EvacuationReport{Seq: s.Seq, Zones: s.Zones.Names(), Revision: s.Revision, AgeMS: ageMS(now, s.ProvedAt)}
+	out := &EvacuationReport{Seq: s.Seq, Zones: s.Zones.Names(), Revision: s.Revision, AgeMS: ageMS(now, s.ProvedAt), Listed: s.Listed}
 	if s.Ends.Since.IsZero() {
 		return out
 	}
@@ -42,7 +45,9 @@
 
 // state returns the state that a report shows which was made no earlier than at a time.
 func (r *EvacuationReport) state(made time.Time) evacuation.State {
-	return evacuation.NewState(r.Zones, r.Revision, made.Add(-time.Duration(max(r.AgeMS, 0))*time.Millisecond))
+	s := evacuation.NewState(r.Zones, r.Revision, made.Add(-time.Duration(max(r.AgeMS, 0))*time.Millisecond))
+	s.Listed = r.Listed
+	return s
 }
 
 // ends returns the ends that a report shows which was made no earlier than at a time and received at
--- a/internal/relay/evacuations_test.go
+++ b/internal/relay/evacuations_test.go
@@ -68,6 +68,30 @@
 	})
 }
 
+// Guards against a peer that keeps what its relay's watch missed after the relay has corrected it by a listing at
+// the same revision, and against a relay of an earlier version, which does not tell one from the other.
+func TestPeersTakeOverWhatAListingCorrects(t *testing.T) {
+	for _, earlier := range []bool{false, true} {
+		z, relay, peer := newEvacuationZone(t)
+		must.NoError(t, relay.step())
+		watched := evacuation.NewState([]string{"zone-2"}, 7, z.now)
+		watched.Listed = false
+		relay.opts.Evacuations.Apply(watched, evacuation.FromWatch)
+		must.NoError(t, peer.step())
+		must.Eq(t, []string{"zone-2"}, peer.opts.Evacuations.Zones().Names())
+		all := evacuation.NewState([]string{"zone-1", "zone-2"}, 7, z.now)
+		if earlier {
+			peer.opts.Evacuations.Apply(all, evacuation.FromListing)
+			r := EvacuationReport{Seq: 9, Zones: []string{"zone-2"}, Revision: 7} // without "listed"
+			peer.noteEvacuations(&r, z.now)
+		} else {
+			relay.opts.Evacuations.Apply(all, evacuation.FromListing)
+		}
+		must.NoError(t, peer.step())
+		must.Eq(t, []string{"zone-1", "zone-2"}, peer.opts.Evacuations.Zones().Names())
+	}
+}
+
 // A daemon of an earlier version gets no field that it does not know, and its answers change nothing.
 func TestEvacuationsAreOptional(t *testing.T) {
 	z, relay, peer := newEvacuationZone(t)
