Ends of evacuations that relays report count whatever the store's history shows

Cause: found by reading: where the history showed no end, a report of one by a relay was taken for older than it is. After the store came back from a copy that lacks the evacuations, only the daemons that had seen them know of their end.

Change: a reported end counts as no later than the daemon's first proof, and is applied also after the history was read.

--- a/internal/evacuation/ends.go
+++ b/internal/evacuation/ends.go
@@ -92,24 +92,23 @@
 }
 
 // ApplyEnds applies what another daemon knows of ends, and the state that it knew then. Ends after this
-// daemon's own first proof are known already: other daemons may have noticed them later, and ages grow on
-// the way.
+// daemon's own first proof are known already: other daemons may have noticed them later.
 func (k *Known) ApplyEnds(s State, e Ends) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	since := k.ends.Since
-	if since.IsZero() || s.ProvedAt.IsZero() {
+	first, since := k.firstProvedAt, k.ends.Since
+	if first.IsZero() || s.ProvedAt.IsZero() {
 		return
 	}
 	for zone, at := range e.At {
-		if at.After(since) {
-			at = since
+		if at.After(first) {
+			at = first
 		}
 		k.noteEnd(zone, at)
 	}
 	if s.Revision < k.state.Revision {
 		for _, zone := range s.Zones.without(k.state.Zones) {
-			k.noteEnd(zone, since) // it ended between the two proofs
+			k.noteEnd(zone, first) // it ended between the two proofs, or this daemon has noticed the end
 		}
 	}
 	if !e.Since.IsZero() && e.Since.Before(since) && s.ProvedAt.After(since.Add(-maxCoverageGap)) {
--- a/internal/evacuation/known.go
+++ b/internal/evacuation/known.go
@@ -48,6 +48,8 @@
 	seq     uint64
 	changed chan struct{} // closed at the next increment of seq; nil: nobody asked for it
 	ends    Ends
+	// firstProvedAt is the time of the first state's proof; zero: none yet.
+	firstProvedAt time.Time
 }
 
 // KnowsZone reports whether a zone is one of the deployment's, as far as that is known.
@@ -98,7 +100,8 @@
 	s.Zones = s.Zones.bounded(k.IsKnownZone)
 	before := k.state
 	k.state = merge(before, s)
-	if k.ends.Since.IsZero() && !k.state.ProvedAt.IsZero() {
+	if k.firstProvedAt.IsZero() && !k.state.ProvedAt.IsZero() {
+		k.firstProvedAt = k.state.ProvedAt
 		k.setEndsSince(k.state.ProvedAt)
 	}
 	c := Change{State: k.state, Source: source, Begun: k.state.Zones.without(before.Zones), Ended: before.Zones.without(k.state.Zones)}
--- a/internal/evacuation/pastends.go
+++ b/internal/evacuation/pastends.go
@@ -62,11 +62,7 @@
 	}
 	revision := f.Known.Snapshot().Revision
 	if objectapi.WithinEra(revision) == 0 { // the store does not know the kind
-		r := historyResult{coldFor: coldFor}
-		if revision != 0 {
-			r.err = objectapi.ErrCompacted // what the store held before it came back from a copy is not known
-		}
-		f.endHistory(r)
+		f.endHistory(historyResult{coldFor: coldFor})
 		return roleCheckInterval
 	}
 	p.inFlight = true
