A restored store that does not know the kind ends evacuations

Cause: the listing of a kind that the store does not know is not found. After the store came back from a copy from before the first evacuation, this counted as no answer, and the zones stayed evacuated until an evacuation was written.

Change: such a listing has the lowest revision of the era that the answer tells. It is in force if nothing is known of this era; within an era it remains no answer.

--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -156,8 +156,8 @@
 
 // applyRead applies a listing.
 func (f *Follower) applyRead(r readResult) {
-	if errors.Is(r.err, objectapi.ErrNotFound) && f.Known.Snapshot().Revision == 0 {
-		r.err = nil // the store does not know the kind, as nobody has written an object of it yet
+	if errors.Is(r.err, objectapi.ErrNotFound) && f.Known.Snapshot().Revision <= r.listing.Revision {
+		r.err = nil // nobody has written an object of the kind yet, or not in this era of the store
 	}
 	if r.err != nil {
 		f.cancelWatch() // it may hang although the store answers again
--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -24,7 +24,8 @@
 	zones    map[string]uint64
 	history  []objectapi.Event
 	changed  chan struct{}
-	err      error // of listings
+	err      error  // of listings
+	notFound uint64 // the revision of a listing that is not found
 	// followErr is the error of watches.
 	followErr error
 	lists     int
@@ -68,6 +69,9 @@
 	for zone, version := range f.zones {
 		l.Objects = append(l.Objects, objectapi.Object{Key: "kind/" + zone, Version: version})
 	}
+	if errors.Is(f.err, objectapi.ErrNotFound) {
+		l = objectapi.Listing{Revision: f.notFound}
+	}
 	return l, f.err
 }
 
@@ -241,3 +245,23 @@
 		must.True(t, f.Settled())
 	})
 }
+
+// Guards against zones that stay evacuated after the store came back from a copy in which it does not know the
+// kind, and against ending evacuations because a listing is not found within the era in which they are known.
+func TestRestoredStoreWithoutTheKindEndsEvacuations(t *testing.T) {
+	runFollower(t, true, func(f *Follower) {
+		f.Feed.(*fakeFeed).set("a", true)
+	}, func(t *testing.T, feed *fakeFeed, f *Follower) {
+		must.True(t, f.Known.Zones().Has("a"))
+		feed.setErr(objectapi.ErrNotFound)
+		time.Sleep(10 * time.Second)
+		must.True(t, f.Known.Zones().Has("a"))
+		feed.mu.Lock()
+		feed.notFound = objectapi.MakeRevision(1, 0)
+		feed.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		must.False(t, f.Known.Zones().Has("a"))
+		time.Sleep(10 * time.Second)
+		must.Less(t, 2*time.Second, time.Since(f.Known.ProvedAt()), must.Sprint("each such listing is a proof"))
+	})
+}
--- a/internal/objectapi/feed.go
+++ b/internal/objectapi/feed.go
@@ -60,7 +60,8 @@
 	// GetStale is Get at a tenth of its cost. It returns the object as it was some seconds ago,
 	// if it existed then, and proves nothing about its current state.
 	GetStale(ctx context.Context, key string) (Object, error)
-	// ListKind returns all objects of a kind.
+	// ListKind returns all objects of a kind. ErrNotFound: the store does not know the kind; the listing's
+	// Revision is then the lowest of the store's era.
 	ListKind(ctx context.Context, kind string) (Listing, error)
 	// ListStale is ListKind at a tenth of its cost. It returns objects as they were some
 	// seconds ago, not all at the same time. Every change up to Revision is included, so the
