A daemon that was ready does not wait for ends of evacuations again

Cause: found by reading: before the deployment's first request ends do not matter, so a daemon was ready at once. A first request within cold-start-s of the start made it wait for the store's history, and not ready for that time.

Change: a settled start stays settled.

Result: the case of the deployment's first request in TestStartAsksTheHistoryForEnds failed before and passes.

--- a/internal/evacuation/ends_test.go
+++ b/internal/evacuation/ends_test.go
@@ -202,6 +202,21 @@
 			must.Zero(t, waits)
 		})
 	})
+	t.Run("first request of the deployment", func(t *testing.T) {
+		begun := false
+		start(t, func(_ *fakeFeed, f *Follower) {
+			f.Known.ColdFor = func() (time.Duration, bool) {
+				if !begun {
+					return 0, true
+				}
+				return testCold, true
+			}
+		}, func(t *testing.T, _ *endsLog, _ *fakeFeed, f *Follower) {
+			must.True(t, f.Settled())
+			begun = true
+			must.True(t, f.Settled(), must.Sprint("a daemon that was ready stays ready"))
+		})
+	})
 	must.Eq(t, 0, historyStart(2999, testCold))
 	must.Eq(t, 7000, historyStart(10_000, testCold))
 }
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,7 +13,8 @@
 )
 
 // Follower keeps Known current by calls to the store, as far as relays do not. All fields are required
-// unless noted. Run owns its other state.
+// unless noted. Run owns its other state, except for
+// settled and what is atomic in pastEnds.
 type Follower struct {
 	Known *Known
 	Clock *steady.Clock // nil: this machine's
@@ -37,6 +39,7 @@
 	unreachable bool    // as logged
 	watching    *runningWatch
 	pastEnds    pastEnds
+	settled     atomic.Bool
 }
 
 // Intervals of Run.
@@ -53,13 +56,17 @@
 func (f *Follower) Enabled() bool { return f.Kind != "" && f.Bound() > 0 }
 
 // Settled reports whether a start need not wait for the first state and for the ends of earlier
-// evacuations any more: they are known, or cannot be read.
+// evacuations any more: they are known, or cannot be read. It stays so.
 func (f *Follower) Settled() bool {
-	if !f.Enabled() || !f.Known.ProvedAt().IsZero() && f.endsSettled() {
+	if !f.Enabled() || f.settled.Load() {
 		return true
 	}
 	first := f.firstSentAt.Load()
-	return !first.IsZero() && f.Clock.Since(first) > maxStartDelay
+	settled := !f.Known.ProvedAt().IsZero() && f.endsSettled() || !first.IsZero() && f.Clock.Since(first) > maxStartDelay
+	if settled {
+		f.settled.Store(true) // the deployment's first request makes ends matter that did not
+	}
+	return settled
 }
 
 // readResult is the end of a listing that was sent at a time.
