--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,7 +13,8 @@
 )
 
 // Follower keeps Known current by calls to the store, as far as relays do not. All fields are required
-// unless noted. Run owns its other state.
+// unless noted. Run owns its other state, except for
+// settled and what is atomic in pastEnds.
 type Follower struct {
 	Known *Known
 	Clock *steady.Clock // nil: this machine's
@@ -36,6 +38,8 @@
 	jitter      float64 // in [0, 1), drawn for each listing
 	unreachable bool    // as logged
 	watching    *runningWatch
+	pastEnds    pastEnds
+	settled     atomic.Bool
 }
 
 // Intervals of Run.
@@ -51,14 +55,18 @@
 // Enabled reports whether zones can be evacuated.
 func (f *Follower) Enabled() bool { return f.Kind != "" && f.Bound() > 0 }
 
-// Settled reports whether a start need not wait for the first state any more: it is known, or cannot be
-// read.
+// Settled reports whether a start need not wait for the first state and for the ends of earlier
+// evacuations any more: they are known, or cannot be read. It stays so.
 func (f *Follower) Settled() bool {
-	if !f.Enabled() || !f.Known.ProvedAt().IsZero() {
+	if !f.Enabled() || f.settled.Load() {
 		return true
 	}
 	first := f.firstSentAt.Load()
-	return !first.IsZero() && f.Clock.Since(first) > maxStartDelay
+	settled := !f.Known.ProvedAt().IsZero() && f.endsSettled() || !first.IsZero() && f.Clock.Since(first) > maxStartDelay
+	if settled {
+		f.settled.Store(true) // the deployment's first request makes ends matter that did not
+	}
+	return settled
 }
 
 // readResult is the end of a listing that was sent at a time.
@@ -89,12 +97,14 @@
 	}
 	f.awaitRelay(ctx)
 	reads, watches := make(chan readResult), make(chan watchResult)
+	histories := make(chan historyResult)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		f.sendRead(ctx, reads)
 		f.sendWatch(ctx, watches)
-		timer.Reset(min(f.Clock.Until(f.readDue()), f.untilWatch(), roleCheckInterval))
+		untilHistory := f.sendHistory(ctx, histories)
+		timer.Reset(min(f.Clock.Until(f.readDue()), f.untilWatch(), untilHistory, roleCheckInterval))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -103,6 +113,8 @@
 			f.applyRead(r)
 		case r := <-watches:
 			f.applyWatch(r)
+		case r := <-histories:
+			f.endHistory(r)
 		}
 	}
 	f.cancelWatch()
@@ -151,8 +163,8 @@
 
 // applyRead applies a listing.
 func (f *Follower) applyRead(r readResult) {
-	if errors.Is(r.err, objectapi.ErrNotFound) && f.Known.Snapshot().Revision == 0 {
-		r.err = nil // the store does not know the kind, as nobody has written an object of it yet
+	if errors.Is(r.err, objectapi.ErrNotFound) && f.Known.Snapshot().Revision <= r.listing.Revision {
+		r.err = nil // nobody has written an object of the kind yet, or not in this era of the store
 	}
 	if r.err != nil {
 		f.cancelWatch() // it may hang although the store answers again
--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -24,9 +24,12 @@
 	zones    map[string]uint64
 	history  []objectapi.Event
 	changed  chan struct{}
-	err      error // of listings
-	lists    int
-	waits    int
+	err      error  // of listings
+	notFound uint64 // the revision of a listing that is not found
+	// followErr is the error of watches.
+	followErr error
+	lists     int
+	waits     int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -66,6 +69,9 @@
 	for zone, version := range f.zones {
 		l.Objects = append(l.Objects, objectapi.Object{Key: "kind/" + zone, Version: version})
 	}
+	if errors.Is(f.err, objectapi.ErrNotFound) {
+		l = objectapi.Listing{Revision: f.notFound}
+	}
 	return l, f.err
 }
 
@@ -74,7 +80,11 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	f.waits++
+	err = f.followErr
 	f.mu.Unlock()
+	if err != nil {
+		return c, err
+	}
 	for {
 		f.mu.Lock()
 		c = objectapi.Changes{Revision: f.revision}
@@ -139,6 +149,22 @@
 	})
 }
 
+// Guards against an evacuation that a watch missed and that stays unknown until the store's next write.
+func TestListingCorrectsAWatchAtTheSameRevision(t *testing.T) {
+	runFollower(t, true, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
+		time.Sleep(1500 * time.Millisecond)
+		feed.mu.Lock()
+		feed.revision++
+		feed.zones["a"] = feed.revision // no watch reports it
+		feed.mu.Unlock()
+		feed.set("b", true)
+		time.Sleep(minWatchPause)
+		must.Eq(t, []string{"b"}, f.Known.Zones().Names())
+		time.Sleep(maxProofAge(f.Bound(), true, 0) + 10*time.Millisecond)
+		must.Eq(t, []string{"a", "b"}, f.Known.Zones().Names())
+	})
+}
+
 // A daemon without a relay reads by itself, and one that gets reports from a relay reads nothing.
 func TestListIsReadByAgeOfProof(t *testing.T) {
 	runFollower(t, false, nil, func(t *testing.T, feed *fakeFeed, f *Follower) {
@@ -219,3 +245,23 @@
 		must.True(t, f.Settled())
 	})
 }
+
+// Guards against zones that stay evacuated after the store came back from a copy in which it does not know the
+// kind, and against ending evacuations because a listing is not found within the era in which they are known.
+func TestRestoredStoreWithoutTheKindEndsEvacuations(t *testing.T) {
+	runFollower(t, true, func(f *Follower) {
+		f.Feed.(*fakeFeed).set("a", true)
+	}, func(t *testing.T, feed *fakeFeed, f *Follower) {
+		must.True(t, f.Known.Zones().Has("a"))
+		feed.setErr(objectapi.ErrNotFound)
+		time.Sleep(10 * time.Second)
+		must.True(t, f.Known.Zones().Has("a"))
+		feed.mu.Lock()
+		feed.notFound = objectapi.MakeRevision(1, 0)
+		feed.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		must.False(t, f.Known.Zones().Has("a"))
+		time.Sleep(10 * time.Second)
+		must.Less(t, 2*time.Second, time.Since(f.Known.ProvedAt()), must.Sprint("each such listing is a proof"))
+	})
+}
