Instances of a zone count as cold before it is used after an evacuation

Cause: the zones without the ended evacuation were published, and the change logged, before the gate heard of the end, so that requests could reach instances of the zone as if these were warm (found in a review by reading).

Change: the end is reported before the zones are published.

Result: TestInstancesAreColdBeforeTheirZoneIsUsed fails without the change.

--- a/internal/evacuation/ends_test.go
+++ b/internal/evacuation/ends_test.go
@@ -220,3 +220,18 @@
 	must.Eq(t, 0, historyStart(2999, testCold))
 	must.Eq(t, 7000, historyStart(10_000, testCold))
 }
+
+// Guards against requests to a zone whose evacuation has ended before its instances count as cold.
+func TestInstancesAreColdBeforeTheirZoneIsUsed(t *testing.T) {
+	k := &Known{}
+	ended := 0
+	k.OnEnded = func(zone string, _ time.Time) {
+		ended++
+		must.True(t, k.Zones().Has(zone))
+	}
+	at := time.Now()
+	k.Apply(NewState([]string{"a"}, 1, at), FromListing)
+	k.Apply(NewState(nil, 2, at.Add(time.Second)), FromListing)
+	must.Eq(t, 1, ended)
+	must.False(t, k.Zones().Has("a"))
+}
--- a/internal/evacuation/known.go
+++ b/internal/evacuation/known.go
@@ -112,14 +112,14 @@
 		}
 		return false
 	}
-	k.zones.Store(k.state.Zones)
-	k.notify()
 	if k.OnChange != nil {
 		k.OnChange(c)
 	}
 	for _, zone := range c.Ended {
 		k.noteEnd(zone, k.now())
 	}
+	k.zones.Store(k.state.Zones) // last: no request may reach a zone before its instances count as cold
+	k.notify()
 	return true
 }
 
