Instances are warm to a daemon that starts unless an end of an evacuation is known

Cause: while nothing was known, a daemon that started took all instances for cold.

Change: only what the store's history or a relay tells makes instances cold.

--- a/internal/evacuation/ends.go
+++ b/internal/evacuation/ends.go
@@ -116,17 +116,6 @@
 	}
 }
 
-// assumeNoEnds takes no zone for one whose evacuation ended before the first proof, unless relays report it
-// later: a start of all daemons would leave plain services nearly without requests for as long as an
-// instance is cold.
-func (k *Known) assumeNoEnds() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.OnEndsKnown != nil && k.ends.Since.Equal(k.firstProvedAt) {
-		k.OnEndsKnown(time.Time{}, nil)
-	}
-}
-
 // applyHistory applies the store's history: only the given zones, if any, had the end of an evacuation
 // within d before now.
 func (k *Known) applyHistory(ended *Zones, d time.Duration) {
--- a/internal/evacuation/known.go
+++ b/internal/evacuation/known.go
@@ -33,7 +33,7 @@
 	OnChange func(c Change)
 	OnEnded  func(zone string, at time.Time)
 	// OnEndsKnown, if set, is called with the time after which every end is known. Earlier ones may be
-	// unknown in the given zones; nil: in any. Zero: none is taken to have been.
+	// unknown in the given zones; nil: in any.
 	OnEndsKnown func(since time.Time, zones *Zones)
 	// ColdFor returns for how long an end matters; known: the configuration, which tells that, is known.
 	// 0: ends do not matter. Nil: they do not.
--- a/internal/evacuation/pastends.go
+++ b/internal/evacuation/pastends.go
@@ -19,10 +19,6 @@
 // for begins that many revisions ago for each second in which an end matters.
 const maxWritesPerSecond = 1000
 
-// relayReportWait is for how long a daemon that can't read the history takes instances for cold until relays
-// have told which evacuations ended: those of other zones are asked each 0.25 s, once they are listed.
-const relayReportWait = 600 * time.Millisecond
-
 // historyWait is the wait of the call for the history, which is not to wait for changes.
 const historyWait = time.Millisecond
 
@@ -32,7 +28,6 @@
 	done     bool        // no call is needed any more
 	inFlight bool
 	nextAt   time.Time // no call before
-	giveUpAt time.Time // when no ends are assumed; zero: not
 }
 
 // historyResult is the end of the call for the history.
@@ -51,10 +46,6 @@
 // sendHistory sends the call for the history if it is due, and returns when to check again.
 func (f *Follower) sendHistory(ctx context.Context, results chan<- historyResult) time.Duration {
 	p, now := &f.pastEnds, f.Clock.Now()
-	if !p.giveUpAt.IsZero() && !now.Before(p.giveUpAt) {
-		p.giveUpAt = time.Time{}
-		f.Known.assumeNoEnds()
-	}
 	if p.done || p.inFlight || f.Known.ProvedAt().IsZero() {
 		return roleCheckInterval
 	}
@@ -99,13 +90,9 @@
 	switch {
 	case errors.Is(r.err, objectapi.ErrCompacted), errors.Is(r.err, objectapi.ErrNotFound):
 		p.done = true
-		p.giveUpAt = f.Clock.Now().Add(relayReportWait)
-		f.Log.Warn("ends of evacuations before the start not known", zap.String("decision", "instances_are_cold_until_relays_report"), zap.Error(r.err))
+		f.Log.Warn("ends of evacuations before the start not known", zap.String("decision", "instances_are_warm_unless_relays_report_ends"), zap.Error(r.err))
 	case r.err != nil:
 		p.nextAt = f.Clock.Now().Add(retryPause)
-		if p.giveUpAt.IsZero() && !p.answered.Load() {
-			p.giveUpAt = f.Clock.Now().Add(relayReportWait)
-		}
 	default:
 		p.done = true
 		var names []string
--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -13,9 +13,10 @@
 // buildEvacuations creates the loop that follows which zones are evacuated.
 func (d *Daemon) buildEvacuations(s Settings) {
 	known := &evacuation.Known{Now: d.Clock.Now, OnChange: d.logEvacuations, OnEnded: d.gate.ZoneCold, ColdFor: d.coldFor, OnEndsKnown: func(since time.Time, zones *evacuation.Zones) {
-		if !s.Bootstrap || !d.beforeTraffic() {
-			d.gate.Cold.UnseenEnds(since, zones.Set())
+		if zones == nil {
+			since = time.Time{} // what is not known is warm: else a start of all daemons refuses nearly everything
 		}
+		d.gate.Cold.UnseenEnds(since, zones.Set())
 	}}
 	if len(s.ZoneNames) > 0 {
 		known.IsKnownZone = func(zone string) bool { return slices.Contains(s.ZoneNames, zone) }
@@ -25,9 +26,6 @@
 	if !d.evacuations.Enabled() {
 		return
 	}
-	if !s.Bootstrap {
-		d.gate.Cold.UnseenEnds(d.Clock.Now(), nil) // until OnEndsKnown tells more
-	}
 	for _, zone := range s.ZoneNames {
 		d.registerZone(zone)
 	}
