Clocks of tests of admission and of ends of evacuations

The first two of these tests, new since, used the clock of the machine, one in a synctest bubble, in which its time jumps, the other while real time made the reports older. internal/evacuation called time.Now where none is set.

Change: both tests have a clock of their own, in virtual time; evacuation uses the steady clock. No check or bound changed.

Result: eight runs of internal/gateway at a time with the race detector pass.

--- a/internal/evacuation/ends.go
+++ b/internal/evacuation/ends.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"pearlanding/internal/steady"
 )
 
 // Ends is what is known of the evacuations that ended a short while ago: the instances of such a zone are
@@ -32,10 +34,10 @@
 	return k.ColdFor()
 }
 
-// now returns the time.
+// now returns the time by Now, or by the machine's clock.
 func (k *Known) now() time.Time {
 	if k.Now == nil {
-		return time.Now()
+		return (*steady.Clock)(nil).Now()
 	}
 	return k.Now()
 }
--- a/internal/evacuation/follower_test.go
+++ b/internal/evacuation/follower_test.go
@@ -122,7 +122,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		feed, rng := newFakeFeed(), rand.New(rand.NewPCG(1, 1))
-		follower := &Follower{Known: &Known{}, Clock: bubbleClock(), Feed: feed, Kind: "kind", Bound: func() time.Duration { return 5 * time.Second },
+		clock := bubbleClock()
+		follower := &Follower{Known: &Known{Now: clock.Now}, Clock: clock, Feed: feed, Kind: "kind", Bound: func() time.Duration { return 5 * time.Second },
 			Watches: func() bool { return watches }, Serves: func() bool { return watches },
 			Uniform: func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }, Log: zap.NewNop()}
 		if change != nil {
--- a/internal/evacuation/known.go
+++ b/internal/evacuation/known.go
@@ -38,7 +38,7 @@
 	// ColdFor returns for how long an end matters; known: the configuration, which tells that, is known.
 	// 0: ends do not matter. Nil: they do not.
 	ColdFor func() (d time.Duration, known bool)
-	// Now returns the time; nil: time.Now. The functions must be set before use and must not call Known.
+	// Now returns the time; nil: that of the machine's steady clock. The functions must be set before use and must not call Known.
 	Now func() time.Time
 
 	zones atomic.Pointer[Zones] // of state, read by each request
--- a/internal/gateway/admitonce_test.go
+++ b/internal/gateway/admitonce_test.go
@@ -29,27 +29,29 @@
 // share s and whose permit for a cold instance was refused had to pass the share once more with each
 // choice.
 func TestRefusedPermitDoesNotDrawAdmissionAgain(t *testing.T) {
-	const streams, load = 400, 34
-	rng := rand.New(rand.NewPCG(1, 2))
-	admitted := func(cold ...string) (part, share float64) {
-		for range streams {
-			ask, _ := permits(refuseAll)
-			x := newFleetExchange(load)
-			x.gateway.Picker = dispatch.NewPicker("", rng.IntN)
-			x.reportInFlight(load)
-			x.withCold(ask, cold...)
-			if x.nextTarget(t.Context()) != nil {
-				part += 1.0 / streams
+	synctest.Test(t, func(t *testing.T) { // no time passes, which would make the reports older
+		const streams, load = 400, 34
+		rng := rand.New(rand.NewPCG(1, 2))
+		admitted := func(cold ...string) (part, share float64) {
+			for range streams {
+				ask, _ := permits(refuseAll)
+				x := newFleetExchange(load)
+				x.gateway.Picker = dispatch.NewPicker("", rng.IntN)
+				x.reportInFlight(load)
+				x.withCold(ask, cold...)
+				if x.nextTarget(t.Context()) != nil {
+					part += 1.0 / streams
+				}
+				share = x.admission.Share
 			}
-			share = x.admission.Share
+			return part, share
 		}
-		return part, share
-	}
-	planned, share := admitted()
-	must.Between(t, 0.2, share, 0.8, must.Sprint("an overload"))
-	must.InDelta(t, share, planned, 0.08)
-	part, _ := admitted("g0", "g1", "g2")
-	must.InDelta(t, planned, part, 0.08)
+		planned, share := admitted()
+		must.Between(t, 0.2, share, 0.8, must.Sprint("an overload"))
+		must.InDelta(t, share, planned, 0.08)
+		part, _ := admitted("g0", "g1", "g2")
+		must.InDelta(t, planned, part, 0.08)
+	})
 }
 
 // Guards against a refusal of an admitted stream that was not written, because the permit for its cold
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -20,6 +20,7 @@
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/quarantine"
 	"pearlanding/internal/routes"
+	"pearlanding/internal/steady"
 	"pearlanding/internal/upstream"
 )
 
@@ -42,6 +43,7 @@
 
 func newFleetExchange(inFlight int) *fleetExchange {
 	now := time.Now()
+	clock := steady.NewClockFrom(func() (time.Time, time.Duration) { return time.Now().Round(0), time.Since(now) }, func() time.Duration { return time.Since(now) })
 	engine := &routes.Engine{Slots: 34, StepTime: 6 * time.Millisecond, StepTimePerRequest: 240 * time.Microsecond, StepsPerPass: 5, PrefillTokensPerSecond: 46000,
 		MeanPromptTokens: 674, MeanAnswerTokens: 115, Models: []routes.Model{{Name: "m", ReplicaSize: 1, TimeFactor: 0.6}}}
 	service := &routes.Service{Name: "s", Engine: engine}
@@ -58,7 +60,7 @@
 	e := &fleetExchange{codec: &retryCodec{}, recorder: httptest.NewRecorder(), set: metrics.NewSet()}
 	route := &routes.Route{Name: "r", Kind: routes.Stream, Resumable: true, MaxAttempts: 3, LatencyObjective: 250 * time.Millisecond}
 	e.exchange = &exchange{
-		gateway: &Gateway{Codec: e.codec, Gate: newGate(), Pool: upstream.NewPool(time.Second, time.Minute), Budgets: &dispatch.Budgets{}, Picker: picker, View: func() *fleet.View { return view }, Demand: &demand.Counter{},
+		gateway: &Gateway{Clock: clock, Codec: e.codec, Gate: newGate(), Pool: upstream.NewPool(time.Second, time.Minute), Budgets: &dispatch.Budgets{}, Picker: picker, View: func() *fleet.View { return view }, Demand: &demand.Counter{},
 			Limits: func() Limits { return Limits{} }, Stopping: func() bool { return false }, Metrics: NewMetrics(e.set),
 			Quarantine: quarantine.NewDetector(quarantine.NewEvidence(), func(context.Context, string) error { return nil }, time.Now, zap.NewNop())},
 		quarantineRequest: quarantine.NewRequest(quarantine.Content{}),
