--- a/internal/dispatch/missingreports.go
+++ b/internal/dispatch/missingreports.go
@@ -13,9 +13,8 @@
 	// daemonsRetention is how long a larger number of daemons is remembered, twice that at most. Reports
 	// that are missing for longer than an outage are those of daemons that were removed.
 	daemonsRetention = 10 * time.Minute
-	// missingGain is the part of an observed deviation that a report corrects, as an exponent. In the
-	// replay 0.3 to 0.8 serve alike; with 0.1 a burst is half over before the correction, with 1.2 it
-	// overshoots.
+	// missingGain is the part of an observed deviation that a report corrects, as an exponent. A burst lasts
+	// some ten reports: with much less it is half over before the correction, with more than 1 it overshoots.
 	missingGain = 0.5
 )
 
--- a/internal/front/cold_evacuation_test.go
+++ b/internal/front/cold_evacuation_test.go
@@ -82,12 +82,7 @@
 // Guards against a daemon that starts just after the end of an evacuation and sends to the zone's instances
 // as if they were warm.
 func TestStartingDaemonKnowsRecentEvacuations(t *testing.T) {
-	t.Parallel()
-	const sinceEnd = 700 * time.Millisecond
-	cases := []struct {
-		name    string
-		restart func(c *evacuationCase) (restarted []int)
-	}{
+	checkStartsAfterEvacuation(t, []startAfterEvacuation{
 		{"relays work", func(c *evacuationCase) []int { return c.othersThanRelays()[:2] }},
 		{"relays restarted", func(c *evacuationCase) []int { return c.relays() }},
 		{"relays not reached", func(c *evacuationCase) []int {
@@ -97,7 +92,34 @@
 			return c.othersThanRelays()[:2]
 		}},
 		{"all daemons restarted", func(c *evacuationCase) []int { return append(c.relays(), c.othersThanRelays()...) }},
-	}
+	})
+}
+
+// Guards against the same while the store has dropped its history, so that only other daemons can tell.
+func TestStartingDaemonKnowsRecentEvacuationsWithoutHistory(t *testing.T) {
+	checkStartsAfterEvacuation(t, []startAfterEvacuation{
+		{"relays restarted", func(c *evacuationCase) []int {
+			c.store.compactEvacuations()
+			return c.relays()
+		}},
+		{"all daemons restarted", func(c *evacuationCase) []int {
+			c.store.compactEvacuations()
+			return append(c.relays(), c.othersThanRelays()...)
+		}},
+	})
+}
+
+// startAfterEvacuation is what is restarted just after an evacuation ended.
+type startAfterEvacuation struct {
+	name    string
+	restart func(c *evacuationCase) (restarted []int)
+}
+
+// checkStartsAfterEvacuation checks that daemons that start shortly after the end of an evacuation keep the
+// limit of the zone's cold instances, and that these are warm again in time.
+func checkStartsAfterEvacuation(t *testing.T, cases []startAfterEvacuation) {
+	t.Parallel()
+	const sinceEnd = 700 * time.Millisecond
 	for _, e := range cases {
 		t.Run(e.name, func(t *testing.T) {
 			parallelFleet(t)
