--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,9 +18,10 @@
 
 // cases are the cases by name. Each returns an exit code; an error means that it couldn't run.
 var cases = map[string]func(*site) (int, error){
-	"unsigned": unsignedAnswers,
-	"deadly":   deadlyRequest,
-	"refused":  refusedLeave,
+	"unsigned":  unsignedAnswers,
+	"deadly":    deadlyRequest,
+	"refused":   refusedLeave,
+	"partition": partitionedMachines,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins/paths.go
+++ b/review/standins/paths.go
@@ -61,6 +61,15 @@
 	proxy.SetDown(down)
 }
 
+// setAll sets the mode of the paths from a zone's machines to all engines.
+func (p *paths) setAll(zone string, mode soak.Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, proxy := range p.proxies[zone] {
+		proxy.Set(mode)
+	}
+}
+
 // leadersZone returns the zone of the machine that last wrote the lease under a condition.
 func (p *paths) leadersZone() string {
 	p.mu.Lock()
