--- a/review/standins/partition.go
+++ b/review/standins/partition.go
@@ -156,6 +156,14 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	g.note("answered %s %d, %d bytes, error %v", id, resp.StatusCode, len(text), err)
+	g.note("answered %s %d, %d bytes, error %v, ran at %v", id, resp.StatusCode, len(text), err, enginesOf(g.engines.Ledger.Runs(id)))
 	return err == nil && resp.StatusCode == http.StatusOK
 }
+
+// enginesOf returns the engines of some runs.
+func enginesOf(runs []standin.Run) (out []string) {
+	for _, r := range runs {
+		out = append(out, r.Engine)
+	}
+	return out
+}
--- a/review/standins/refused.go
+++ b/review/standins/refused.go
@@ -211,7 +211,7 @@
 			}
 			defer resp.Body.Close()
 			text, err := io.ReadAll(resp.Body)
-			g.note("answered %s %d, %d bytes, error %v, ran at %v", id, resp.StatusCode, len(text), err, g.engines.Ledger.Runs(id))
+			g.note("answered %s %d, %d bytes, error %v, ran at %v", id, resp.StatusCode, len(text), err, enginesOf(g.engines.Ledger.Runs(id)))
 		})
 	}
 }
