A body that stands still gives way to others when memory is short

What callers saw: bodies that stopped just short of their end kept the daemon's budget for bodies until their callers' own deadlines, which the callers choose. Until then every other request with a body was refused with memory_for_peers_spent.

Cause: the budget only refused newcomers. It did not know which of the requests that hold memory still make progress. Besides, a refusal before the whole body was read was written only after net/http had read the rest of the body, which such a caller never sends; and a body that was late ended without an answer.

Change: membudget.Upload accounts a request while it is received. An ended request is answered 503 with Retry-After (it has not run: no instance was chosen), a body that is late 408. A refusal with an unread body closes the connection, so that it is sent at once. In calm nothing has a new limit: a slow body may take until its deadline as before.

Evidence: TestStalledBodyGivesWay, TestLateBodyIsRefusedAsNotRun and TestEarlyRefusalClosesTheConnection (virtual time), TestStalledUploadsGiveWay and two property tests of the budget; none of their subjects existed before, and the old code aborts the late body and answers the early refusal without closing.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,8 +15,13 @@
 	"pearlanding/internal/upstream"
 )
 
-// reasonMemory means that the budget for memory held for callers and instances has no room.
-const reasonMemory = "memory_for_peers_spent"
+// Reasons of refusals for memory.
+const (
+	// reasonMemory means that the budget for memory held for callers and instances has no room.
+	reasonMemory = "memory_for_peers_spent"
+	// reasonBodyStalled means that a body stood still while others needed its memory.
+	reasonBodyStalled = "body_stalled_while_memory_spent"
+)
 
 // Sizes in bytes of the buffers into which bodies are read.
 const (
@@ -25,12 +31,16 @@
 	firstBodyBuffer = 16 << 10
 	// maxBodyLimit replaces larger limits of a body, which would overflow the sizes of buffers.
 	maxBodyLimit = math.MaxInt / 4
+	// progressBytes must be received for a body to count as making progress.
+	progressBytes = 1 << 10
 )
 
 // bodyReader reads bodies and accounts their memory.
 type bodyReader struct {
 	limit  int               // largest body, in bytes
 	memory *membudget.Budget // nil: the buffers are not accounted
+	upload *membudget.Upload // accounts the buffers in place of memory, if it is not nil
+	now    func() time.Time  // by which upload makes progress
 	// onWait is called once, before the second read: most bodies arrive with their head. nil: nothing.
 	onWait func()
 }
@@ -45,9 +55,10 @@
 		limit = min(limit, int(min(size, int64(maximum)))+1)
 	}
 	want := min(max(limit, minBodyBuffer), firstBodyBuffer)
+	unmarked := 0 // bytes since the upload made progress last
 	for reads := 0; ; reads++ {
 		if len(body) == cap(body) {
-			if !b.memory.TakeBody(want - held) {
+			if !b.take(want - held) {
 				return nil, held, upstream.ErrMemory
 			}
 			held = want
@@ -60,6 +71,10 @@
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if unmarked += n; b.upload != nil && unmarked >= progressBytes {
+			b.upload.Progress(b.now())
+			unmarked = 0
+		}
 		switch {
 		case len(body) > maximum:
 			return nil, held, upstream.ErrTooLarge
@@ -74,6 +89,14 @@
 	}
 }
 
+// take accounts n more bytes.
+func (b *bodyReader) take(n int) bool {
+	if b.upload != nil {
+		return b.upload.Grow(n, b.now())
+	}
+	return b.memory.TakeBody(n)
+}
+
 // readAnswer reads the whole body of a response. release must be called when it is no longer used, also
 // with an error. The error is upstream.ErrTooLarge, or one that is also upstream.ErrUnknown.
 func (x *exchange) readAnswer(resp *http.Response) (body []byte, release func(), err error) {
@@ -95,26 +118,38 @@
 	if r.ContentLength > int64(limit) {
 		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	}
-	reader := &bodyReader{limit: limit, memory: x.gateway.Memory, onWait: x.limitReads}
-	body, held, err := reader.read(r.Body, r.ContentLength)
-	x.heldBody = held
-	x.unlimitReads()
+	x.upload = x.gateway.Memory.NewUpload(x.gateway.runClockNow(), x.endReads)
+	reader := &bodyReader{limit: limit, upload: x.upload, now: x.gateway.runClockNow, onWait: x.limitReads}
+	body, _, err := reader.read(r.Body, r.ContentLength)
+	received := x.upload.Received()
+	if received {
+		x.unlimitReads()
+	}
 	switch {
+	case !received:
+		return x.refuse(http.StatusServiceUnavailable, reasonBodyStalled, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
 	case errors.Is(err, upstream.ErrTooLarge):
 		return x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case errors.Is(err, upstream.ErrMemory):
 		return x.refuse(http.StatusServiceUnavailable, reasonMemory, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return x.refuse(http.StatusRequestTimeout, "body_not_received_in_time", 0)
 	case err != nil:
 		x.reason = "caller_sent_no_whole_body"
 		markAborted(x)
 		return false
 	}
-	x.req.Body = body
+	x.req.Body, x.bodyUnread = body, false
 	return true
 }
 
 // releaseBody ends the accounting of the request's body.
-func (x *exchange) releaseBody() { x.gateway.Memory.ReleaseBody(x.heldBody) }
+func (x *exchange) releaseBody() { x.upload.Release() }
+
+// endReads ends the reading of the request's body.
+func (x *exchange) endReads() {
+	_ = http.NewResponseController(x.w).SetReadDeadline(link.DeadlineAfter(0))
+}
 
 // callerWriteGrace is how long after the deadline of a request its response may still be written.
 const callerWriteGrace = time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{gateway: g, w: w, req: g.Codec.Request(r), arrivedAt: g.Clock.Now(), latenessOnArrival: g.RunClock.Lateness()}
 	x.req.ArrivedAt = x.arrivedAt
+	x.bodyUnread = r.ContentLength != 0
 	defer x.releaseBody()
 	g.requestSeen.Store(true)
 	if g.Stopping() {
@@ -193,10 +194,11 @@
 	headerSent        bool          // to the caller
 	firstByteAfter    time.Duration // time from arrival to the first event or the complete response
 	admission         dispatch.Admission
-	admitted          bool      // the next send was admitted, and no target that was chosen for it was used
-	roomWaitEnd       time.Time // until when the request may wait for room; zero: not decided
-	heldBody          int       // bytes of the request's body accounted to the gateway's Memory
-	readsLimited      bool      // the caller's connection has a limit on the time of reading
+	admitted          bool              // the next send was admitted, and no target that was chosen for it was used
+	roomWaitEnd       time.Time         // until when the request may wait for room; zero: not decided
+	upload            *membudget.Upload // of the request's body
+	bodyUnread        bool              // the request has a body that was not read to its end
+	readsLimited      bool              // the caller's connection has a limit on the time of reading
 	cancelRequest     context.CancelFunc
 	held              heldEvents
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -22,6 +22,9 @@
 	if retry > 0 {
 		x.gateway.Codec.SetRetryAfter(h, retry)
 	}
+	if x.bodyUnread {
+		h.Set("Connection", "close") // otherwise the server reads the body before it sends the answer
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,8 +1,10 @@
 // Package membudget bounds the memory that a daemon holds on behalf of its peers: request bodies,
 // complete responses, large response heads and events, and events that a caller has not read yet.
 //
-// There are two kinds of users. A body is refused when the budget is spent. A Holder belongs to a stream,
-// which can be ended: when the budget is spent, the holders with the most bytes are ended.
+// There are three kinds of users. A body is refused when the budget is spent. An Upload belongs to a request
+// of a caller: when the budget is spent, uploads that have stood still for minStall are ended, and if that is
+// not enough, the one that asks is refused. A Holder belongs to a stream, which can be ended: when the budget
+// is spent, the holders with the most bytes are ended.
 package membudget
 
 import "sync"
@@ -20,13 +22,15 @@
 	streams int64                // of holders that have not been ended
 	ending  int64                // of holders that have been ended and have not released their bytes yet
 	holders map[*Holder]struct{} // with bytes, not ended
+	uploads map[*Upload]struct{} // with bytes, still being received, not ended
 	refused uint64
 	ended   uint64
+	stalled uint64
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, holders: map[*Holder]struct{}{}}
+	return &Budget{limit: limit, holders: map[*Holder]struct{}{}, uploads: map[*Upload]struct{}{}}
 }
 
 // Usage is the state of a budget, in bytes, and the decisions taken since the start.
@@ -34,6 +38,7 @@
 	Limit, Bodies, Streams, Ending int64
 	Refused                        uint64 // bodies for which there was no room
 	Ended                          uint64 // holders ended
+	Stalled                        uint64 // uploads ended
 }
 
 // Usage returns the current state.
@@ -43,7 +48,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{Limit: b.limit, Bodies: b.bodies, Streams: b.streams, Ending: b.ending, Refused: b.refused, Ended: b.ended}
+	return Usage{Limit: b.limit, Bodies: b.bodies, Streams: b.streams, Ending: b.ending, Refused: b.refused, Ended: b.ended, Stalled: b.stalled}
 }
 
 // TakeBody accounts n more bytes of a body. It returns false, and accounts nothing, if there is no room.
@@ -53,7 +58,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.bodies+int64(n) > int64(maxBodyShare*float64(b.limit)) || b.bodies+b.streams+int64(n) > b.limit {
+	if !b.roomForBody(int64(n)) {
 		b.refused++
 		return false
 	}
@@ -61,6 +66,11 @@
 	return true
 }
 
+// roomForBody reports whether n more bytes of bodies are within the limits. b.mu must be held.
+func (b *Budget) roomForBody(n int64) bool {
+	return b.bodies+n <= int64(maxBodyShare*float64(b.limit)) && b.bodies+b.streams+n <= b.limit
+}
+
 // ReleaseBody undoes TakeBody.
 func (b *Budget) ReleaseBody(n int) {
 	if b == nil || n == 0 {
