Heads are held back until they are complete and have a place in the budget

What callers saw: nothing, until the process was killed for its memory. 800 unfinished heads of 15 KB of short lines, within the limit on bytes, took 167 MB of 96.

Cause: net/http parses each line of a head as it arrives, at tens of times its bytes where lines are short, before anything is accounted; its limits (64 KB + 4 KB, 10 s, 2 minutes idle) were not those of the configuration.

Change: package ingress wraps the connections of callers, readiness and metrics. A connection keeps the bytes of a head, accounted in the daemon's budget, until the empty line; then it accounts what the parsed head takes and hands it to the server. 431 for a head beyond the configuration's limit (and 4 KB, as it may be counted without the request line), 408 for a late one, 503 with Retry-After without room. Idle connections and late heads end by the limits in force now, on open connections too; an idle one with unread bytes is not closed. The wrapper never hands out bytes beyond the end of a request, so that no head is parsed uncounted from the server's buffer.

Property test: requests of all framings on one connection, in pieces of any size and sent ahead, arrive as sent.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,6 +26,7 @@
 	"pearlanding/internal/fleet"
 	"pearlanding/internal/formation"
 	"pearlanding/internal/gateway"
+	"pearlanding/internal/ingress"
 	"pearlanding/internal/membudget"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/pause"
@@ -75,13 +76,6 @@
 	connectTimeout = 400 * time.Millisecond
 	// idleConnTimeout is how long an idle connection to an instance is kept.
 	idleConnTimeout = 4 * time.Second
-	// callerIdleTimeout is how long an idle connection of a caller is kept.
-	callerIdleTimeout = 2 * time.Minute
-	// headerTimeout bounds the reading of a request's headers, on the addresses of callers,
-	// readiness and metrics.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's headers, whatever the configuration allows.
-	maxHeaderBytes = 64 << 10
 	// sweepInterval is how often state that is no longer needed is dropped.
 	sweepInterval = time.Second
 	// memoryLimitShare is the part of the process's memory that is set as the memory limit of the
@@ -121,6 +115,7 @@
 	config        *configFollower
 	instances     *fleet.Follower
 	evacuations   *evacuation.Follower
+	guards        []*ingress.Guard // of the addresses that clients reach
 	pool          *upstream.Pool
 	peerMemory    *membudget.Budget
 	direct        *tunnel.Direct
@@ -179,8 +174,8 @@
 	}
 	d.gateway = d.newGateway()
 	server := d.callersServer()
-	go d.serve(server, callerListener)
-	go d.serve(d.readinessServer(), readinessListener)
+	d.serveClients(server, d.newGuard("callers", d.callerLimits), callerListener)
+	d.serveClients(d.readinessServer(), d.newSideGuard("readiness"), readinessListener)
 	d.serveMetrics()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -339,6 +334,9 @@
 		d.detector.Prune()
 		d.gate.Sweep(now)
 		d.sweepCold(now)
+		for _, g := range d.guards {
+			g.Sweep()
+		}
 	}
 }
 
@@ -357,8 +355,7 @@
 }
 
 func (d *Daemon) callersServer() *http.Server {
-	return &http.Server{Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(d.Log)}
+	return &http.Server{Handler: d.gateway, WriteTimeout: callerWriteTimeout, ErrorLog: zap.NewStdLog(d.Log)}
 }
 
 func (d *Daemon) bounds() gateway.Limits {
@@ -399,7 +396,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(d.Log)}
+	return &http.Server{Handler: mux, WriteTimeout: callerWriteTimeout, ErrorLog: zap.NewStdLog(d.Log)}
 }
 
 func (d *Daemon) serveMetrics() {
@@ -417,7 +414,7 @@
 		d.gateway.WriteLoadMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	go d.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
+	d.serveClients(&http.Server{Handler: mux, WriteTimeout: callerWriteTimeout}, d.newSideGuard("metrics"), l)
 }
 
 func (d *Daemon) serve(server *http.Server, l net.Listener) {
