Connections of each address are limited; a new one replaces the one with the least claim

What callers saw: beside 600 connections that stopped in the middle of a request, at a process of 300 descriptors, no answer in ten tries: the kernel established their connections, and the process had no descriptor to accept them.

Cause: max-fds bounded nothing but tunnels.

Change: callers get four tenths of the descriptors, and no more than a share of the memory allows; readiness and metrics 3 % each, at most 64. At the limit the guard accepts and closes the connection with the least claim, in the order stalled in a request, idle longest, any without a whole request. A connection whose request was received whole is never closed; if all have one, the new connection is closed. A daemon that says it is ready thus takes new connections.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -19,6 +18,40 @@
 	maxHeadBytes = 1 << 20
 )
 
+// Connections of clients. The descriptors that they leave are for tunnels, instances, other daemons and the
+// store.
+const (
+	// callerFilesShare of the process's descriptors may be used for connections of callers.
+	callerFilesShare = 0.4
+	// callerMemoryShare of the process's memory may be used for them, beside the budget for what they send.
+	callerMemoryShare = 0.35
+	// connectionMemory is what the goroutines and buffers of a connection take.
+	connectionMemory = 24 << 10
+	// defaultMaxFiles is the limit on descriptors where the deployment sets none.
+	defaultMaxFiles = 4096
+	// sideFilesShare of the descriptors, and at most maxSideConnections, may be used for connections to the
+	// address of the readiness check, and as many to that of the metrics.
+	sideFilesShare     = 0.03
+	maxSideConnections = 64
+)
+
+// maxFiles returns the limit on the process's descriptors.
+func (s *Settings) maxFiles() int {
+	if s.MaxFiles <= 0 {
+		return defaultMaxFiles
+	}
+	return s.MaxFiles
+}
+
+// maxCallerConnections returns how many connections callers may have.
+func (s *Settings) maxCallerConnections() int {
+	n := callerFilesShare * float64(s.maxFiles())
+	if s.MemoryMB > 0 {
+		n = min(n, callerMemoryShare*float64(s.MemoryMB)*(1<<20)/connectionMemory)
+	}
+	return max(int(n), 1)
+}
+
 // callerLimits returns the limits on callers of the configuration in force.
 func (d *Daemon) callerLimits() ingress.Limits {
 	out := ingress.Limits{HeadBytes: defaultHeadBytes, HeadTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout}
@@ -40,9 +73,9 @@
 }
 
 // newGuard returns the guard of an address that clients reach. Sweep runs it.
-func (d *Daemon) newGuard(name string, limits func() ingress.Limits) *ingress.Guard {
+func (d *Daemon) newGuard(name string, maxConns int, limits func() ingress.Limits) *ingress.Guard {
 	g := ingress.NewGuard(ingress.Options{
-		Name: name, Limits: limits, MaxConns: math.MaxInt, Memory: d.peerMemory, Now: d.runClock.Now,
+		Name: name, Limits: limits, MaxConns: maxConns, Memory: d.peerMemory, Now: d.runClock.Now,
 		SetRetryAfter: func(h http.Header) {
 			d.Platform.Codec.SetRetryAfter(h, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
 		},
@@ -53,8 +86,9 @@
 }
 
 // newSideGuard returns the guard of an address that serves no requests of callers.
-func (d *Daemon) newSideGuard(name string) *ingress.Guard {
-	return d.newGuard(name, func() ingress.Limits {
+func (d *Daemon) newSideGuard(name string, s *Settings) *ingress.Guard {
+	conns := max(1, min(maxSideConnections, int(sideFilesShare*float64(s.maxFiles()))))
+	return d.newGuard(name, conns, func() ingress.Limits {
 		return ingress.Limits{HeadBytes: defaultHeadBytes, HeadTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout}
 	})
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -174,9 +174,9 @@
 	}
 	d.gateway = d.newGateway()
 	server := d.callersServer()
-	d.serveClients(server, d.newGuard("callers", d.callerLimits), callerListener)
-	d.serveClients(d.readinessServer(), d.newSideGuard("readiness"), readinessListener)
-	d.serveMetrics()
+	d.serveClients(server, d.newGuard("callers", s.maxCallerConnections(), d.callerLimits), callerListener)
+	d.serveClients(d.readinessServer(), d.newSideGuard("readiness", &s), readinessListener)
+	d.serveMetrics(&s)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if peerListener != nil {
@@ -399,7 +399,7 @@
 	return &http.Server{Handler: mux, WriteTimeout: callerWriteTimeout, ErrorLog: zap.NewStdLog(d.Log)}
 }
 
-func (d *Daemon) serveMetrics() {
+func (d *Daemon) serveMetrics(s *Settings) {
 	if d.MetricsAddress == "" {
 		return
 	}
@@ -414,7 +414,7 @@
 		d.gateway.WriteLoadMetrics(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	d.serveClients(&http.Server{Handler: mux, WriteTimeout: callerWriteTimeout}, d.newSideGuard("metrics"), l)
+	d.serveClients(&http.Server{Handler: mux, WriteTimeout: callerWriteTimeout}, d.newSideGuard("metrics", s), l)
 }
 
 func (d *Daemon) serve(server *http.Server, l net.Listener) {
