The kernel holds at most 32 KB of what a client sent and nobody reads

What callers saw: nothing, until the process went over its memory, of which bytes that have arrived and were not read are a part: 141 MB of 96 with 300 clients that sent on behind a request in progress, most of it unread.

Cause: the kernel's receive buffers grow to 6 MB for a connection that was read quickly, and begin with 64 KB for one that is not read.

Change: the listeners for callers, readiness and metrics set SO_RCVBUF before they listen, which also turns the growth off. 32 KB count for each connection in the limit on connections.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -25,8 +26,8 @@
 	callerFilesShare = 0.4
 	// callerMemoryShare of the process's memory may be used for them, beside the budget for what they send.
 	callerMemoryShare = 0.35
-	// connectionMemory is what the goroutines and buffers of a connection take.
-	connectionMemory = 24 << 10
+	// connectionMemory is what a connection takes: its goroutines and buffers, and what the kernel holds.
+	connectionMemory = 24<<10 + ingress.ReceiveWindow
 	// defaultMaxFiles is the limit on descriptors where the deployment sets none.
 	defaultMaxFiles = 4096
 	// sideFilesShare of the descriptors, and at most maxSideConnections, may be used for connections to the
@@ -98,3 +99,8 @@
 	g.Protect(server)
 	go d.serve(server, g.Listener(l))
 }
+
+// listenForClients opens an address that clients reach.
+func listenForClients(address string) (net.Listener, error) {
+	return ingress.Listen(context.Background(), address)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -164,11 +164,11 @@
 	d.startedAt = d.Clock.Now()
 	peerListener := d.listenForPeers(&s)
 	d.build(s, holder)
-	callerListener, err := net.Listen("tcp", s.CallerAddress)
+	callerListener, err := listenForClients(s.CallerAddress)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	readinessListener, err := net.Listen("tcp", s.ReadinessAddress)
+	readinessListener, err := listenForClients(s.ReadinessAddress)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -403,7 +403,7 @@
 	if d.MetricsAddress == "" {
 		return
 	}
-	l, err := net.Listen("tcp", d.MetricsAddress)
+	l, err := listenForClients(d.MetricsAddress)
 	if err != nil {
 		d.Log.Error("metrics not served", zap.Error(err))
 		return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"pearlanding/internal/link"
 )
 
 // maxHeadBytes is the HTTP server's own limit on a head, above those that a guard enforces.
@@ -62,3 +64,12 @@
 	}
 	return n, err
 }
+
+// ReceiveWindow is how many bytes the kernel may hold of what a client sent and the process has not read.
+const ReceiveWindow = 32 << 10
+
+// Listen opens an address for clients. The kernel holds little of what they send.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: link.SetReceiveBuffer(ReceiveWindow / 2)}
+	return config.Listen(ctx, "tcp", address)
+}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -47,7 +47,7 @@
 		change(&o)
 	}
 	g.Guard = NewGuard(o)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen(t.Context(), "127.0.0.1:0")
 	must.NoError(t, err)
 	g.address = l.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -52,3 +52,16 @@
 // library compares deadlines of connections with its own clock, which does not count suspensions: after
 // one a connection's limit ends later, never earlier.
 func DeadlineAfter(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// SetReceiveBuffer returns a function for net.ListenConfig or net.Dialer that bounds how many received bytes the
+// kernel holds for each connection. Linux holds up to twice as many.
+func SetReceiveBuffer(bytes int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var setErr error
+		err := c.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
+		if err != nil {
+			return err
+		}
+		return setErr
+	}
+}
