A lack of descriptors ends no listener

What callers saw: connection refused at all three addresses of a serve process, which had ended: "accept tcp ...: accept4: too many open files". A front process served other daemons no more ("peer server failed").

Cause: the JSON-RPC loop and the HTTP library of serve end with any error of accept, and Daemon.Run ends with either. A lack of descriptors or of buffers, or a connection that was reset before it was accepted, says nothing about the listener.

Change: link.Accept pauses for 10 ms after such errors and tries again; the listeners for callers and operators of serve, for daemons, and of package ingress use it.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -6,6 +6,8 @@
 import (
 	"net"
 	"time"
+
+	"pearlanding/internal/link"
 )
 
 // Limits are the time limits of a connection.
@@ -25,7 +27,7 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := link.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -125,7 +125,7 @@
 // one and accepts the next.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		inner, err := l.Listener.Accept()
+		inner, err := link.Accept(l.Listener)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"pearlanding/internal/link"
 )
 
 // closingListener is a listener that can close the connections it accepted, see closeAll.
@@ -25,7 +27,7 @@
 
 // Accept implements net.Listener.
 func (l *closingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := link.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
