Calls between daemons are limited in length, number, memory and connections

What callers saw: with 600 silent connections to the address for daemons and 300 descriptors, no answer; 20 lines without end took 464 MB of 96.

Cause: nothing limited what a connection to the JSON-RPC server may send. The library collects a line until it ends and queues calls without a limit.

Change: a call has at most 4 MB; what is received of calls beyond 4 KB each counts in a budget of its own, 5 % of the memory, in which stalled ones give way; 64 calls of a connection may wait for their answers; a write of an answer may take 10 s. At the limit on connections (a tenth of the descriptors and those of tunnels) a new one replaces one without a call, or else that with the oldest last call.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -8,6 +8,8 @@
 
 	"pearlanding/internal/dispatch"
 	"pearlanding/internal/ingress"
+	"pearlanding/internal/membudget"
+	"pearlanding/internal/rpc"
 )
 
 // Limits on clients where the configuration sets none.
@@ -34,6 +36,12 @@
 	// address of the readiness check, and as many to that of the metrics.
 	sideFilesShare     = 0.03
 	maxSideConnections = 64
+	// peerFilesShare of the descriptors may be used for calls of other daemons, beside their tunnels.
+	peerFilesShare = 0.1
+	// callMemoryShare of the process's memory may be held for calls of other daemons while they are
+	// received, and defaultCallMemory bytes where the deployment sets no memory.
+	callMemoryShare   = 0.05
+	defaultCallMemory = 16 << 20
 )
 
 // maxFiles returns the limit on the process's descriptors.
@@ -104,3 +112,13 @@
 func listenForClients(address string) (net.Listener, error) {
 	return ingress.Listen(context.Background(), address)
 }
+
+// peerLimits returns the limits on connections of other daemons.
+func (d *Daemon) peerLimits() rpc.Limits {
+	s := d.Settings()
+	out := rpc.Limits{MaxConns: d.tunnelServer.MaxOpen + max(1, int(peerFilesShare*float64(s.maxFiles()))), Memory: membudget.New(defaultCallMemory), Now: d.runClock.Now}
+	if s.MemoryMB > 0 {
+		out.Memory = membudget.New(int64(callMemoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	return out
+}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -192,7 +192,7 @@
 // answerPeers serves other daemons until ctx ends.
 func (d *Daemon) answerPeers(ctx context.Context, l net.Listener) {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
-	if err := rpc.Serve(ctx, l, d.relay.Methods(), d.upgrades()...); err != nil {
+	if err := rpc.ServeWithin(ctx, l, d.relay.Methods(), d.peerLimits(), d.upgrades()...); err != nil {
 		d.Log.Error("peer server failed", zap.Error(err))
 	}
 }
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -7,9 +7,10 @@
 	"pearlanding/internal/link"
 )
 
-// closingListener is a listener that can close the connections it accepted, see closeAll.
+// closingListener is a listener that limits the connections it accepted and can close them, see closeAll.
 type closingListener struct {
 	net.Listener
+	limits Limits
 	mu     sync.Mutex
 	conns  map[*acceptedConn]bool
 	closed bool
@@ -19,25 +20,45 @@
 type acceptedConn struct {
 	net.Conn
 	listener *closingListener
+	meter    *callMeter
 }
 
-func newClosingListener(l net.Listener) *closingListener {
-	return &closingListener{Listener: l, conns: map[*acceptedConn]bool{}}
+func newClosingListener(l net.Listener, limits Limits) *closingListener {
+	return &closingListener{Listener: l, limits: limits, conns: map[*acceptedConn]bool{}}
 }
 
 // Accept implements net.Listener.
 func (l *closingListener) Accept() (net.Conn, error) {
-	c, err := link.Accept(l.Listener)
-	if err != nil {
-		return nil, err
+	for {
+		c, err := link.Accept(l.Listener)
+		if err != nil {
+			return nil, err
+		}
+		accepted, err := l.admit(c)
+		if err != nil {
+			return nil, err
+		}
+		if accepted != nil {
+			return accepted, nil
+		}
 	}
-	accepted := &acceptedConn{c, l}
+}
+
+// admit returns an accepted connection, or nil if there is no room for it. It closes c if it returns none.
+func (l *closingListener) admit(c net.Conn) (*acceptedConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		_ = c.Close() // unused, so the error means nothing
 		return nil, net.ErrClosed
 	}
+	if !l.makeRoom() {
+		_ = c.Close()
+		return nil, nil
+	}
+	meter := &callMeter{limits: l.limits, end: func() { _ = c.Close() }}
+	meter.lastCall = meter.now()
+	accepted := &acceptedConn{c, l, meter}
 	l.conns[accepted] = true
 	return accepted, nil
 }
@@ -60,5 +81,6 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.meter.stop()
 	return c.Conn.Close()
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -37,9 +38,15 @@
 // and returns nil. If it ends earlier it always returns an error, so that a daemon that no
 // peer can reach does not keep running. A connection that begins with an upgrade is handed to it.
 func Serve(ctx context.Context, listener net.Listener, methods handler.Map, upgrades ...Upgrade) error {
-	peers := newClosingListener(listener)
+	return ServeWithin(ctx, listener, methods, DefaultLimits, upgrades...)
+}
+
+// ServeWithin is Serve with limits on the connections.
+func ServeWithin(ctx context.Context, listener net.Listener, methods handler.Map, limits Limits, upgrades ...Upgrade) error {
+	peers := newClosingListener(listener, limits)
 	defer context.AfterFunc(ctx, peers.closeAll)()
-	accept := server.NetAccepter(newUpgradeListener(ctx, peers, upgrades), channel.Line)
+	framing := func(r io.Reader, w io.WriteCloser) channel.Channel { return newQueueLimit(channel.Line(r, w)) }
+	accept := server.NetAccepter(newUpgradeListener(ctx, peers, upgrades), framing)
 	// closeAll stops the loop, not ctx: a jrpc2 server that is stopped while it reads a request
 	// panics.
 	err := server.Loop(context.WithoutCancel(ctx), accept, server.Static(methods), &server.LoopOptions{
--- a/internal/rpc/upgrade.go
+++ b/internal/rpc/upgrade.go
@@ -74,6 +74,9 @@
 		for _, u := range l.upgrades {
 			if u.Method == request.Method {
 				_, _ = reader.Discard(len(first)) // was peeked
+				if accepted, ok := conn.(*acceptedConn); ok {
+					accepted.passOn()
+				}
 				u.Handle(l.ctx, conn, reader, request.Params)
 				return
 			}
