Serve limits connections and the memory of requests being received

What callers saw: a serve process took 6,793 MB for 100 endless trailers, 3,971 MB for 200 chunked bodies one byte short of their end, 5,735 MB for 800 unfinished heads at the operators' address; with 600 connections and 300 descriptors no ordinary request was answered.

Cause: nothing accounted what is received of requests, whose size the HTTP library multiplies by five and more, and nothing limited the number of connections. The process had no setting of its memory.

Change: connlimit limits connections and accounts six bytes for each one received until the next request begins; stalled requests give way, those without room get 503. At the limit a new connection replaces one that stands still in a request, or the one that has been idle longest, never one with a request in progress. New settings limits.max_connections (4096, at most four tenths of the descriptors) and limits.memory_mb (512), which also sets the garbage collector's limit. Heads of operators have at most 16 KB.

Tests in internal/connlimit for each limit.

--- a/cmd/pearlanding/serve.go
+++ b/cmd/pearlanding/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	debug.SetMemoryLimit(daemon.MemoryLimit(s))
 	d := daemon.New(s, objectapi.NewClient(s.Platform.URL, s.Platform.Timeout), log)
 	listeners, err := daemon.Listen(s.Listen)
 	if err != nil {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"io"
 	"net"
 	"os"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/membudget"
 )
 
 // newConnPair returns a connection with limits and its peer.
@@ -67,3 +70,88 @@
 	}
 	must.True(t, errors.Is(err, os.ErrDeadlineExceeded))
 }
+
+// listen returns a listener with limits.
+func listen(t *testing.T, l Limits) net.Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { inner.Close() })
+	return NewListener(inner, l)
+}
+
+// connect returns an accepted connection and its peer.
+func connect(t *testing.T, l net.Listener) (net.Conn, net.Conn) {
+	t.Helper()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { peer.Close() })
+	must.NoError(t, peer.SetDeadline(time.Now().Add(time.Minute)))
+	c, err := l.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c, peer
+}
+
+// With all connections in use a new one replaces the one that has been idle longest, but none with a request
+// in progress.
+func TestNewConnectionReplacesAnIdleOne(t *testing.T) {
+	l := listen(t, Limits{Idle: longTimeout, Read: longTimeout, Write: longTimeout, MaxConns: 2})
+	busy, busyPeer := connect(t, l)
+	_, err := busyPeer.Write([]byte("x"))
+	must.NoError(t, err)
+	_, err = busy.Read(make([]byte, 1))
+	must.NoError(t, err)
+	_, idlePeer := connect(t, l)
+	connect(t, l)
+	_, err = idlePeer.Read(make([]byte, 1))
+	must.Error(t, err)
+	_, err = busy.Write([]byte("y"))
+	must.NoError(t, err)
+	_, err = busyPeer.Read(make([]byte, 1))
+	must.NoError(t, err)
+}
+
+// Guards against a process that is killed for its memory by requests that are not complete. Those for which
+// there is no room are refused as not run.
+func TestRequestsWithoutRoomAreRefused(t *testing.T) {
+	memory := membudget.New(200 << 10)
+	l := listen(t, Limits{Idle: longTimeout, Read: longTimeout, Write: longTimeout, Memory: memory})
+	c, peer := connect(t, l)
+	go func() {
+		for {
+			if _, err := peer.Write(make([]byte, 4<<10)); err != nil {
+				return
+			}
+		}
+	}()
+	var err error
+	for n := 0; err == nil; {
+		must.Less(t, 100<<10, n)
+		var read int
+		read, err = c.Read(make([]byte, 4<<10))
+		n += read
+	}
+	must.ErrorIs(t, err, ErrNoMemory)
+	answer := make([]byte, len("HTTP/1.1 503"))
+	_, err = io.ReadFull(peer, answer)
+	must.NoError(t, err)
+	must.Eq(t, "HTTP/1.1 503", string(answer))
+	must.NoError(t, c.Close())
+	must.Zero(t, memory.Usage().Bodies)
+}
+
+// Bytes of a request are accounted until the next one begins.
+func TestNextRequestReleasesTheMemory(t *testing.T) {
+	memory := membudget.New(1 << 20)
+	l := listen(t, Limits{Idle: longTimeout, Read: longTimeout, Write: longTimeout, Memory: memory})
+	c, peer := connect(t, l)
+	for _, size := range []int{50 << 10, 10} {
+		go func() { _, _ = peer.Write(make([]byte, size)) }()
+		_, err := io.ReadFull(c, make([]byte, size))
+		must.NoError(t, err)
+		must.Eq(t, size > unaccountedBytes, memory.Usage().Bodies > 0)
+		_, err = c.Write([]byte("y"))
+		must.NoError(t, err)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"pearlanding/internal/admission"
 	"pearlanding/internal/api"
@@ -22,6 +23,7 @@
 	"pearlanding/internal/engine"
 	"pearlanding/internal/group"
 	"pearlanding/internal/ledger"
+	"pearlanding/internal/membudget"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/operator"
 	"pearlanding/internal/revision"
@@ -181,7 +183,7 @@
 	start(d.reconcilers.Run)
 	start(d.prober.Run)
 	start(func(ctx context.Context) {
-		reportError(failed, rpc.Serve(ctx, listeners.Peers, cluster.Methods(&peerHandler{d.control, d.ledger})))
+		reportError(failed, rpc.ServeWithin(ctx, listeners.Peers, cluster.Methods(&peerHandler{d.control, d.ledger}), d.peerLimits()))
 	})
 	registering, stopRegistering := context.WithCancel(background)
 	wg.Go(func() { reportError(failed, d.membership.registerLoop(registering)) })
@@ -206,6 +208,20 @@
 // idleTimeout is how long a connection without a request stays open.
 const idleTimeout = time.Minute
 
+// Shares of the process's descriptors and memory that connections may use, and limits that have no setting.
+const (
+	callerFilesShare    = 0.4
+	operatorFilesShare  = 0.05
+	peerFilesShare      = 0.1
+	maxOperatorConns    = 128
+	maxPeerConns        = 1024
+	callerMemoryShare   = 0.4
+	operatorMemoryShare = 0.05
+	peerMemoryShare     = 0.05
+	// memoryLimitShare is set as the memory limit of the garbage collector.
+	memoryLimitShare = 0.6
+)
+
 // Listeners are the open listening sockets of a daemon.
 type Listeners struct {
 	Callers   net.Listener
@@ -268,11 +284,37 @@
 
 // serveHTTP creates the servers for callers and operators on the open listeners.
 func (d *Daemon) serveHTTP(l *Listeners) {
-	limits := connlimit.Limits{Idle: idleTimeout, Read: d.settings.Limits.ReadTimeout, Write: d.settings.Limits.WriteTimeout}
+	limits := connlimit.Limits{Idle: idleTimeout, Read: d.settings.Limits.ReadTimeout, Write: d.settings.Limits.WriteTimeout,
+		MaxConns: d.maxConns(d.settings.Limits.MaxConnections, callerFilesShare), Memory: d.memoryShare(callerMemoryShare)}
 	d.callers = d.api.Server(connlimit.NewListener(l.Callers, limits))
+	limits.MaxConns, limits.Memory = d.maxConns(maxOperatorConns, operatorFilesShare), d.memoryShare(operatorMemoryShare)
 	d.operators = d.operator.Server(connlimit.NewListener(l.Operators, limits))
 }
 
+// peerLimits returns the limits on connections of other daemons.
+func (d *Daemon) peerLimits() rpc.Limits {
+	return rpc.Limits{MaxConns: d.maxConns(maxPeerConns, peerFilesShare), Memory: d.memoryShare(peerMemoryShare)}
+}
+
+// maxConns returns a limit on connections that is within a share of the process's descriptors.
+func (d *Daemon) maxConns(limit int, filesShare float64) int {
+	var files unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &files) == nil {
+		limit = int(min(float64(limit), filesShare*float64(files.Cur)))
+	}
+	return max(limit, 1)
+}
+
+// MemoryLimit returns the memory limit of the garbage collector, in bytes.
+func MemoryLimit(s settings.Settings) int64 {
+	return int64(memoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20))
+}
+
+// memoryShare returns a budget of a share of the process's memory.
+func (d *Daemon) memoryShare(share float64) *membudget.Budget {
+	return membudget.New(int64(share * float64(d.settings.Limits.MemoryMB) * (1 << 20)))
+}
+
 func reportError(failed chan<- error, err error) {
 	if err != nil {
 		failed <- err
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -48,7 +48,8 @@
 
 // Limits of the operators' interface.
 const (
-	maxBodyBytes = 1 << 20
+	maxBodyBytes   = 1 << 20
+	maxHeaderBytes = 16 << 10
 	// callTimeout limits one operation, the wait for the acceptance of a change included.
 	callTimeout = 15 * time.Second
 )
@@ -57,7 +58,7 @@
 func (o *Operator) Server(listener net.Listener) *server.Hertz {
 	h := server.New(
 		server.WithListener(listener), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxRequestBodySize(maxBodyBytes), server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithExitWaitTime(time.Millisecond), server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,8 @@
 type Limits struct {
 	MaxBodyBytes   int
 	MaxHeaderBytes int
+	MaxConnections int           // of callers; also limited by the descriptors of the process
+	MemoryMB       int           // of the process
 	Deadline       time.Duration // of one request from arrival to the end of its answer
 	ReadTimeout    time.Duration // longest a caller may take to send its request
 	WriteTimeout   time.Duration // longest a caller may take to receive one write
@@ -178,6 +180,8 @@
 	return Limits{
 		MaxBodyBytes:   s.Int("max_body_bytes", 4<<20, 1024, 64<<20),
 		MaxHeaderBytes: s.Int("max_header_bytes", 16<<10, 1024, 1<<20),
+		MaxConnections: s.Int("max_connections", 4096, 1, 1<<20),
+		MemoryMB:       s.Int("memory_mb", 512, 64, 1<<20),
 		Deadline:       s.Duration("deadline", 2*time.Minute, time.Second, time.Hour),
 		ReadTimeout:    s.Duration("read_timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute),
 		WriteTimeout:   s.Duration("write_timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute),
