A lack of descriptors on our side is not blamed on instances

What callers saw: suspected only, not observed with processes: a daemon whose descriptors are used up fails to connect to instances, suspects them, takes its direct paths for lost and tells other daemons so.

Cause: an error of connect that comes from this process (no descriptor, buffer or local port) counted like one of the instance.

Change: such an error is ErrNoPath, which suspects nobody, and tunnel.Direct does not count it.

--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -15,17 +15,18 @@
 func Accept(l net.Listener) (net.Conn, error) {
 	for {
 		conn, err := l.Accept()
-		if err == nil || !isTemporary(err) {
+		if err == nil || !LacksResources(err) && !errors.Is(err, syscall.ECONNABORTED) {
 			return conn, err
 		}
 		time.Sleep(acceptPause)
 	}
 }
 
-// isTemporary reports whether an error of accept ends by itself.
-func isTemporary(err error) bool {
-	for _, temporary := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
-		if errors.Is(err, temporary) {
+// LacksResources reports whether an error of accept or connect comes from a lack of descriptors, buffers or
+// local ports. It says nothing about the peer.
+func LacksResources(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, lack) {
 			return true
 		}
 	}
--- a/internal/tunnel/direct.go
+++ b/internal/tunnel/direct.go
@@ -64,7 +64,7 @@
 func (d *Direct) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Dial(ctx, network, address)
 	if err != nil {
-		if !errors.Is(context.Cause(ctx), context.Canceled) {
+		if !errors.Is(context.Cause(ctx), context.Canceled) && !link.LacksResources(err) {
 			d.dialFailed(address)
 		}
 		return nil, err
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -213,3 +214,14 @@
 	}
 	return c.Conn.SetWriteDeadline(t)
 }
+
+// Guards against instances that are suspected because this process has no descriptor left for a connection.
+func TestLackOfDescriptorsSaysNothingAboutTheUpstream(t *testing.T) {
+	p := NewPool(time.Second, time.Second)
+	p.Dial = func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
+	_, err := p.Do(t.Context(), &Call{Address: "a", Method: http.MethodGet, RequestTarget: "/", Host: "h"})
+	must.ErrorIs(t, err, ErrNotSent)
+	must.ErrorIs(t, err, ErrNoPath)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -218,6 +218,9 @@
 		if cause := context.Cause(attempt); errors.Is(cause, errConnectTimeout) {
 			err = errors.Annotatef(cause, "dial tcp %s", address)
 		}
+		if link.LacksResources(err) {
+			err = errors.WithType(err, ErrNoPath)
+		}
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	p.connectTimes.observe(clock.Now().Sub(start))
