The kernel's receive buffers are limited at the addresses for daemons and of serve, too

Cause: as at the addresses for callers. A connection to the address for daemons whose calls wait is not read, and a serve connection is not read while its request is in progress; the kernel then holds up to 6 MB of each.

Change: these listeners set the same receive buffer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"pearlanding/internal/engine"
 	"pearlanding/internal/group"
 	"pearlanding/internal/ledger"
+	"pearlanding/internal/link"
 	"pearlanding/internal/membudget"
 	"pearlanding/internal/objectapi"
 	"pearlanding/internal/operator"
@@ -220,6 +221,8 @@
 	peerMemoryShare     = 0.05
 	// memoryLimitShare is set as the memory limit of the garbage collector.
 	memoryLimitShare = 0.6
+	// receiveBuffer is the size in bytes of the kernel's buffer for each connection.
+	receiveBuffer = 16 << 10
 )
 
 // Listeners are the open listening sockets of a daemon.
@@ -230,9 +233,10 @@
 }
 
 // Listen opens all three listeners. It returns an error if one can't be opened, for example
-// because its address is in use, and then leaves none open.
+// because its address is in use, and then leaves none open. The kernel holds little of what is received there.
 func Listen(addresses settings.Listen) (*Listeners, error) {
 	l := &Listeners{}
+	config := net.ListenConfig{Control: link.SetReceiveBuffer(receiveBuffer)}
 	for _, open := range []struct {
 		name, address string
 		to            *net.Listener
@@ -241,7 +245,7 @@
 		{"operators", addresses.Operators, &l.Operators},
 		{"peers", addresses.Peers, &l.Peers},
 	} {
-		opened, err := net.Listen("tcp", open.address)
+		opened, err := config.Listen(context.Background(), "tcp", open.address)
 		if err != nil {
 			l.Close()
 			return nil, errors.Annotatef(err, "listener for %s", open.name)
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -108,7 +108,7 @@
 	go d.serve(server, g.Listener(l))
 }
 
-// listenForClients opens an address that clients reach.
+// listenForClients opens an address that clients or other daemons reach.
 func listenForClients(address string) (net.Listener, error) {
 	return ingress.Listen(context.Background(), address)
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -76,7 +76,7 @@
 	if s.PeerAddress == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", s.PeerAddress)
+	l, err := listenForClients(s.PeerAddress)
 	if err != nil {
 		d.Log.Error("no address for peers", zap.String("decision", "follow_the_store"), zap.Error(err))
 		s.PeerAddress = ""
