Requests that end before their body was read are logged once a second and reason

What operators saw: a line for each request of a crowd whose bodies stop short or are refused, thousands a second, which push others out of the log's buffer.

Change: of requests whose body was not read to its end, one line a second and reason is written, with the number of others. Counters count all of them as before.

Evidence: TestLinesOfUnreadBodiesAreLimited. Lines of all other requests are unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	unreadHeaders    labelSet                    // names of response headers
 	invalidSignals   labelSet                    // texts of errors
 	invalidPrompts   labelSet                    // texts of errors
+	unreadBodies     logLimiter                  // of requests that ended before their body was read
 	callerWaits      dispatch.CallerTimeLimits
 	servedAtFirstTry atomic.Uint64 // requests, for sampling the log
 	requestSeen      atomic.Bool
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,6 +73,10 @@
 	g.Metrics.observe(x, took)
 	firstTry := x.status/100 == 2 && len(x.sends) == 1
 	switch {
+	case !firstTry && x.bodyUnread:
+		if others, due := g.unreadBodies.add(x.reason, g.Clock.Now()); due {
+			g.Log.Info("request", append(x.logFields(took), zap.Int("others", others))...)
+		}
 	case !firstTry:
 		g.Log.Info("request", x.logFields(took)...)
 	case g.servedAtFirstTry.Add(1)%servedSampling == 0:
@@ -82,6 +87,42 @@
 	}
 }
 
+// logInterval is the least time between two lines for one reason, where lines are limited.
+const logInterval = time.Second
+
+// logLimiter limits the lines for each reason. The reasons must be few. The zero value is ready for use. Safe
+// for concurrent use.
+type logLimiter struct {
+	mu      sync.Mutex
+	reasons map[string]*limitedReason
+}
+
+type limitedReason struct {
+	loggedAt time.Time
+	skipped  int // since then
+}
+
+// add reports whether a line is due for a reason, and how many were not due since the last one.
+func (l *logLimiter) add(reason string, now time.Time) (skipped int, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reasons == nil {
+		l.reasons = map[string]*limitedReason{}
+	}
+	r := l.reasons[reason]
+	switch {
+	case r == nil:
+		l.reasons[reason] = &limitedReason{loggedAt: now}
+		return 0, true
+	case now.Sub(r.loggedAt) < logInterval:
+		r.skipped++
+		return 0, false
+	}
+	skipped = r.skipped
+	*r = limitedReason{loggedAt: now}
+	return skipped, true
+}
+
 // logFields returns the outcome of the request and the inputs of its decisions, with their age
 // or version.
 func (x *exchange) logFields(took time.Duration) []zap.Field {
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -91,3 +91,20 @@
 		}
 	})
 }
+
+// Guards against a log that grows with the number of callers that ignore the limits.
+func TestLinesOfUnreadBodiesAreLimited(t *testing.T) {
+	var l logLimiter
+	now := time.Now()
+	var lines, counted int
+	for range 100 {
+		for _, reason := range []string{"a", "b"} {
+			if skipped, due := l.add(reason, now); due {
+				lines, counted = lines+1, counted+1+skipped
+			}
+		}
+		now = now.Add(logInterval / 10)
+	}
+	must.Eq(t, 20, lines)
+	must.Eq(t, 182, counted, must.Sprint("the last ones are counted in the next line"))
+}
