--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -221,8 +221,9 @@
 	peerMemoryShare     = 0.05
 	// memoryLimitShare is set as the memory limit of the garbage collector.
 	memoryLimitShare = 0.6
-	// receiveBuffer is the size in bytes of the kernel's buffer for each connection.
-	receiveBuffer = 16 << 10
+	// receiveBuffer is the size in bytes of the kernel's buffer for each connection. Smaller reads make the HTTP
+	// library copy a long trailer more often.
+	receiveBuffer = 128 << 10
 )
 
 // Listeners are the open listening sockets of a daemon.
