TestLapsedHeadIsNoTargetAfterItsGracePeriod builds its groups whole

Since it failed: it built a view for replicas of one instance and then set one group's size to two, so that the member of rank 1 was beyond the group's size as the view was built. All its groups have two members now, and nothing is set afterwards; what it asks is unchanged.

--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -16,18 +16,17 @@
 // machine and does not run on a suspended one.
 func TestLapsedHeadIsNoTargetAfterItsGracePeriod(t *testing.T) {
 	now := time.Now()
-	known := fleet.NewKnownState(time.Second, func(string, string) int { return 1 })
+	known := fleet.NewKnownState(time.Second, func(string, string) int { return 2 })
 	known.LapsedHeadGrace = 3 * time.Second
 	for _, id := range []string{"gone", "here"} {
 		known.Put(&fleet.Instance{ID: id, Service: "s", Models: []string{"m"}, Version: 1, Group: fleet.Membership{Name: id, Epoch: 1, State: fleet.Open}})
+		known.Put(&fleet.Instance{ID: id + "-1", Service: "s", Models: []string{"m"}, Version: 1, Group: fleet.Membership{Name: id, Epoch: 1, Rank: 1, State: fleet.Ready}})
 	}
 	// The group of "head" stays known through a member whose entry stays.
 	known.Put(&fleet.Instance{ID: "member", Service: "s", Models: []string{"m"}, Version: 1, Group: fleet.Membership{Name: "pair", Epoch: 2, Rank: 1, State: fleet.Ready}})
 	known.Put(&fleet.Instance{ID: "head", Service: "s", Models: []string{"m"}, Version: 1, Group: fleet.Membership{Name: "pair", Epoch: 2, State: fleet.Open}})
-	replicaSize := func(_, _ string) int { return 2 }
 	known.Remove("head", now, now)
 	view := known.View(now)
-	view.Groups[fleet.GroupKey{Name: "pair", Epoch: 2}].Size = replicaSize("s", "m")
 	service := &routes.Service{Name: "s", Engine: &routes.Engine{}}
 	ids := func(at time.Time) (out []string) {
 		for _, target := range listTargets(view, service, "m").validAt(at) {
