An end that nothing marks completes a stream only after a new event

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes. Without an event such an end was taken for broken only in the first send of a stream; where a stream was continued it was taken for the engine's word that the caller has everything.

The same cause elsewhere: a successor that ended so confirmed the end of a silent stream; a continuation that repeated what the caller has, or sent only a comment, completed it; a plain success without a length that ended after its head was passed on as empty, by serve too. The other way round, a caller that asked for the rest of a stream that it has whole got 502 although the engine had marked the end.

The tunnel already told an engine's end from a reset and a lost peer.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -102,6 +102,9 @@
 func (x *exchange) readAnswer(resp *http.Response) (body []byte, release func(), err error) {
 	memory := x.gateway.Memory
 	body, held, err := (&bodyReader{limit: maxAnswerBytes, memory: memory}).read(resp.Body, resp.ContentLength)
+	if err == nil {
+		err = upstream.CheckEnd(resp, len(body))
+	}
 	if err != nil && !errors.Is(err, upstream.ErrTooLarge) {
 		err = errors.WithType(err, upstream.ErrUnknown)
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -16,8 +16,8 @@
 const (
 	// errPartialEvent means that the stream ended inside an event.
 	errPartialEvent = errors.ConstError("gateway: stream ended inside an event")
-	// errNoEvents means that the stream ended before its first event.
-	errNoEvents = errors.ConstError("gateway: stream without events")
+	// errEndNotProved means that a response ended, and that this does not prove that the stream is complete.
+	errEndNotProved = errors.ConstError("gateway: stream ended without a proof that it is complete")
 	// errEventTooLarge means that an event, or what is between two events, exceeds maxEventBytes.
 	errEventTooLarge = errors.ConstError("gateway: event too large")
 )
@@ -27,6 +27,8 @@
 	raw   []byte // including the terminating empty line; valid until the next read
 	id    int64
 	hasID bool
+	// comment is true if all lines are comments, as of an event that only keeps the connection open.
+	comment bool
 }
 
 // eventReader splits an event stream (text/event-stream) into events and leaves their bytes
@@ -60,7 +62,7 @@
 // events, errPartialEvent if it ended inside one, errEventTooLarge, or upstream.ErrMemory.
 func (r *eventReader) next() (event, error) {
 	r.reset()
-	var ev event
+	ev := event{comment: true}
 	skipped := 0       // bytes of empty lines
 	continued := false // the next part continues a line that exceeds the read buffer
 	for {
@@ -68,6 +70,9 @@
 		if err := r.append(line); err != nil {
 			return ev, err
 		}
+		if text := bytes.TrimRight(line, "\r\n"); !continued && len(text) > 0 && text[0] != ':' {
+			ev.comment = false
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continued = true
--- a/internal/gateway/passstream.go
+++ b/internal/gateway/passstream.go
@@ -61,6 +61,9 @@
 		return successor, err
 	}
 	h.cancel()
+	if !x.headerSent {
+		x.writeHeader(s.resp, 0) // the replica proved that the answer has no events
+	}
 	x.recordEnd(s.send, "answered")
 	x.gateway.Quarantine.RecordSuccess(x.quarantineRequest)
 	x.noteCompleted()
--- a/internal/gateway/simreplica_test.go
+++ b/internal/gateway/simreplica_test.go
@@ -521,17 +521,19 @@
 	id      string
 	process *simProcess
 	events  int // of a complete answer
-	leave   context.CancelFunc
-	header  http.Header
-	mu      sync.Mutex
-	status  int
-	body    bytes.Buffer
-	lastAt  time.Time
-	maxGap  time.Duration // between two writes of the answer
-	aborted bool
-	doneAt  time.Time
-	done    chan struct{}
-	onWrite func() // called before each write of the answer; nil: nothing
+	// lastEventID is the last event that the caller has from before; 0: none.
+	lastEventID int
+	leave       context.CancelFunc
+	header      http.Header
+	mu          sync.Mutex
+	status      int
+	body        bytes.Buffer
+	lastAt      time.Time
+	maxGap      time.Duration // between two writes of the answer
+	aborted     bool
+	doneAt      time.Time
+	done        chan struct{}
+	onWrite     func() // called before each write of the answer; nil: nothing
 	// From its blockedFrom-th write on the caller reads nothing until writeDeadline is closed. 0: it reads.
 	blockedFrom   int
 	writes        int
@@ -550,6 +552,9 @@
 	c.process, c.leave, c.header, c.done = p, leave, http.Header{}, make(chan struct{})
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://host/s/"+c.id, nil)
 	r.Header.Set("X-Id", c.id)
+	if c.lastEventID > 0 {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(c.lastEventID))
+	}
 	go func() {
 		defer close(c.done)
 		defer leave()
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -26,7 +26,9 @@
 	events     *eventReader
 	eventCount int       // events received that the caller did not have yet
 	eventAt    time.Time // when the last of them was received, by RunClock
-	// The first event that the caller does not have yet, or io.EOF if it has all events.
+	// hasNewEvent is set once an event was received that is not a comment and that the caller did not have.
+	hasNewEvent bool
+	// The first event that the caller does not have yet, or io.EOF if the replica proved that there is none.
 	first    event
 	firstErr error
 }
@@ -144,9 +146,6 @@
 	}
 	s.events = x.newStreamReader(s)
 	s.first, s.firstErr = x.nextEvent(s, progress)
-	if s.firstErr == io.EOF && progress.eventCount == 0 {
-		return errNoEvents
-	}
 	if s.firstErr == io.EOF {
 		return nil
 	}
@@ -154,10 +153,13 @@
 }
 
 // nextEvent reads the next event that the caller does not have yet, and records the progress of
-// the replica.
+// the replica. The error is io.EOF only if the end of the response proves that the stream is complete.
 func (x *exchange) nextEvent(s *streamSend, progress *streamProgress) (event, error) {
 	for {
 		ev, err := s.events.next()
+		if err == io.EOF && !x.endProvesComplete(s, progress) {
+			err = errEndNotProved
+		}
 		if err != nil {
 			return ev, err
 		}
@@ -174,6 +176,7 @@
 		}
 		s.eventCount++
 		s.eventAt = now
+		s.hasNewEvent = s.hasNewEvent || !ev.comment
 		return ev, nil
 	}
 }
@@ -196,9 +199,9 @@
 }
 
 // brokeOff reports whether the replica broke off the connection, or may have: a stream whose end neither a
-// length nor chunks mark ends like a complete one, before its first event or inside one.
+// length nor chunks mark ends like a complete one, without a new event or inside one.
 func (f sendFailure) brokeOff() bool {
-	return !f.canceled && !unrelatedToTarget(f.err) && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errNoEvents) || errors.Is(f.err, errPartialEvent))
+	return !f.canceled && !unrelatedToTarget(f.err) && (errors.Is(f.err, upstream.ErrUnknown) || errors.Is(f.err, errEndNotProved) || errors.Is(f.err, errPartialEvent))
 }
 
 // recordFailure records a send whose stream did not complete.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -372,14 +372,14 @@
 	}
 }
 
-// hasFraming reports whether the response's end is marked by a length or chunks, and not only
-// by the end of the connection.
-func hasFraming(resp *http.Response) bool {
+// EndIsMarked reports whether a length or chunks mark the end of a response's body. Otherwise it ends with
+// the connection, which an upstream that crashes ends, too.
+func EndIsMarked(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // reusable reports whether the connection can carry another request after this response.
-func reusable(resp *http.Response) bool { return !resp.Close && hasFraming(resp) }
+func reusable(resp *http.Response) bool { return !resp.Close && EndIsMarked(resp) }
 
 // idleTimeout returns how long an idle connection may be kept, from the Keep-Alive header of the
 // upstream's last response and MaxIdleTime.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,8 +77,8 @@
 	return nil, errors.WithType(err, ErrNotSent)
 }
 
-// ReadWhole reads a response's body to its end. The error is ErrUnknown if the body is truncated
-// and ErrTooLarge if it exceeds limit bytes.
+// ReadWhole reads a response's body to its end. The error is ErrUnknown if the body is truncated, or may be
+// by CheckEnd, and ErrTooLarge if it exceeds limit bytes.
 func ReadWhole(resp *http.Response, limit int) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
 	if err != nil {
@@ -87,7 +87,19 @@
 	if len(body) > limit {
 		return nil, ErrTooLarge
 	}
-	return body, nil
+	return body, CheckEnd(resp, len(body))
+}
+
+// errUnmarkedEnd means that a connection ended after the head of a response with nothing to mark its end.
+const errUnmarkedEnd = errors.ConstError("upstream: response ended with its connection after its head")
+
+// CheckEnd checks a response whose body was read to its end and has a number of bytes. The error is ErrUnknown if
+// the response is a success without a body whose end nothing marks: it ends like one that was cut after its head.
+func CheckEnd(resp *http.Response, bodyBytes int) error {
+	if bodyBytes == 0 && resp.StatusCode/100 == 2 && !EndIsMarked(resp) {
+		return errors.WithType(errUnmarkedEnd, ErrUnknown)
+	}
+	return nil
 }
 
 // DetachedContext returns a context that ends after its own timeout but not with ctx, for work that
