A first line without a valid status is no answer

What callers saw: with an engine that answers with status 000, 001, 020, 099 or +20, their connection closed without an answer; 600 and 999 were passed on, signed.

Cause: http.ReadResponse takes any number of three characters for a status, the gateway passed it on, and WriteHeader panics below 100 and above 999.

Change: upstream.checkStatus takes three digits from 100 to 599; anything else is ErrInvalidStatus, which is ErrUnknown: a broken answer, counted against the instance, after which the request may have run.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -69,7 +70,10 @@
 	}
 	resp, err := client.Do(req)
 	if err == nil {
-		return resp, nil
+		if err = checkStatus(resp); err == nil {
+			return resp, nil
+		}
+		_ = resp.Body.Close()
 	}
 	if connected.Load() {
 		return nil, errors.WithType(err, ErrUnknown)
@@ -102,6 +106,21 @@
 	return nil
 }
 
+// ErrInvalidStatus means that the first line of a response has no status of RFC 9110, three digits from 100 to 599:
+// the bytes are no response. Such an error is ErrUnknown, too.
+const ErrInvalidStatus = errors.ConstError("upstream: invalid status in response")
+
+// checkStatus returns ErrInvalidStatus unless a response has a valid status. http.ReadResponse takes any number
+// of three characters, also "000" and "+20", and none of these can be sent to a caller.
+func checkStatus(resp *http.Response) error {
+	const digits = 3
+	code, _, _ := strings.Cut(resp.Status, " ")
+	if len(code) != digits || strings.Trim(code, "0123456789") != "" || resp.StatusCode < 100 || resp.StatusCode > 599 {
+		return errors.WithType(errors.Errorf("invalid status %q", code), ErrInvalidStatus)
+	}
+	return nil
+}
+
 // DetachedContext returns a context that ends after its own timeout but not with ctx, for work that
 // must be finished after the caller has disconnected.
 func DetachedContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
