One entry that can't be read hides no others

What callers saw: while one entry nested 9,995 levels or deeper stood among those of the engines, no daemon followed any: engines that had left got requests, new ones none, and a daemon that started served nobody.

Cause: an answer of the store was decoded around its items first, and encoding/json refuses a whole text that is nested deeper than 10,000 levels or invalid anywhere.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pearlanding/internal/rawjson"
 )
 
 // Client implements Store over HTTP. It never retries: after a write with an unknown outcome
@@ -35,16 +37,17 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	var obj Object
-	err := c.read(ctx, c.timeout, "/v1/objects/"+key, &obj)
-	return obj, err
+	text, err := c.read(ctx, c.timeout, "/v1/objects/"+key)
+	if err != nil {
+		return Object{}, err
+	}
+	obj, err := decodeObject(text)
+	return obj, incomplete(err)
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	var out []Object
-	err := c.read(ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), &out)
-	return out, err
+	return readList(c, ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), decodeObject)
 }
 
 // maxWatchWait is how long the platform may hold a watch open without an event.
@@ -53,16 +56,14 @@
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Object, error) {
 	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}}
-	var out []Object
-	err := c.read(ctx, maxWatchWait+c.timeout, "/v1/watch?"+query.Encode(), &out)
-	return out, err
+	return readList(c, ctx, maxWatchWait+c.timeout, "/v1/watch?"+query.Encode(), decodeObject)
 }
 
 // VMs implements Store.
 func (c *Client) VMs(ctx context.Context, domain string) ([]VM, error) {
-	var out []VM
-	err := c.read(ctx, c.timeout, "/v1/vms?domain="+url.QueryEscape(domain), &out)
-	return out, err
+	return readList(c, ctx, c.timeout, "/v1/vms?domain="+url.QueryEscape(domain), func(text []byte) (vm VM, _ error) {
+		return vm, json.Unmarshal(text, &vm)
+	})
 }
 
 // Create implements Store.
@@ -81,25 +82,73 @@
 	return err
 }
 
-func (c *Client) read(ctx context.Context, timeout time.Duration, path string, out any) error {
+// maxAnswerBytes limits the body of an answer.
+const maxAnswerBytes = 64 << 20
+
+// readList reads a list whose items decode one by one: one that does not decode is left out.
+func readList[T any](c *Client, ctx context.Context, timeout time.Duration, path string, decode func(text []byte) (T, error)) ([]T, error) {
+	text, err := c.read(ctx, timeout, path)
+	if err != nil {
+		return nil, err
+	}
+	if string(bytes.TrimSpace(text)) == "null" {
+		return nil, nil
+	}
+	items, err := rawjson.List(text)
+	if err != nil {
+		return nil, incomplete(err)
+	}
+	out := make([]T, 0, len(items))
+	for _, item := range items {
+		if decoded, err := decode(item); err == nil {
+			out = append(out, decoded)
+		}
+	}
+	return out, nil
+}
+
+// decodeObject decodes an object. A value that can't be read is empty.
+func decodeObject(text []byte) (o Object, _ error) {
+	fields, err := rawjson.Object(text)
+	if err != nil {
+		return o, errors.Trace(err)
+	}
+	o.Value = ReadableValue(fields["value"])
+	if err := json.Unmarshal(fields["key"], &o.Key); err != nil {
+		return o, errors.Trace(err)
+	}
+	return o, errors.Trace(json.Unmarshal(fields["version"], &o.Version))
+}
+
+// incomplete returns ErrUnavailable for the error of an answer that does not decode, nil for nil.
+func incomplete(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.WithType(errors.Annotate(err, "incomplete answer to a platform read"), ErrUnavailable)
+}
+
+// read returns the body of the answer to a read.
+func (c *Client) read(ctx context.Context, timeout time.Duration, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.WithType(errors.Annotate(err, "platform read"), ErrUnavailable)
+		return nil, errors.WithType(errors.Annotate(err, "platform read"), ErrUnavailable)
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp.StatusCode, ErrUnavailable); err != nil {
-		return err
+		return nil, err
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return errors.WithType(errors.Annotate(err, "incomplete answer to a platform read"), ErrUnavailable)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(text) > maxAnswerBytes {
+		err = errors.Errorf("more than %d bytes", maxAnswerBytes)
 	}
-	return nil
+	return text, incomplete(err)
 }
 
 // writeResult is the platform's answer to an applied write.
