Requests that are received late in a planned stop are refused, not run and cut

What callers saw: a request whose last byte came 3.2 s after the signal (grace 4 s, 2 s at its engine) was passed on and run; its answer came 1.2 s after the grace, when a process of its own has ended. That includes requests that may not be repeated.

Cause: a stop takes a connection on which a request is being received for one in progress, however long the rest takes; nothing looked at the time of the last byte.

Change: gateway.Stop. As the daemon stops listening, each request without its last byte is refused with 503 and Retry-After, unless its deadline passes before requests are cut. It has not run, and the caller has the rest of the grace for another daemon. When the daemon stops listening is unchanged.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -343,7 +343,7 @@
 func (d *Daemon) newGateway() *gateway.Gateway {
 	g := &gateway.Gateway{
 		Codec: d.Platform.Codec, Config: d.config.Current, View: d.instances.View, Limits: d.bounds,
-		Stopping: d.stopping.Load, Starting: d.startingUp,
+		Stopping: d.stopping.Load, Stop: gateway.NewStop(), Starting: d.startingUp,
 		Pool: d.pool, Memory: d.peerMemory, PathsLostAt: d.direct.LostAt,
 		Picker: d.picker, Demand: &d.demand, Evacuated: d.evacuations.Known.Zones,
 		Gate: d.gate, ColdPermit: d.askColdPermit(), Quarantine: d.detector,
@@ -441,6 +441,9 @@
 	}
 	listenFor := min(stopListenDelay, grace/2)
 	time.Sleep(listenFor)
+	if d.gateway != nil {
+		d.gateway.Stop.EndReceiving(begun.Add(grace - stopMargin))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.Clock.Until(begun.Add(grace-minStopMargin)))
 	defer cancel()
 	stopTimer := d.runClock.AfterFunc(d.Clock.Until(begun.Add(grace-stopMargin)), cancel)
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -15,12 +15,14 @@
 	"pearlanding/internal/upstream"
 )
 
-// Reasons of refusals for memory.
+// Reasons of refusals while the body is received.
 const (
 	// reasonMemory means that the budget for memory held for callers and instances has no room.
 	reasonMemory = "memory_for_peers_spent"
 	// reasonBodyStalled means that a body stood still while others needed its memory.
 	reasonBodyStalled = "body_stalled_while_memory_spent"
+	// reasonStopping means that the request was not received whole before a planned stop of this daemon.
+	reasonStopping = "daemon_stopping"
 )
 
 // Sizes in bytes of the buffers into which bodies are read.
@@ -123,12 +125,16 @@
 	}
 	x.upload = x.gateway.Memory.NewUpload(x.gateway.runClockNow(), x.endReads)
 	reader := &bodyReader{limit: limit, upload: x.upload, now: x.gateway.runClockNow, onWait: x.limitReads}
+	stopWatch := x.gateway.Stop.whenTooLate(x.deadline, x.endReads)
 	body, _, err := reader.read(r.Body, r.ContentLength)
+	stopWatch()
 	received := x.upload.Received()
 	if received {
 		x.unlimitReads()
 	}
 	switch {
+	case x.gateway.Stop.tooLate(x.deadline):
+		return x.refuse(http.StatusServiceUnavailable, reasonStopping, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
 	case !received:
 		return x.refuse(http.StatusServiceUnavailable, reasonBodyStalled, dispatch.RetryAfter(dispatch.TryAnotherDaemon))
 	case errors.Is(err, upstream.ErrTooLarge):
@@ -174,6 +180,9 @@
 func (x *exchange) limitReads() {
 	x.readsLimited = true
 	_ = http.NewResponseController(x.w).SetReadDeadline(link.DeadlineAfter(x.gateway.Clock.Until(x.deadline)))
+	if x.gateway.Stop.tooLate(x.deadline) {
+		x.endReads() // the limit above has replaced that of the stop
+	}
 }
 
 // unlimitReads undoes limitReads, because the server watches the connection by a read.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	View     func() *fleet.View
 	Limits   func() Limits
 	Stopping func() bool // if true, responses carry Connection: close
+	Stop     *Stop       // the planned stop of this process; nil: there will be none
 	Pool     *upstream.Pool
 	Picker   *dispatch.Picker
 	Metrics  *Metrics
