One rule decides whether a request may be sent again

Cause: each way in which a send can end had its own check, and the one for a success without a signature did not ask the route.

Change: exchange.maySend, in gateway/resend.go. chooseTarget, through which all sends of plain requests, streams and hand-overs go, chooses no target against it; the checks of single outcomes are gone or ask it. The caller gets 502. serve already decides in one place, and the pool never sends twice (by reading).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -328,6 +328,9 @@
 // chooseTarget chooses the target of the next send. It returns nil if the attempts, the time or
 // the retry budget are used up, with the reason, or if no target is left, without one.
 func (x *exchange) chooseTarget(ctx context.Context) (t *dispatch.Target, reason string) {
+	if !x.maySend() {
+		return nil, reasonUpstreamFailed
+	}
 	if x.attempts.Exhausted(x.route.MaxAttempts) {
 		return nil, "attempts_spent"
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,7 +28,7 @@
 		}
 		t := x.nextTarget(ctx)
 		if t == nil {
-			x.failUnanswered("no_target")
+			x.failWithoutTarget("no_target")
 			return
 		}
 		if x.sendPlain(ctx, t) {
@@ -96,18 +96,11 @@
 	if attempt.Err() == nil {
 		x.recordBrokenSend(s)
 	}
-	if x.route.Retryable() {
-		return false
-	}
-	if errors.Is(context.Cause(attempt), quarantine.ErrQuarantined) {
+	if !x.maySend() && errors.Is(context.Cause(attempt), quarantine.ErrQuarantined) {
 		x.failUnanswered(reasonEndedInstances)
 		return true
 	}
-	if attempt.Err() != nil {
-		return false
-	}
-	x.failUnanswered("upstream_failed")
-	return true
+	return false
 }
 
 // endCause describes why a send ended, for the log.
@@ -138,10 +131,8 @@
 		x.recordEnd(s, "failed "+resp.Status)
 		x.mayHaveRun = true
 		x.gateway.Picker.Suspect(s.target, x.gateway.runClockNow())
-		if x.route.Retryable() && !x.attempts.Exhausted(x.route.MaxAttempts) {
-			if x.canRetry() {
-				return false
-			}
+		if x.maySend() && !x.attempts.Exhausted(x.route.MaxAttempts) && x.canRetry() {
+			return false
 		}
 	}
 	if x.sends[s.logIndex].outcome == "" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,7 +32,7 @@
 			return nil
 		}
 		if t == nil {
-			x.failUnanswered("no_replica")
+			x.failWithoutTarget("no_replica")
 			return nil
 		}
 		s, answered := x.sendStream(ctx, t)
@@ -56,8 +56,8 @@
 		x.failOnContextEnd(ctx)
 		return true
 	}
-	if x.mayHaveRun && !x.route.Retryable() {
-		x.failUnanswered("upstream_failed")
+	if !x.maySend() {
+		x.failWithoutTarget(reasonUpstreamFailed)
 		return true
 	}
 	return false
