--- a/internal/formation/manager.go
+++ b/internal/formation/manager.go
@@ -237,9 +237,12 @@
 		if s.Engine == nil {
 			continue
 		}
-		m.contain(s.Name, func() { pending = pending || hasWork(s, view, m.evacuated(), now) })
+		m.contain(s.Name, func() { pending = hasWork(s, view, m.evacuated(), now) })
+		if pending {
+			return true
+		}
 	}
-	return pending
+	return false
 }
 
 // hasWork is like Manager.hasPendingWork for one service.
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -125,9 +125,9 @@
 	}
 	x.upload = x.gateway.Memory.NewUpload(x.gateway.runClockNow(), x.endReads)
 	reader := &bodyReader{limit: limit, upload: x.upload, now: x.gateway.runClockNow, onWait: x.limitReads}
-	stopWatch := x.gateway.Stop.whenTooLate(x.deadline, x.endReads)
+	whole := x.gateway.Stop.whenTooLate(x.deadline, x.endReads)
 	body, _, err := reader.read(r.Body, r.ContentLength)
-	stopWatch()
+	whole()
 	received := x.upload.Received()
 	if received {
 		x.unlimitReads()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -38,8 +38,8 @@
 	return deadline.After(*s.endsAt.Load())
 }
 
-// whenTooLate calls f once tooLate holds for a deadline, unless done is called before.
-func (s *Stop) whenTooLate(deadline time.Time, f func()) (done func()) {
+// whenTooLate calls f once tooLate holds for a deadline, unless whole is called before: the request was received.
+func (s *Stop) whenTooLate(deadline time.Time, f func()) (whole func()) {
 	if s == nil {
 		return func() {}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -126,8 +126,8 @@
 
 // Do sends the request once and returns its response after reading the header. The error is
 // ErrNotSent, ErrWithheld or ErrConnectionLimit if no byte was sent, ErrForeignResponse if only responses to other
-// requests were received, and otherwise ErrUnknown, also for a response whose status is not a valid one. When ctx ends, the connection is closed,
-// also while the body is read. The caller must close the body.
+// requests were received, and otherwise ErrUnknown, also for a response whose status is not a valid one. When ctx
+// ends, the connection is closed, also while the body is read. The caller must close the body.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
 	c, err := p.acquire(ctx, call)
 	if err != nil {
