--- a/internal/fleet/build.go
+++ b/internal/fleet/build.go
@@ -121,7 +121,7 @@
 }
 
 // buildGroup returns a group that changed, or nil if no instance's entry names it; before is the
-// group in the earlier view.
+// group in the earlier view. Instances whose entries can't all be true become members in the order of byRank.
 func (c *viewDiff) buildGroup(key GroupKey, before *Group, size SizeOf) *Group {
 	var claimants []*Instance
 	if before != nil {
@@ -172,8 +172,8 @@
 }
 
 // describeGroup returns the service and the model of the group that some instances, ordered by rank, claim to be
-// members of, and the number of instances in a replica of that model. Of several services, it is one that
-// has a model of its instances, or else the one with the most instances.
+// members of, and the number of instances in a replica of that model. If the claimants are of several services, the
+// first claimant whose service is known to have its model decides, else the service with the most claimants.
 func describeGroup(claimants []*Instance, size SizeOf) (service, model string, replicaSize int) {
 	for _, in := range claimants {
 		if len(in.Models) > 0 {
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -47,7 +47,7 @@
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	return readList(c, ctx, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), decodeObject)
+	return readList(ctx, c, c.timeout, "/v1/list?prefix="+url.QueryEscape(prefix), decodeObject)
 }
 
 // maxWatchWait is how long the platform may hold a watch open without an event.
@@ -56,12 +56,12 @@
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Object, error) {
 	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}}
-	return readList(c, ctx, maxWatchWait+c.timeout, "/v1/watch?"+query.Encode(), decodeObject)
+	return readList(ctx, c, maxWatchWait+c.timeout, "/v1/watch?"+query.Encode(), decodeObject)
 }
 
 // VMs implements Store.
 func (c *Client) VMs(ctx context.Context, domain string) ([]VM, error) {
-	return readList(c, ctx, c.timeout, "/v1/vms?domain="+url.QueryEscape(domain), func(text []byte) (vm VM, _ error) {
+	return readList(ctx, c, c.timeout, "/v1/vms?domain="+url.QueryEscape(domain), func(text []byte) (vm VM, _ error) {
 		return vm, json.Unmarshal(text, &vm)
 	})
 }
@@ -86,7 +86,7 @@
 const maxAnswerBytes = 64 << 20
 
 // readList reads a list whose items decode one by one: one that does not decode is left out.
-func readList[T any](c *Client, ctx context.Context, timeout time.Duration, path string, decode func(text []byte) (T, error)) ([]T, error) {
+func readList[T any](ctx context.Context, c *Client, timeout time.Duration, path string, decode func(text []byte) (T, error)) ([]T, error) {
 	text, err := c.read(ctx, timeout, path)
 	if err != nil {
 		return nil, err
