Connections that time out read as ended, too: failing tests

Cause: the same as of resets, with another error. The kernel ends a connection whose sent bytes stay unacknowledged, or are not taken by a peer that does not read, for longer than TCP_USER_TIMEOUT (2 s), and hands ETIMEDOUT out once. A write or HasUnread takes it, and the read after it returns io.EOF, though the peer sent neither an end nor a reset. An instance that answers early, holds a long body and is silent for that long then gives a whole answer.

--- a/internal/upstream/earlyanswer_test.go
+++ b/internal/upstream/earlyanswer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 // largeBody does not fit into socket buffers: its write waits until the upstream reads or the connection ends.
@@ -120,3 +121,19 @@
 	must.NoError(t, err)
 	return req
 }
+
+// Guards against an answer without a length or chunks that looks whole because HasUnread was called after its
+// connection had ended: the upstream did not read the request for longer than sent bytes may stay unacknowledged.
+func TestHasUnreadDoesNotCompleteAnAnswerThatTimedOut(t *testing.T) {
+	t.Parallel()
+	address := answerEarly(t, func() { <-t.Context().Done() })
+	body := make([]byte, 1<<20) // fits into the sender's buffer, and not into the receiver's
+	resp, err := NewPool(time.Second, time.Second).Do(t.Context(), &Call{Address: address, Method: http.MethodPut, RequestTarget: "/", Host: "h", Body: body})
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadFull(resp.Body, make([]byte, 4))
+	must.NoError(t, err)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return HasUnread(resp) }), wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond)))
+	_, err = io.ReadAll(resp.Body)
+	must.ErrorIs(t, err, ErrUnknown)
+}
