Framing and ending of an upstream's response

FramingOf tells what marks the end of a response (length, chunks, none), EndingOf how its body ended (mark, close, reset, timeout, peer_lost, canceled, error, not_read_to_end). The ending is decided from the first error of the connection, which the reader of a framed body would replace by io.ErrUnexpectedEOF. EndIsMarked is defined by FramingOf.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -43,12 +43,14 @@
 	lines  int   // likewise
 	held   int   // bytes accounted to budget
 	err    error // why no more is read of the heads; nil: no limit is exceeded
+	// connErr is the first error of the connection, which a body's read may replace by its own.
+	connErr error
 }
 
 // Read implements io.Reader. The error is that of the connection, ErrHeadTooLarge or ErrMemory.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
-		return l.conn.Read(p)
+		return l.readConn(p)
 	}
 	// A limit only counts once more is needed, as what was read last may contain the end of the head.
 	if l.bytes >= maxHeadBytes || l.lines > maxHeadLines {
@@ -64,7 +66,7 @@
 		l.err = ErrMemory
 		return 0, l.err
 	}
-	n, err := l.conn.Read(p)
+	n, err := l.readConn(p)
 	if need > 0 {
 		used := headMemoryFactor * n
 		l.budget.ReleaseBody(need - used)
@@ -75,6 +77,15 @@
 	return n, err
 }
 
+// readConn reads from the connection and keeps its error.
+func (l *headLimiter) readConn(p []byte) (int, error) {
+	n, err := l.conn.Read(p)
+	if err != nil && l.connErr == nil {
+		l.connErr = err
+	}
+	return n, err
+}
+
 // begin starts to limit the heads that answer a request.
 func (l *headLimiter) begin() { l.inHead, l.bytes, l.lines = true, 0, 0 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -144,7 +144,7 @@
 		p.discard(c)
 		return nil, err
 	}
-	resp.Body = &pooledBody{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, header: resp.Header, reusable: reusable(resp)}
+	resp.Body = &pooledBody{ReadCloser: resp.Body, pool: p, conn: c, stopCancel: stop, header: resp.Header, reusable: reusable(resp), framing: FramingOf(resp)}
 	return resp, nil
 }
 
@@ -378,7 +378,7 @@
 // EndIsMarked reports whether a length or chunks mark the end of a response's body. Otherwise it ends with
 // the connection, which an upstream that crashes ends, too.
 func EndIsMarked(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return FramingOf(resp) != Unframed
 }
 
 // reusable reports whether the connection can carry another request after this response.
@@ -405,6 +405,8 @@
 	stopCancel func() bool
 	header     http.Header
 	reusable   bool
+	framing    Framing
+	ending     Ending // empty: its end was not read
 	readToEnd  bool
 	closed     bool
 	sinceYield int // bytes read since other goroutines could run
@@ -421,6 +423,9 @@
 		b.sinceYield = 0
 		runtime.Gosched()
 	}
+	if err != nil && b.ending == "" {
+		b.ending = b.endingOf(err)
+	}
 	if err == io.EOF {
 		b.readToEnd = true
 	} else if err != nil {
