Request log and a counter tell how responses ended

Each send that got a response has status, framing, ended_by and deadline_ms in the log, streams also unread_checks: how often the connection was checked while they were silent. pearlanding_upstream_responses_ended_total{framing,ended_by} counts all responses, logged or not. Existing fields and metrics stay as they are.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -455,10 +455,12 @@
 	t := s.target
 	now := x.gateway.Clock.Now()
 	rank, priorities := x.queuePriority()
+	remaining := x.deadline.Sub(now)
+	x.sends[s.logIndex].deadline = remaining
 	call := &upstream.Call{
 		Address: t.Address, Method: x.req.Method, RequestTarget: x.req.RequestTarget, Host: x.req.Host, Body: x.req.Body,
 		NewConnection: !x.route.Retryable(), AvoidIdle: x.unanswered.Load(),
-		Header: x.gateway.Codec.UpstreamHeader(x.req, SendOptions{Instance: t.Instance, Remaining: x.deadline.Sub(now),
+		Header: x.gateway.Codec.UpstreamHeader(x.req, SendOptions{Instance: t.Instance, Remaining: remaining,
 			Workspace: x.workspace, LastEventID: lastEvent, Urgency: x.urgency(now), PriorityRank: rank, Priorities: priorities}),
 		Withhold:      x.withholdFunc(t),
 		IsOwnResponse: func(status int, h http.Header) bool { return x.gateway.Codec.IsResponseTo(x.req.ID, status, h) },
@@ -506,6 +508,13 @@
 	l.outcome, l.took = outcome, x.gateway.Clock.Since(x.arrivedAt)-l.startedAfter
 }
 
+// closeResponse closes the body of a response, and records how it ended.
+func (x *exchange) closeResponse(s *send, resp *http.Response) {
+	l := &x.sends[s.logIndex]
+	l.status, l.framing, l.ending = resp.StatusCode, upstream.FramingOf(resp), upstream.EndingOf(resp)
+	_ = resp.Body.Close() // the outcome is known before
+}
+
 // setReason records why the request ended as it did, unless an earlier reason is set.
 func (x *exchange) setReason(reason string) {
 	if x.reason == "" {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 
 	"pearlanding/internal/dispatch"
-	"pearlanding/internal/upstream"
 )
 
 // stallCheckInterval is how often the replica of a silent stream is checked.
@@ -174,7 +173,7 @@
 	switch silent := now.Sub(h.lastActivity); {
 	case h.ended:
 		return nil, 0
-	case silent >= h.from.timeouts.Pause && upstream.HasUnread(h.from.resp):
+	case silent >= h.from.timeouts.Pause && h.from.hasUnread():
 		return nil, stallCheckInterval // the replica is not silent, this process reads late
 	case h.endConfirmed && silent >= abandonFactor*h.from.timeouts.Pause:
 		h.ended = true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,7 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_requests_total{route=%q,kind=%q,status=\"%d\",reason=%q}", m.label(route), kind, x.status, x.reason)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_sends_total{route=%q,sends=\"%d\"}", m.label(route), len(x.sends))).Inc()
+	m.countEndings(x.sends)
 	if x.brokenSends > 0 {
 		m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_sends_broken_total{route=%q}", m.label(route))).Add(x.brokenSends)
 	}
@@ -69,6 +70,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("pearlanding_admission_refused_total{reason=%q,priority=%q}", x.admission.Reason, m.label(strconv.Itoa(x.priority)))).Inc()
 }
 
+// countEndings counts the responses to the sends of a request, by how their bodies ended.
+func (m *Metrics) countEndings(sends []sendLog) {
+	for _, s := range sends {
+		if s.status != 0 {
+			m.set.GetOrCreateCounter(`pearlanding_upstream_responses_ended_total{framing="` + string(s.framing) + `",ended_by="` + string(s.ending) + `"}`).Inc()
+		}
+	}
+}
+
 // WriteLoadMetrics writes gauges for the requests in flight and the expected time to the first event
 // at each recently used target, and for the remaining retry budgets. The series are generated
 // on each call instead of registered, because targets come and go.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return x.plainSendFailed(attempt, s, err)
 	}
-	defer resp.Body.Close()
+	defer x.closeResponse(s, resp)
 	body, release, err := x.readAnswer(resp)
 	defer release()
 	if err != nil {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"pearlanding/internal/dispatch"
+	"pearlanding/internal/upstream"
 )
 
 // sendLog is the log record of one send.
@@ -19,8 +20,15 @@
 	took         time.Duration
 	outcome      string // how the send ended
 	peer         string // daemon through which the response came; empty: none
-	stream       bool   // the fields below are set
-	events       int    // received
+	// deadline is what the instance was told of how much time is left.
+	deadline time.Duration
+	status   int // of the response; 0: none, and the next two fields are not set
+	framing  upstream.Framing
+	ending   upstream.Ending // of the response's body
+	stream   bool            // the fields below are set
+	// unreadChecks is how often the connection was checked for unread bytes while the stream was silent.
+	unreadChecks int
+	events       int // received
 	// silent is the time since the last event of this send or, before the first one, since the send.
 	silent time.Duration
 	// replicaSilent is the time since the last event of any stream of this daemon at the replica.
@@ -41,10 +49,17 @@
 	if s.peer != "" {
 		enc.AddString("peer", s.peer)
 	}
+	if s.status != 0 {
+		enc.AddInt("status", s.status)
+		enc.AddString("framing", string(s.framing))
+		enc.AddString("ended_by", string(s.ending))
+		enc.AddInt64("deadline_ms", s.deadline.Milliseconds())
+	}
 	if s.stream {
 		enc.AddInt("events", s.events)
 		enc.AddInt64("silent_ms", s.silent.Milliseconds())
 		enc.AddInt64("replica_silent_ms", s.replicaSilent.Milliseconds())
+		enc.AddInt("unread_checks", s.unreadChecks)
 	}
 	return nil
 }
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -28,6 +28,9 @@
 	eventAt    time.Time // when the last of them was received, by RunClock
 	// hasNewEvent is set once an event was received that is not a comment and that the caller did not have.
 	hasNewEvent bool
+	// unreadChecks is how often the connection was checked for unread bytes while the stream was silent; guarded by
+	// exchange.progressMu until the handover has ended.
+	unreadChecks int
 	// The first event that the caller does not have yet, or io.EOF if the replica proved that there is none.
 	first    event
 	firstErr error
@@ -73,7 +76,7 @@
 func (x *exchange) closeStream(s *streamSend) {
 	x.recordSilence(s)
 	if s.resp != nil {
-		s.resp.Body.Close()
+		x.closeResponse(s.send, s.resp)
 	}
 	if s.events != nil {
 		s.events.close()
@@ -83,6 +86,13 @@
 	x.gateway.Picker.EndStream(s.target, s.sentAt, s.eventCount > 0)
 }
 
+// hasUnread reports whether there is something to read on the connection of a silent stream. exchange.progressMu is
+// held.
+func (s *streamSend) hasUnread() bool {
+	s.unreadChecks++
+	return upstream.HasUnread(s.resp)
+}
+
 // recordSilence records how many events a send had and how long it and its replica have been
 // silent, for the log.
 func (x *exchange) recordSilence(s *streamSend) {
@@ -90,7 +100,7 @@
 	if s.eventCount > 0 {
 		since = s.eventAt
 	}
-	l.stream, l.events = true, s.eventCount
+	l.stream, l.events, l.unreadChecks = true, s.eventCount, s.unreadChecks
 	l.silent, l.replicaSilent = now.Sub(since), x.gateway.Picker.SinceProgress(s.target, now)
 }
 
