Requests whose end is not certain are not sampled

Logged always are now a request served at the first try whose response nothing but the connection's end ended, and a stream that ended when the time told to its instance was over. Such responses may be all of the traffic, so at most 64 lines a second are written for each of the two; further ones are sampled as before, with stands_for, so that figures drawn from the lines stay right.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	invalidSignals   labelSet                    // texts of errors
 	invalidPrompts   labelSet                    // texts of errors
 	unreadBodies     logLimiter                  // of requests that ended before their body was read
+	notableEnds      logLimiter                  // of requests served at the first try
 	callerWaits      dispatch.CallerTimeLimits
 	servedAtFirstTry atomic.Uint64 // requests, for sampling the log
 	requestSeen      atomic.Bool
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -78,9 +78,13 @@
 }
 
 // servedSampling is the sampling rate of the request log: of the requests served at the first
-// try, one in servedSampling is logged. All other requests are logged.
+// try, one in servedSampling is logged. All other requests, and those with a notable end, are logged.
 const servedSampling = 16
 
+// maxNotableLines limits the lines of requests that were served at the first try and are logged for how their response
+// ended, per reason and logInterval. Further ones are sampled.
+const maxNotableLines = 64
+
 // finish logs and counts a request, and closes the caller's connection if the request was
 // marked as aborted.
 func (g *Gateway) finish(x *exchange) {
@@ -92,7 +96,7 @@
 		if others, due := g.unreadBodies.add(x.reason, g.Clock.Now()); due {
 			g.Log.Info("request", append(x.logFields(took), zap.Int("others", others))...)
 		}
-	case !firstTry:
+	case !firstTry, x.notableEndDue():
 		g.Log.Info("request", x.logFields(took)...)
 	case g.servedAtFirstTry.Add(1)%servedSampling == 0:
 		g.Log.Info("request", append(x.logFields(took), zap.Int("stands_for", servedSampling))...)
@@ -102,7 +106,31 @@
 	}
 }
 
-// logInterval is the least time between two lines for one reason, where lines are limited.
+// notableEnd returns why the response to a request that was served at the first try may be a part of one: it ended
+// with its connection only, or not before the deadline, at which its instance stops. It returns an empty string for
+// any other request.
+func (x *exchange) notableEnd() string {
+	s := &x.sends[0]
+	switch {
+	case s.framing == upstream.Unframed && s.ending != upstream.EndedByMark:
+		return "unframed"
+	case s.stream && s.status != 0 && s.took >= s.deadline.Truncate(time.Millisecond): // sent in whole milliseconds
+		return "after_deadline"
+	}
+	return ""
+}
+
+// notableEndDue reports whether a request served at the first try is logged because of its end.
+func (x *exchange) notableEndDue() bool {
+	reason := x.notableEnd()
+	if reason == "" {
+		return false
+	}
+	_, due := x.gateway.notableEnds.addUpTo(maxNotableLines, reason, x.gateway.Clock.Now())
+	return due
+}
+
+// logInterval is the time in which the lines for one reason are limited, where they are.
 const logInterval = time.Second
 
 // logLimiter limits the lines for each reason. The reasons must be few. The zero value is ready for use. Safe
@@ -113,12 +141,18 @@
 }
 
 type limitedReason struct {
-	loggedAt time.Time
-	skipped  int // since then
+	since   time.Time // beginning of the current interval
+	logged  int       // since then
+	skipped int       // likewise
 }
 
-// add reports whether a line is due for a reason, and how many were not due since the last one.
+// add reports whether a line is due for a reason, one per logInterval, and how many were not due since the last one.
 func (l *logLimiter) add(reason string, now time.Time) (skipped int, due bool) {
+	return l.addUpTo(1, reason, now)
+}
+
+// addUpTo is add with a number of lines per logInterval.
+func (l *logLimiter) addUpTo(lines int, reason string, now time.Time) (skipped int, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.reasons == nil {
@@ -127,15 +161,18 @@
 	r := l.reasons[reason]
 	switch {
 	case r == nil:
-		l.reasons[reason] = &limitedReason{loggedAt: now}
+		l.reasons[reason] = &limitedReason{since: now, logged: 1}
+		return 0, true
+	case now.Sub(r.since) >= logInterval:
+		skipped = r.skipped
+		*r = limitedReason{since: now, logged: 1}
+		return skipped, true
+	case r.logged < lines:
+		r.logged++
 		return 0, true
-	case now.Sub(r.loggedAt) < logInterval:
-		r.skipped++
-		return 0, false
 	}
-	skipped = r.skipped
-	*r = limitedReason{loggedAt: now}
-	return skipped, true
+	r.skipped++
+	return 0, false
 }
 
 // logFields returns the outcome of the request and the inputs of its decisions, with their age
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -8,8 +8,11 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"pearlanding/internal/routes"
 )
 
 // requestLine is what these tests read of the log line of a request.
@@ -60,10 +63,11 @@
 		endedBy   string
 		aborted   bool
 	}{
-		"unframed, reset": {err: syscall.ECONNRESET, framing: "none", endedBy: "reset", aborted: true},
-		"chunks, closed":  {head: "Transfer-Encoding: chunked\r\n", err: io.EOF, framing: "chunks", endedBy: "close", aborted: true},
-		"chunks, invalid": {head: "Transfer-Encoding: chunked\r\n", end: "no chunk\r\n", framing: "chunks", endedBy: "error", aborted: true},
-		"length, reset":   {head: "Content-Length: 9999\r\n", err: syscall.ECONNRESET, framing: "length", endedBy: "reset", aborted: true},
+		"unframed, closed": {err: io.EOF, framing: "none", endedBy: "close"},
+		"unframed, reset":  {err: syscall.ECONNRESET, framing: "none", endedBy: "reset", aborted: true},
+		"chunks, closed":   {head: "Transfer-Encoding: chunked\r\n", err: io.EOF, framing: "chunks", endedBy: "close", aborted: true},
+		"chunks, invalid":  {head: "Transfer-Encoding: chunked\r\n", end: "no chunk\r\n", framing: "chunks", endedBy: "error", aborted: true},
+		"length, reset":    {head: "Content-Length: 9999\r\n", err: syscall.ECONNRESET, framing: "length", endedBy: "reset", aborted: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, rigOptions{replicas: 1, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
@@ -95,3 +99,97 @@
 		})
 	}
 }
+
+// Guards against a request that was cut in an unframed response and that the log leaves out, as it looks served.
+func TestUnframedResponsesAreNotSampled(t *testing.T) {
+	for name, c := range map[string]struct {
+		route routes.Route
+		text  func(s *simSend) string
+	}{
+		"stream": {streamRoute(3), func(s *simSend) string { return simEvent(s.requestID, 1, s.replica) }},
+		"plain":  {plainRoute(), func(*simSend) string { return "ok" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 1, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+				r.config.Store(&Config{Table: routes.Compile(&routes.Config{Version: 1, Routes: []routes.Route{c.route}, Services: []routes.Service{{Name: simService}}}),
+					ProvedAt: r.gateway.Clock.Now()})
+				r.simFleet.serve = func(s *simSend) { s.endedAnswer(unframed, []string{c.text(s)}, closed) }
+				const requests = 3
+				for n := range requests {
+					id := fmt.Sprint("x", n)
+					call := r.call(id, 1)
+					<-call.done
+					must.Eq(t, http.StatusOK, call.status)
+					lines := r.requestLines(t, id)
+					must.SliceLen(t, 1, lines)
+					must.Eq(t, "none", lines[0].Sends[0].Framing)
+					must.Eq(t, "close", lines[0].Sends[0].EndedBy)
+					must.Zero(t, lines[0].StandsFor)
+				}
+				must.StrContains(t, r.metrics(), endedCounter("none", "close", requests))
+			})
+		})
+	}
+}
+
+// Guards against a log that grows with all traffic where no instance frames its responses.
+func TestLinesOfUnframedResponsesAreLimited(t *testing.T) {
+	inVirtualTime(t, rigOptions{replicas: 1, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+		r.simFleet.serve = func(s *simSend) { s.endedAnswer(unframed, s.simEvents(1, 1), closed) }
+		const sampled = 2
+		represented, lines := 0, 0
+		for n := range maxNotableLines + sampled*servedSampling {
+			id := fmt.Sprintf("x%d", n)
+			<-r.call(id, 1).done
+			for _, l := range r.requestLines(t, id) {
+				lines++
+				represented += max(l.StandsFor, 1)
+			}
+		}
+		must.Eq(t, maxNotableLines+sampled, lines)
+		must.Eq(t, maxNotableLines+sampled*servedSampling, represented, must.Sprint("requests for which the lines stand"))
+		time.Sleep(logInterval)
+		<-r.call("later", 1).done
+		must.SliceLen(t, 1, r.requestLines(t, "later"))
+	})
+}
+
+// Guards against a stream that its instance ended early, at the deadline that it was told, and that the log leaves
+// out, as it looks served.
+func TestStreamsThatEndAtTheirDeadlineAreNotSampled(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		took   time.Duration
+		logged bool
+	}{
+		"before the deadline":                 {timeout - 10*time.Millisecond, false},
+		"at its whole number of milliseconds": {timeout, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 1, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+				route := streamRoute(3)
+				route.Timeout = timeout + 900*time.Microsecond
+				r.config.Store(&Config{Table: routes.Compile(&routes.Config{Version: 1, Routes: []routes.Route{route}, Services: []routes.Service{{Name: simService}}}),
+					ProvedAt: r.gateway.Clock.Now()})
+				r.simFleet.serve = func(s *simSend) {
+					s.header()
+					s.event(1)
+					s.wait(c.took - simConnectTime)
+					s.finish()
+				}
+				call := r.call("x", 2)
+				<-call.done
+				must.False(t, call.aborted)
+				must.Eq(t, http.StatusOK, call.status)
+				lines := r.requestLines(t, "x")
+				if !c.logged {
+					must.SliceEmpty(t, lines)
+					return
+				}
+				must.SliceLen(t, 1, lines)
+				must.Eq(t, "mark", lines[0].Sends[0].EndedBy)
+				must.Eq(t, timeout.Milliseconds(), lines[0].Sends[0].DeadlineMS)
+			})
+		})
+	}
+}
