Answers to HEAD without a length are whole

Cause: CheckEnd refuses an empty success whose end nothing marks, as a close after the head looks the same. An answer to HEAD ends with its head. One without a length or chunks, as many servers send it, counted as cut: a repeatable request was sent again, and the caller got 502.

EndIsMarked now counts the end of the head of such an answer. Seen with the new row of the tests of cut answers, which fails before the change in Pool (new and reused connection, slow upstream) and Client (both connections).

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -118,6 +118,7 @@
 	"failure":              {"", "HTTP/1.1 500 Failed\r\nId: 1\r\nContent-Length: 120\r\n\r\n", scriptedBody, scriptedBody},
 	"to HEAD":              {http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 120\r\n\r\n", "", ""},
 	"to HEAD, chunks":      {http.MethodHead, chunkedHead, "", ""},
+	"to HEAD, no length":   {http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "", ""},
 }
 
 // ends are the errors with which a connection ends after an answer.
@@ -140,7 +141,8 @@
 	}
 }
 
-// Guards against answers that were cut, also inside their head, and look whole.
+// Guards against answers that were cut, also inside their head, and look whole, and against answers to HEAD without a
+// length that look cut.
 func TestPoolTakesNoCutAnswerForAWholeOne(t *testing.T) {
 	const foreign = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold"
 	connections := map[string]struct {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -375,10 +375,10 @@
 	}
 }
 
-// EndIsMarked reports whether a length or chunks mark the end of a response's body. Otherwise it ends with
-// the connection, which an upstream that crashes ends, too.
+// EndIsMarked reports whether a length or chunks mark the end of a response's body, or the end of its head does as
+// it answers HEAD. Otherwise it ends with the connection, which an upstream that crashes ends, too.
 func EndIsMarked(resp *http.Response) bool {
-	return FramingOf(resp) != Unframed
+	return FramingOf(resp) != Unframed || resp.Request != nil && resp.Request.Method == http.MethodHead
 }
 
 // reusable reports whether the connection can carry another request after this response.
