An end at the deadline proves no stream complete

A replica stops its work at the deadline that it is handed. The protocol does not say how it ends a stream that it has begun. If it sends the last chunk, or closes an answer without length or chunks between two events, the daemon took the stream for complete whenever it read that end before its own timer had expired: in the same millisecond, after a suspension (timers do not run then), or when the process was not scheduled. A replica at which the stream was continued could end it so without any event, and so could one that a caller asked with Last-Event-Id.

Change: the mark of the end must be received before the deadline of the request, by the clock that counts suspensions. Otherwise the end is errEndAtDeadline: the answer is cut, or fails with 504, as if the timer had expired, and the replica is not suspected.

- The time is that at which the bytes were read from the connection, not that at which the end is reached in the buffer: a stream received in time is complete though its caller reads it after the deadline.
- A length is received with the head.
An answer whose head came in time is whole with its last byte, however late; one whose head came late is not (a server that stops before its first flush sends the length of what it has).
- Whether an end that was read late had arrived in time can't be known; it is cut.
That is what the timer does to it in any process that is scheduled, the caller has given up unless the route's time is shorter than its own, and a caller can resume a cut stream but not a complete one.
- Plain answers are as before: at its deadline an instance answers 504.

--- a/internal/gateway/events_bench_test.go
+++ b/internal/gateway/events_bench_test.go
@@ -66,7 +66,8 @@
 func passBenchStream(x *exchange, n int) error {
 	source := &eventSource{remaining: n, event: fmt.Appendf(nil, "data: %0150d\n\n", 0)}
 	s := &streamSend{send: x.startSend(&x.targets()[0], func() {}), sentAt: x.gateway.runClockNow(), timeouts: dispatch.StallTimeouts{First: time.Second, Pause: time.Second},
-		resp: &http.Response{StatusCode: http.StatusOK, Body: source, Header: http.Header{}}, events: newEventReader(source)}
+		resp: &http.Response{StatusCode: http.StatusOK, Body: source, Header: http.Header{}}}
+	s.events = x.newStreamReader(s)
 	s.ctx, s.cancelSend = context.WithCancelCause(context.Background())
 	s.first, s.firstErr = x.nextEvent(s, &x.progress)
 	_, err := x.passStream(s.ctx, s)
--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -295,7 +295,8 @@
 // newStreamReader returns the reader of a send's events. The send ends if its event is the largest thing
 // that is held when the budget of the daemon is spent.
 func (x *exchange) newStreamReader(s *streamSend) *eventReader {
-	r := newEventReader(s.resp.Body)
+	s.body = &timedBody{Reader: s.resp.Body, clock: x.gateway.Clock}
+	r := newEventReader(s.body)
 	r.memory = x.gateway.Memory
 	r.onEnd = func() {
 		s.cancelSend(upstream.ErrMemory)
--- a/internal/gateway/peerfaults.go
+++ b/internal/gateway/peerfaults.go
@@ -11,7 +11,7 @@
 // unrelatedToTarget reports whether the error of a send has a cause other than its target: the target must not
 // be suspected for it.
 func unrelatedToTarget(err error) bool {
-	return errors.Is(err, upstream.ErrWithheld) || errors.Is(err, upstream.ErrNoPath) || errors.Is(err, upstream.ErrMemory)
+	return errors.Is(err, upstream.ErrWithheld) || errors.Is(err, upstream.ErrNoPath) || errors.Is(err, upstream.ErrMemory) || errors.Is(err, errEndAtDeadline)
 }
 
 // noteLargeHead counts and logs a response head that was refused for its size.
--- a/internal/gateway/simreplica_test.go
+++ b/internal/gateway/simreplica_test.go
@@ -350,6 +350,7 @@
 	log       []string
 	stretches int           // stretches without scheduling that last now
 	scheduled chan struct{} // closed while the process is scheduled
+	suspended atomic.Int64  // nanoseconds for which the machine was suspended
 	lateReads int           // stretches without reading that last now
 	readable  chan struct{} // closed while the process reads
 }
@@ -357,10 +358,12 @@
 // newSimProcess starts a daemon that runs until ctx ends. Its retries are limited by rule.
 func newSimProcess(ctx context.Context, f *simFleet, route routes.Route, rule dispatch.BudgetRule, uniform func(n int) int) *simProcess {
 	start := time.Now()
+	p := &simProcess{fleet: f, ctx: ctx, scheduled: make(chan struct{}), readable: make(chan struct{}), evidence: quarantine.NewEvidence()}
+	suspended := func() time.Duration { return time.Duration(p.suspended.Load()) }
 	clock := steady.NewClockFrom(func() (time.Time, time.Duration) {
-		return time.Now().Round(0), time.Since(start)
-	}, func() time.Duration { return time.Since(start) })
-	p := &simProcess{fleet: f, ctx: ctx, runClock: steady.NewRunClock(clock), scheduled: make(chan struct{}), readable: make(chan struct{}), evidence: quarantine.NewEvidence()}
+		return time.Now().Round(0).Add(suspended()), time.Since(start)
+	}, func() time.Duration { return time.Since(start) + suspended() })
+	p.runClock = steady.NewRunClock(clock)
 	close(p.scheduled)
 	close(p.readable)
 	p.startClock()
@@ -430,6 +433,10 @@
 	}
 }
 
+// suspend moves the clock of the process as a suspension of its machine does. Its timers, and the replicas,
+// stand still meanwhile.
+func (p *simProcess) suspend(d time.Duration) { p.suspended.Add(int64(d)) }
+
 // readLate makes the process read and connect to nothing for d although it runs: the Go scheduler
 // serves due timers before sockets, so that a process with many runnable goroutines is in time for
 // its timers and late for its sockets. It returns after d.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,6 +56,11 @@
 		x.failOnContextEnd(ctx)
 		return true
 	}
+	if !x.gateway.Clock.Now().Before(x.deadline) { // ctx ends late after a suspension
+		x.setReason("deadline")
+		x.failUnanswered("deadline")
+		return true
+	}
 	if !x.maySend() {
 		x.failWithoutTarget(reasonUpstreamFailed)
 		return true
--- a/internal/gateway/streamend.go
+++ b/internal/gateway/streamend.go
@@ -1,6 +1,12 @@
 package gateway
 
-import "pearlanding/internal/upstream"
+import (
+	"io"
+	"time"
+
+	"pearlanding/internal/steady"
+	"pearlanding/internal/upstream"
+)
 
 // What proves that a replica's answer is complete depends on what marks the end of its response:
 //
@@ -13,10 +19,46 @@
 //   - A reset, or the loss of the peer through which the answer comes, is never an end.
 //
 // An end that proves nothing is errEndNotProved: the stream goes on at another replica, or is cut.
+//
+// A replica stops its work at the deadline that it is handed, which is never before that of the request, and may end its
+// response in any of these ways then. An end that is received at the deadline or later, by a clock that counts
+// suspensions, is errEndAtDeadline: it proves nothing, and nothing against the replica. A length is received with the
+// head. What was received in time is complete also if it is passed on late.
 
-// endProvesComplete reports whether the end of a send's response, between two events, proves that the caller has
-// the whole stream once it has the events of this send. progress is what the caller has.
-func (x *exchange) endProvesComplete(s *streamSend, progress *streamProgress) bool {
+// endOf returns io.EOF if the end of a send's response, between two events, proves that the caller has the whole stream
+// once it has the events of this send, and otherwise errEndNotProved or errEndAtDeadline. progress is what the caller
+// has.
+func (x *exchange) endOf(s *streamSend, progress *streamProgress) error {
 	continued := progress.eventCount > 0 || x.req.LastEventID != ""
-	return s.hasNewEvent || continued && upstream.EndIsMarked(s.resp)
+	switch {
+	case !s.endKnownAt().Before(x.deadline):
+		return errEndAtDeadline
+	case s.hasNewEvent || continued && upstream.EndIsMarked(s.resp):
+		return io.EOF
+	}
+	return errEndNotProved
+}
+
+// endKnownAt returns when the mark that ends a send's response was received, at the latest.
+func (s *streamSend) endKnownAt() time.Time {
+	if s.resp.ContentLength >= 0 {
+		return s.headAt
+	}
+	return s.body.endedAt
+}
+
+// timedBody records when the end of a response's body was received.
+type timedBody struct {
+	io.Reader
+	clock   *steady.Clock
+	endedAt time.Time // zero before the end
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && b.endedAt.IsZero() {
+		b.endedAt = b.clock.Now()
+	}
+	return n, err
 }
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -23,6 +23,8 @@
 	sentAt     time.Time // by RunClock
 	timeouts   dispatch.StallTimeouts
 	resp       *http.Response
+	headAt     time.Time // when the head of the response was received, at the latest
+	body       *timedBody
 	events     *eventReader
 	eventCount int       // events received that the caller did not have yet
 	eventAt    time.Time // when the last of them was received, by RunClock
@@ -45,7 +47,7 @@
 	defer watch.timer.Stop()
 	resp, err := x.do(s.ctx, s.send, x.resumeAfter(progress))
 	if err == nil {
-		s.resp = resp
+		s.resp, s.headAt = resp, x.gateway.Clock.Now()
 		if resp.StatusCode != http.StatusOK {
 			return nil, x.passOtherResponse(s, progress)
 		}
@@ -167,8 +169,8 @@
 func (x *exchange) nextEvent(s *streamSend, progress *streamProgress) (event, error) {
 	for {
 		ev, err := s.events.next()
-		if err == io.EOF && !x.endProvesComplete(s, progress) {
-			err = errEndNotProved
+		if err == io.EOF {
+			err = x.endOf(s, progress)
 		}
 		if err != nil {
 			return ev, err
