A comment is no event of a whole stream

A stream that one send ended with a mark after nothing but comments counted as complete: the comment made the send a continuation, whose replica may have no event to add. A replica that only keeps the connection open and then stops, at its deadline for example, ended a stream before its first event.

Now only an event that is not a comment makes it one. TestCommentIsNoEventOfAWholeStream failed and passes; go test ./internal/gateway passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,6 +216,7 @@
 	lastEventID    int64
 	hasLastEventID bool
 	eventCount     int
+	hasEvent       bool          // one of them is not a comment
 	lastEventAt    time.Time     // when the last event was passed on
 	maxGap         time.Duration // longest time between two events
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -84,6 +84,7 @@
 		p.maxGap = max(p.maxGap, now.Sub(p.lastEventAt))
 	}
 	p.eventCount++
+	p.hasEvent = p.hasEvent || !ev.comment
 	p.lastEventAt = now
 	if ev.hasID {
 		p.lastEventID, p.hasLastEventID = ev.id, true
--- a/internal/gateway/streamend.go
+++ b/internal/gateway/streamend.go
@@ -11,7 +11,8 @@
 // What proves that a replica's answer is complete depends on what marks the end of its response:
 //
 //   - A length or chunks: the end is the replica's own word. A replica at which a stream is continued may have no
-//     event to add; a whole stream has at least one. A connection that ends before the mark is an error of the read.
+//     event to add; a whole stream has at least one, and comments are none. A connection that ends before the mark is
+//     an error of the read.
 //   - Nothing but the end of the connection: a replica that crashes ends a connection in the same way. The
 //     end is taken for that of the stream only if it lies between two events, and only if this send brought an
 //     event that the caller did not have. A continuation that ends without one proves nothing, whether it ended
@@ -29,7 +30,7 @@
 // once it has the events of this send, and otherwise errEndNotProved or errEndAtDeadline. progress is what the caller
 // has.
 func (x *exchange) endOf(s *streamSend, progress *streamProgress) error {
-	continued := progress.eventCount > 0 || x.req.LastEventID != ""
+	continued := progress.hasEvent || x.req.LastEventID != ""
 	switch {
 	case !s.endKnownAt().Before(x.deadline):
 		return errEndAtDeadline
