--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -26,6 +26,9 @@
 	framing  upstream.Framing
 	ending   upstream.Ending // of the response's body
 	stream   bool            // the fields below are set
+	// resumedAfter is the event after which the instance was asked to continue; 0 if resumed is not set.
+	resumedAfter int64
+	resumed      bool
 	// unreadChecks is how often the connection was checked for unread bytes while the stream was silent.
 	unreadChecks int
 	events       int // received
@@ -56,6 +59,9 @@
 		enc.AddInt64("deadline_ms", s.deadline.Milliseconds())
 	}
 	if s.stream {
+		if s.resumed {
+			enc.AddInt64("after_event", s.resumedAfter)
+		}
 		enc.AddInt("events", s.events)
 		enc.AddInt64("silent_ms", s.silent.Milliseconds())
 		enc.AddInt64("replica_silent_ms", s.replicaSilent.Milliseconds())
@@ -107,8 +113,8 @@
 }
 
 // notableEnd returns why the response to a request that was served at the first try may be a part of one: it ended
-// with its connection only, or not before the deadline, at which its instance stops. It returns an empty string for
-// any other request.
+// with its connection only, not before the deadline, at which its instance stops, or without an event of a stream. It
+// returns an empty string for any other request.
 func (x *exchange) notableEnd() string {
 	s := &x.sends[0]
 	switch {
@@ -116,6 +122,8 @@
 		return "unframed"
 	case s.stream && s.status != 0 && s.took >= s.deadline.Truncate(time.Millisecond): // sent in whole milliseconds
 		return "after_deadline"
+	case s.stream && s.events == 0:
+		return "no_event"
 	}
 	return ""
 }
--- a/internal/gateway/requestlog_test.go
+++ b/internal/gateway/requestlog_test.go
@@ -26,6 +26,7 @@
 		Events       int    `json:"events"`
 		SilentMS     int64  `json:"silent_ms"`
 		UnreadChecks int    `json:"unread_checks"`
+		AfterEvent   int64  `json:"after_event"`
 	} `json:"sends"`
 }
 
@@ -193,3 +194,38 @@
 		})
 	}
 }
+
+// Guards against a log that can't tell a stream without an event, which an instance says its caller has to the end,
+// and leaves it out, as it looks served.
+func TestStreamsWithoutAnEventAreNotSampled(t *testing.T) {
+	inVirtualTime(t, rigOptions{replicas: 1, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+		r.simFleet.serve = func(s *simSend) { s.endedAnswer(chunked, s.simEvents(s.lastEventID+1, streamEvents), marked) }
+		empty := r.callAs(&simCaller{id: "x", lastEventID: streamEvents})
+		<-empty.done
+		must.Eq(t, http.StatusOK, empty.status)
+		lines := r.requestLines(t, "x")
+		must.SliceLen(t, 1, lines)
+		must.Zero(t, lines[0].StandsFor)
+		must.Zero(t, lines[0].Sends[0].Events)
+		must.Eq(t, "mark", lines[0].Sends[0].EndedBy)
+		must.Eq(t, streamEvents, lines[0].Sends[0].AfterEvent)
+		whole := r.call("y", streamEvents)
+		<-whole.done
+		must.SliceEmpty(t, r.requestLines(t, "y"))
+	})
+}
+
+// Without this field the log can't tell how much of a stream that moved was left for its successor.
+func TestRequestLogTellsWhereAStreamWasContinued(t *testing.T) {
+	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+		r.serveFirst = (*simSend).reset
+		r.run(t)
+		lines := r.requestLines(t, "x")
+		must.SliceLen(t, 1, lines)
+		must.SliceLen(t, 2, lines[0].Sends)
+		must.Zero(t, lines[0].Sends[0].AfterEvent)
+		must.Eq(t, eventsBeforePause, lines[0].Sends[1].AfterEvent)
+		must.StrContains(t, r.metrics(), endedCounter("chunks", "reset", 1))
+		must.StrContains(t, r.metrics(), endedCounter("chunks", "mark", 1))
+	})
+}
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -43,6 +43,8 @@
 func (x *exchange) sendStream(ctx context.Context, t *dispatch.Target) (s *streamSend, answered bool) {
 	progress := x.currentProgress()
 	s = x.startStream(ctx, t)
+	l := &x.sends[s.logIndex]
+	l.resumedAfter, l.resumed = progress.lastEventID, progress.hasLastEventID
 	watch := x.watchFirstEvent(s)
 	defer watch.timer.Stop()
 	resp, err := x.do(s.ctx, s.send, x.resumeAfter(progress))
