An end without an event needs time for one

A replica at which a stream is continued, by this daemon or by the caller's Last-Event-Id, may mark the end of an answer without an event, which counted as proof that the caller has the whole stream. A replica that is handed too little time for an event can answer in the same way, before its deadline. That also confirmed the end of a stream whose replica was silent.

Now such an end proves something only if at least the stall timeout of a first event (one and a half objectives of the route, 2 s without one) was left when it came. Otherwise it is errEndAtDeadline: the stream goes on elsewhere, or is cut; the replica is not suspected. The time left at the end is used, not the time handed: it covers a replica that was queued for most of its time, too. The price is a cut for a stream that broke off between its last event and its end, and whose time is nearly over.

--- a/internal/gateway/empty_end_test.go
+++ b/internal/gateway/empty_end_test.go
@@ -1,11 +1,65 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+// Guards against streams that look complete because a replica with too little time for an event marked the end of an
+// answer without one.
+func TestEmptyRestWithoutTimeForAnEventCompletesNoStream(t *testing.T) {
+	empty := func(s *simSend) { s.endedAnswer(chunked, nil, marked) }
+	beforeDeadline := (eventsBeforePause + 2) * eventInterval // when the first replica breaks off, about
+	for name, c := range map[string]struct {
+		timeout  time.Duration
+		complete bool
+	}{
+		"little time": {beforeDeadline + streamRoute(1).LatencyObjective/2, false},
+		"enough time": {beforeDeadline + 2*streamRoute(1).LatencyObjective, true},
+	} {
+		t.Run("resumed, "+name, func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 4, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+				r.setTimeout(c.timeout)
+				r.serveFirst = (*simSend).reset
+				r.serveSuccessor = func(s *simSend, _ int64) { empty(s) }
+				call := r.call("x", streamEvents)
+				<-call.done
+				r.check(t)
+				must.Eq(t, !c.complete, call.aborted, must.Sprint(r.logOf("x")))
+				must.Len(t, eventsBeforePause, call.received(t))
+			})
+		})
+		t.Run("resumed by the caller, "+name, func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 4, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+				r.setTimeout(c.timeout - beforeDeadline)
+				r.simFleet.serve = empty
+				call := r.callAs(&simCaller{id: "x", lastEventID: eventsBeforePause})
+				<-call.done
+				must.Eq(t, c.complete, call.status == http.StatusOK, must.Sprint(r.logOf("x")))
+			})
+		})
+	}
+}
+
+// The same for a successor whose empty answer would end the stream of a silent replica. The replica has more events.
+func TestEmptyRestWithoutTimeForAnEventEndsNoSilentStream(t *testing.T) {
+	inVirtualTime(t, rigOptions{replicas: 4, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+		r.setTimeout(eventsBeforePause*eventInterval + stallTimeout + streamRoute(1).LatencyObjective)
+		r.serveSuccessor = func(s *simSend, _ int64) { s.endedAnswer(chunked, nil, marked) }
+		r.serveFirst = func(s *simSend) {
+			s.wait(2 * stallTimeout)
+			s.reset()
+		}
+		call := r.call("x", streamEvents)
+		<-call.done
+		r.check(t)
+		must.True(t, call.aborted, must.Sprint(r.logOf("x")))
+	})
+}
+
 // Guards against streams without a single event that look complete after a comment.
 func TestCommentIsNoEventOfAWholeStream(t *testing.T) {
 	inVirtualTime(t, rigOptions{replicas: 4, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
--- a/internal/gateway/streamend.go
+++ b/internal/gateway/streamend.go
@@ -24,20 +24,26 @@
 // A replica stops its work at the deadline that it is handed, which is never before that of the request, and may end its
 // response in any of these ways then. An end that is received at the deadline or later, by a clock that counts
 // suspensions, is errEndAtDeadline: it proves nothing, and nothing against the replica. A length is received with the
-// head. What was received in time is complete also if it is passed on late.
+// head. What was received in time is complete also if it is passed on late. An end without an event is received in time
+// only if the replica still had time for one: a replica may stop at once if it has too little.
 
 // endOf returns io.EOF if the end of a send's response, between two events, proves that the caller has the whole stream
 // once it has the events of this send, and otherwise errEndNotProved or errEndAtDeadline. progress is what the caller
 // has.
 func (x *exchange) endOf(s *streamSend, progress *streamProgress) error {
 	continued := progress.hasEvent || x.req.LastEventID != ""
+	timeLeft := x.deadline.Sub(s.endKnownAt())
 	switch {
-	case !s.endKnownAt().Before(x.deadline):
+	case timeLeft <= 0:
 		return errEndAtDeadline
-	case s.hasNewEvent || continued && upstream.EndIsMarked(s.resp):
+	case s.hasNewEvent:
 		return io.EOF
+	case !continued || !upstream.EndIsMarked(s.resp):
+		return errEndNotProved
+	case timeLeft < s.timeouts.First:
+		return errEndAtDeadline
 	}
-	return errEndNotProved
+	return io.EOF
 }
 
 // endKnownAt returns when the mark that ends a send's response was received, at the latest.
