Part of an event contradicts the end at another replica

While a replica is silent, another one may confirm that the caller has all events. The answer then ended as complete as soon as the silent replica broke off or was given up, also if that replica had sent a part of the next event.

Whole events already took the confirmation back (acceptEvent), and unread bytes kept the replica from being given up (begin).

--- a/internal/gateway/empty_end_test.go
+++ b/internal/gateway/empty_end_test.go
@@ -70,3 +70,28 @@
 		must.True(t, call.aborted, must.Sprint(r.logOf("x")))
 	})
 }
+
+// Guards against streams that look complete because another replica has no more events, although the silent one has
+// begun to send the next event.
+func TestPartOfAnEventContradictsTheEndAtAnotherReplica(t *testing.T) {
+	for name, end := range map[string]func(s *simSend){
+		"reset":     (*simSend).reset,
+		"ends":      func(s *simSend) { s.failed.Store(true); s.finish() },
+		"is silent": (*simSend).hang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 4, attempts: 2, retries: 5}, func(t *testing.T, r *moveRig) {
+				r.serveSuccessor = func(s *simSend, _ int64) { s.endedAnswer(chunked, nil, marked) }
+				r.serveFirst = func(s *simSend) {
+					s.chunk("id: 4\nda")
+					s.wait(2 * stallTimeout)
+					end(s)
+				}
+				call := r.call("x", streamEvents)
+				<-call.done
+				r.check(t)
+				must.True(t, call.aborted, must.Sprint(call.body.String(), r.logOf("x")))
+			})
+		})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -142,6 +142,9 @@
 	return nil
 }
 
+// insideEvent reports, after an error of next, whether the stream ended inside an event.
+func (r *eventReader) insideEvent() bool { return len(r.buf) > 0 }
+
 // detach leaves the buffer of the last event to a goroutine that still uses it. It stays accounted until
 // close.
 func (r *eventReader) detach() { r.buf, r.bufHeld = nil, 0 }
