An event that finds no room ends its stream at once

When the budget for memory is spent, the goroutine of any stream may mark this one to be ended, and calls it back after that (membudget.Holder.Grow). In between, an event that should be held for the caller found no room, but the stream did not count as ended: the event was dropped, the replica suspected, and the rest asked of another replica after the event that was dropped. If the callback came later than the end of that, the answer looked complete with an event missing.

Found by reading, not seen in a run; the window is that between two statements of another goroutine. Now the stream is ended where its event finds no room; the callback does nothing then.

TestEventWithoutRoomEndsItsStreamAtOnce failed and passes; go test -race ./internal/gateway passes.

--- a/internal/gateway/heldevents.go
+++ b/internal/gateway/heldevents.go
@@ -148,6 +148,7 @@
 		return errCallerTooSlow
 	}
 	if !c.holder.Grow(need) {
+		x.endSlowCaller("daemon") // another goroutine may not have called it yet
 		return errCallerTooSlow
 	}
 	_, err = c.append(raw, make([]byte, 0, need))
--- a/internal/gateway/heldevents_test.go
+++ b/internal/gateway/heldevents_test.go
@@ -246,3 +246,18 @@
 		must.False(t, x.held.endWrite(), must.Sprint("the caller is blamed for time in which the process did not run"))
 	})
 }
+
+// Guards against streams that go on without an event that was not held: another stream had spent the budget, and had not
+// called back yet.
+func TestEventWithoutRoomEndsItsStreamAtOnce(t *testing.T) {
+	inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+		r.gateway.Memory = membudget.New(1)
+		x := &exchange{gateway: r.gateway, w: &countingCaller{header: http.Header{}}, req: &Request{ID: "x"}, cancelRequest: func() {}}
+		x.held.changed.L = &x.held.mu
+		x.held.holder = r.gateway.Memory.NewHolder(func() {})
+		x.held.holder.Close()
+		must.ErrorIs(t, x.holdEvent([]byte("id: 1\n\n")), errCallerTooSlow)
+		must.True(t, x.endedForMemory())
+		must.Eq(t, statusAborted, x.status)
+	})
+}
