A begun stream is cut unless its end is proved

The answer to a caller is completed by the HTTP server whenever the handler returns without markAborted. Each path of a begun stream that gives up had to remember that; I found none that does not, but nothing enforced it.

Now a stream that has begun is partial until endPass has the proof of its end, and finish cuts what is partial. Paths on which the handler of a begun stream returns, read one by one: the proved end and the confirmed end (endPass); no target, deadline, spent attempts or budget, quarantine and refused admission (all refuse, which aborts once the head is sent); the caller left or reads too slowly, and memory (failOnContextEnd, failHeld, endedForMemory); an end passed on by the goroutine of held events, whose result is awaited before the handler returns.

TestStreamIsCutUnlessItsEndIsProved failed and passes; go test -race ./internal/gateway passes.

--- a/internal/gateway/empty_end_test.go
+++ b/internal/gateway/empty_end_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 )
 
 // Guards against streams that look complete because a replica with too little time for an event marked the end of an
@@ -95,3 +98,27 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete because its handler returned without an error.
+func TestStreamIsCutUnlessItsEndIsProved(t *testing.T) {
+	for name, complete := range map[string]bool{"begun": false, "complete": true} {
+		t.Run(name, func(t *testing.T) {
+			x := benchExchange(&countingCaller{header: http.Header{}})
+			x.gateway.Metrics, x.gateway.Log, x.config = NewMetrics(metrics.NewSet()), zap.NewNop(), Config{}
+			s := &streamSend{send: x.startSend(&x.targets()[0], func() {}), resp: &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}}
+			s.ctx, s.cancelSend = context.WithCancelCause(t.Context())
+			s.events = x.newStreamReader(s)
+			h := x.startHandover(s.ctx, s)
+			must.NoError(t, x.writeEvent([]byte("id: 1\n\n"), h, x.w.(http.Flusher)))
+			if complete {
+				_, err := x.endPass(s.ctx, h, nil)
+				must.NoError(t, err)
+				x.gateway.finish(x)
+				return
+			}
+			defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
+			defer h.cancel()
+			x.gateway.finish(x)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,7 @@
 	reason            string        // why the request was refused or aborted; empty if a response was passed on
 	quarantinedTrait  string        // because of which it was refused, for the log
 	headerSent        bool          // to the caller
+	partial           bool          // the caller has a part of a stream whose end is not proved
 	firstByteAfter    time.Duration // time from arrival to the first event or the complete response
 	admission         dispatch.Admission
 	admitted          bool              // the next send was admitted, and no target that was chosen for it was used
--- a/internal/gateway/passstream.go
+++ b/internal/gateway/passstream.go
@@ -56,11 +56,13 @@
 		successor, complete := h.await()
 		x.recordFailure(s, failure)
 		if complete && !s.events.insideEvent() && ctx.Err() == nil {
+			x.partial = false
 			return nil, nil
 		}
 		return successor, err
 	}
 	h.cancel()
+	x.partial = false
 	if !x.headerSent {
 		x.writeHeader(s.resp, 0) // the replica proved that the answer has no events
 	}
@@ -106,6 +108,7 @@
 	if !x.headerSent {
 		x.firstByteAfter = x.gateway.Clock.Since(x.arrivedAt)
 		x.writeHeader(h.from.resp, -1)
+		x.partial = true
 	}
 	more := h.from.events.hasBufferedEvent()
 	x.beginWrite(h)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -92,9 +92,12 @@
 const maxNotableLines = 64
 
 // finish logs and counts a request, and closes the caller's connection if the request was
-// marked as aborted.
+// marked as aborted or its stream is not complete.
 func (g *Gateway) finish(x *exchange) {
 	took := g.Clock.Since(x.arrivedAt)
+	if x.partial {
+		markAborted(x)
+	}
 	g.Metrics.observe(x, took)
 	firstTry := x.status/100 == 2 && len(x.sends) == 1
 	switch {
