A successor's event contradicts the end of a silent replica

A replica may end a stream after a silence in the moment in which a successor, whose next event has arrived, takes the stream over. The successor was discarded and the answer ended as complete, although there was another event.

Now the stream continues with the successor, as it does when the silent replica sends its next event too late.

Found by reading; the window is that between the takeover and the cancellation of the send. The test TestEventOfASuccessorContradictsTheEnd sets the state by hand; it failed and passes. go test -race ./internal/gateway passes.

--- a/internal/gateway/empty_end_test.go
+++ b/internal/gateway/empty_end_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,3 +123,20 @@
 		})
 	}
 }
+
+// Guards against streams that look complete because their replica ended them after a silence in which a successor has sent
+// the next event.
+func TestEventOfASuccessorContradictsTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		r := newStallRig(ctx, t)
+		r.headerSent = true
+		from, successor := r.startStream(ctx, &r.targets()[0]), r.startStream(ctx, &r.targets()[1])
+		h := &handover{x: r.exchange, ctx: ctx, from: from, attempt: &handoverAttempt{done: make(chan struct{}), successor: successor}}
+		close(h.attempt.done)
+		next, err := r.endPass(ctx, h, nil)
+		must.ErrorIs(t, err, errStalled)
+		must.Eq(t, successor, next)
+	})
+}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -110,12 +110,9 @@
 	return successor, h.endConfirmed
 }
 
-// cancel ends the watch because the stream is complete.
-func (h *handover) cancel() {
-	if successor := h.end(h.cancelAttempt); successor != nil {
-		h.x.discardStream(successor)
-	}
-}
+// cancel ends the watch because the replica has proved that the stream is complete. It returns false if a successor has
+// taken over, that is, has another event.
+func (h *handover) cancel() (complete bool) { return h.end(h.cancelAttempt) == nil }
 
 // end ends the watch, calls beforeWait with x.progressMu held, and waits for the end of an attempt in
 // progress.
--- a/internal/gateway/passstream.go
+++ b/internal/gateway/passstream.go
@@ -51,6 +51,9 @@
 func (x *exchange) endPass(ctx context.Context, h *handover, err error) (successor *streamSend, _ error) {
 	s := h.from
 	defer x.closeStream(s)
+	if err == nil && !h.cancel() {
+		err = errStalled
+	}
 	if err != nil {
 		failure := sendFailed(s, err) // before the wait, in which a successor may cancel this send
 		successor, complete := h.await()
@@ -61,7 +64,6 @@
 		}
 		return successor, err
 	}
-	h.cancel()
 	x.partial = false
 	if !x.headerSent {
 		x.writeHeader(s.resp, 0) // the replica proved that the answer has no events
