--- a/internal/gateway/deadline_end_test.go
+++ b/internal/gateway/deadline_end_test.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// The same where another goroutine reads the stream and holds its events, as the caller does not read.
+func TestEndAtTheDeadlineCompletesNoHeldStream(t *testing.T) {
+	for _, f := range []framing{chunked, unframed} {
+		t.Run(string(f), func(t *testing.T) {
+			inVirtualTime(t, rigOptions{replicas: 2, attempts: 3, retries: 5}, func(t *testing.T, r *moveRig) {
+				r.setTimeout(routeTimeout)
+				r.simFleet.serve = func(s *simSend) {
+					s.begin(f, 2, 2)
+					s.wait(2 * slowWriteTime)
+					r.suspend(routeTimeout)
+					s.end(f)
+				}
+				c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: pauseAt(2, 4*slowWriteTime)})
+				<-c.done
+				must.Eq(t, 1, r.gateway.Metrics.set.GetOrCreateCounter("pearlanding_streams_held_total").Get())
+				r.checkCutAtDeadline(t, c)
+			})
+		})
+	}
+}
+
 // checkCutAtDeadline checks that the caller's answer does not look complete, and that no replica is blamed for it.
 func (r *moveRig) checkCutAtDeadline(t *testing.T, c *simCaller) {
 	t.Helper()
