--- a/internal/gateway/deadline_end_test.go
+++ b/internal/gateway/deadline_end_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -186,3 +188,63 @@
 		})
 	}
 }
+
+// Whatever replicas do until the deadline and at it, and however late this process and the caller read, an answer that looks
+// complete has all events once and in order.
+func TestAnswersAreCompleteWhateverReplicasDoAtTheDeadline(t *testing.T) {
+	complete := 0
+	for seed := range uint64(200) {
+		inVirtualTime(t, rigOptions{replicas: 4, attempts: 3, retries: 20}, func(t *testing.T, r *moveRig) {
+			r.setTimeout(routeTimeout)
+			rng := rand.New(rand.NewPCG(seed, 3))
+			var mu sync.Mutex
+			random := func(limit time.Duration) time.Duration {
+				mu.Lock()
+				defer mu.Unlock()
+				return time.Duration(rng.Int64N(int64(limit)))
+			}
+			begun := time.Now()
+			timeLeft := func() time.Duration {
+				return routeTimeout - time.Since(begun) - time.Duration(r.suspended.Load())
+			}
+			r.simFleet.serve = func(s *simSend) {
+				interval, last, hang, needs := random(2*stallTimeout), s.lastEventID+int(random(3*streamEvents)), random(2) == 0, random(3*stallTimeout)
+				s.header()
+				if timeLeft() < needs {
+					s.finish()
+					return
+				}
+				for id := s.lastEventID + 1; id <= streamEvents; id++ {
+					switch {
+					case id > last && hang:
+						s.hang()
+						return
+					case id > last:
+						s.reset()
+						return
+					case !s.wait(max(min(interval, timeLeft()), 0)):
+						return
+					case timeLeft() <= 0:
+						s.finish()
+						return
+					}
+					s.event(id)
+				}
+				s.finish()
+			}
+			time.AfterFunc(random(routeTimeout), func() { r.suspend(random(routeTimeout)) })
+			go func() {
+				time.Sleep(random(routeTimeout))
+				r.readLate(random(routeTimeout))
+			}()
+			c := r.callAs(&simCaller{id: "x", events: streamEvents, onWrite: func() { time.Sleep(random(2 * slowWriteTime)) }})
+			<-c.done
+			events := len(c.received(t))
+			must.True(t, c.aborted || c.status != http.StatusOK || events == streamEvents, must.Sprintf("seed %d: %d events in a complete answer: %v", seed, events, r.logOf("x")))
+			if !c.aborted && c.status == http.StatusOK {
+				complete++
+			}
+		})
+	}
+	must.Greater(t, 20, complete)
+}
