soak: streams fall silent and are reset while daemons are short of time

No draw reset a silent stream, so that no daemon looked for unread bytes, while the daemon's reads were late.

--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -35,13 +35,14 @@
 	duration := cmd.Flag("duration", "Time during which faults are injected, for each seed.").Default("20s").Duration()
 	daemons := cmd.Flag("daemons", "Number of daemons.").Default("4").Int()
 	crashByPart := cmd.Flag("crash-by-part", "Requests that crash engines share a part of their prompts, not their whole content.").Bool()
+	onlySilences := cmd.Flag("only-silences", "No faults but streams that fall silent and are reset, suspended daemons, busy processors and cut links.").Bool()
 	callers := cmd.Flag("callers", "Number of callers.").Default("12").Int()
 	cmd.Action(func(*kingpin.ParseContext) error {
 		own, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		return runSoaks(soak.Options{Binary: cmp.Or(*binary, own), CutsEngines: *binary == "", Dir: *dir, Seed: *first, Duration: *duration, Daemons: *daemons, Callers: *callers, CrashByPart: *crashByPart}, *seeds)
+		return runSoaks(soak.Options{Binary: cmp.Or(*binary, own), CutsEngines: *binary == "", Dir: *dir, Seed: *first, Duration: *duration, Daemons: *daemons, Callers: *callers, CrashByPart: *crashByPart, OnlySilences: *onlySilences}, *seeds)
 	})
 }
 
