An unframed plain answer that ends at the deadline is not whole

Callers could get a part of an answer with a length around it: an instance that stops its work at the deadline after it has sent the head of an answer with neither a length nor chunks can only end the connection, and a daemon that reads that end before its own timer has expired (after a suspension, or in the same moment) took it for the end of the body.

Such an end proves nothing once the deadline has passed, as for streams: the caller gets 504, and the instance is not blamed. A length or chunks still mark a late answer as whole.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -100,13 +100,17 @@
 }
 
 // readAnswer reads the whole body of a response. release must be called when it is no longer used, also
-// with an error. The error is upstream.ErrTooLarge, or one that is also upstream.ErrUnknown.
+// with an error. The error is upstream.ErrTooLarge, or one that is also upstream.ErrUnknown. It is errEndAtDeadline
+// if only the end of the connection ends the body, and came when the instance's time was over.
 func (x *exchange) readAnswer(resp *http.Response) (body []byte, release func(), err error) {
 	memory := x.gateway.Memory
 	body, held, err := (&bodyReader{limit: maxAnswerBytes, memory: memory}).read(resp.Body, resp.ContentLength)
 	if err == nil {
 		err = upstream.CheckEnd(resp, len(body))
 	}
+	if err == nil && !upstream.EndIsMarked(resp) && !x.gateway.Clock.Now().Before(x.deadline) {
+		err = errEndAtDeadline
+	}
 	if err != nil && !errors.Is(err, upstream.ErrTooLarge) {
 		err = errors.WithType(err, upstream.ErrUnknown)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -34,7 +34,7 @@
 		if x.sendPlain(ctx, t) {
 			return
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !x.gateway.Clock.Now().Before(x.deadline) { // ctx ends late after a suspension
 			x.failOnContextEnd(ctx)
 			return
 		}
@@ -93,7 +93,7 @@
 		x.failUnanswered(reasonMemory) // another send would need as much memory
 		return true
 	}
-	if attempt.Err() == nil {
+	if attempt.Err() == nil && !errors.Is(err, errEndAtDeadline) {
 		x.recordBrokenSend(s)
 	}
 	if !x.maySend() && errors.Is(context.Cause(attempt), quarantine.ErrQuarantined) {
