The end of a stream needs its begun event

A replica breaks off, falls silent or ends inside an event; the replica at which the stream goes on marks an end without any event. The caller was told that the stream is complete, although a part of a further event had been received. One of the two replicas is wrong, so the end proves nothing.

A part of an event is remembered until an event is passed on; until then an end without an event is errEndNotProved: the stream goes on elsewhere or is cut.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,8 +18,8 @@
 	errPartialEvent = errors.ConstError("gateway: stream ended inside an event")
 	// errEndNotProved means that a response ended, and that this does not prove that the stream is complete.
 	errEndNotProved = errors.ConstError("gateway: stream ended without a proof that it is complete")
-	// errEndAtDeadline means that a response ended when the time that its replica was handed was over, or too short for
-	// an event: the replica may have had more events.
+	// errEndAtDeadline means that a response ended when the time that its instance was handed was over, or too short for
+	// an event: there may have been more.
 	errEndAtDeadline = errors.ConstError("gateway: stream ended at the deadline")
 	// errEventTooLarge means that an event, or what is between two events, exceeds maxEventBytes.
 	errEventTooLarge = errors.ConstError("gateway: event too large")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,6 +191,7 @@
 	noPath            bool                             // the last send found no path to any instance
 	brokenSends       int                              // sends whose connection ended before a complete response
 	unanswered        atomic.Bool                      // a send broke off or was silent for too long
+	begunEvent        atomic.Bool                      // a replica broke off inside the next event
 	status            int
 	reason            string        // why the request was refused or aborted; empty if a response was passed on
 	quarantinedTrait  string        // because of which it was refused, for the log
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -79,6 +79,7 @@
 	}
 	h.cancelAttempt()
 	h.lastActivity, h.passingOn, h.endConfirmed = h.from.eventAt, true, false
+	x.begunEvent.Store(false)
 	p := &x.progress
 	if p.eventCount > 0 {
 		p.maxGap = max(p.maxGap, now.Sub(p.lastEventAt))
--- a/internal/gateway/streamend.go
+++ b/internal/gateway/streamend.go
@@ -18,6 +18,7 @@
 //     event that the caller did not have. A continuation that ends without one proves nothing, whether it ended
 //     after its head or after events that the caller has.
 //   - A reset, or the loss of the peer through which the answer comes, is never an end.
+//   - A part of an event shows that there is a further one. A replica that has none after it proves nothing.
 //
 // An end that proves nothing is errEndNotProved: the stream goes on at another replica, or is cut.
 //
@@ -38,7 +39,7 @@
 		return errEndAtDeadline
 	case s.hasNewEvent:
 		return io.EOF
-	case !continued || !upstream.EndIsMarked(s.resp):
+	case !continued || x.begunEvent.Load() || !upstream.EndIsMarked(s.resp):
 		return errEndNotProved
 	case timeLeft < s.timeouts.First:
 		return errEndAtDeadline
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -227,6 +227,9 @@
 	if !errors.Is(f.err, upstream.ErrNotSent) && !errors.Is(f.err, upstream.ErrConnectionLimit) {
 		x.mayHaveRun = true
 	}
+	if s.events != nil && s.events.insideEvent() {
+		x.begunEvent.Store(true)
+	}
 	if f.brokeOff() {
 		x.brokenSends++
 		x.unanswered.Store(true)
