A replay that ends too early completes no stream

A caller that has event 5 asks for the rest; the replica repeats events 1 to 3 and marks the end. The caller was told that it has the whole stream, though what the replica sent ends before what the caller has: it is another stream, or the replica stopped early.

The id of the last repeated event is kept. An end without a new event proves something only if no event was repeated, or the last one that the caller has was.

--- a/internal/gateway/streamend.go
+++ b/internal/gateway/streamend.go
@@ -18,6 +18,7 @@
 //     event that the caller did not have. A continuation that ends without one proves nothing, whether it ended
 //     after its head or after events that the caller has.
 //   - A reset, or the loss of the peer through which the answer comes, is never an end.
+//   - A replica that repeats events and ends before the last one that the caller has proves nothing either.
 //   - A part of an event shows that there is a further one. A replica that has none after it proves nothing.
 //
 // An end that proves nothing is errEndNotProved: the stream goes on at another replica, or is cut.
@@ -41,6 +42,8 @@
 		return io.EOF
 	case !continued || x.begunEvent.Load() || !upstream.EndIsMarked(s.resp):
 		return errEndNotProved
+	case s.repeatedTo != 0 && s.repeatedTo < progress.lastEventID:
+		return errEndNotProved
 	case timeLeft < s.timeouts.First:
 		return errEndAtDeadline
 	}
--- a/internal/gateway/streamsend.go
+++ b/internal/gateway/streamsend.go
@@ -30,6 +30,8 @@
 	eventAt    time.Time // when the last of them was received, by RunClock
 	// hasNewEvent is set once an event was received that is not a comment and that the caller did not have.
 	hasNewEvent bool
+	// repeatedTo is the id of the last event received that the caller had; 0: none was received.
+	repeatedTo int64
 	// unreadChecks is how often the connection was checked for unread bytes while the stream was silent; guarded by
 	// exchange.progressMu until the handover has ended.
 	unreadChecks int
@@ -178,6 +180,7 @@
 			return ev, err
 		}
 		if ev.hasID && progress.hasLastEventID && ev.id <= progress.lastEventID {
+			s.repeatedTo = ev.id
 			continue
 		}
 		now := x.gateway.runClockNow()
