A head that breaks off is not completed by the next response

Cause: http.ReadResponse takes a header's value to the end of its line. Where an upstream stops inside a value or the reason phrase and another response follows on the connection, such as the failure of its own server library or a surplus response, the line continues with that status line. The status, id and signature of the first response then come with the framing and body of the second: a signed 200 with an empty body, framed as whole. A stop between two lines or inside a name was refused already, as a status line is no header.

Pool and Client refuse a response whose reason phrase or headers contain a status line (ErrBrokenHead, outcome unknown). The fault has not been seen in an instance.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -219,6 +219,32 @@
 	}
 }
 
+// Guards against the body of one response under the status and signature of another, whose head broke off where the
+// other one begins.
+func TestHeadThatBreaksOffIsNotCompletedByTheNextResponse(t *testing.T) {
+	const next = "HTTP/1.1 500 Failed\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, a := range scriptedAnswers {
+		if len(a.head) > readBufferBytes || strings.HasPrefix(a.head, "HTTP/1.1 100") {
+			continue
+		}
+		for sent := 1; sent < len(a.head); sent++ {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				return newScriptedConn(io.EOF, 0, a.head[:sent]+next), nil
+			}
+			p := newTestPool()
+			p.Dial = dial
+			call := newGetCall("a")
+			call.Method = cmp.Or(a.method, call.Method)
+			_, err := readWholeResponse(p, call)
+			must.ErrorIs(t, err, ErrUnknown, must.Sprintf("%s, %q", name, a.head[:sent]))
+			client := New(time.Second)
+			client.fresh.Transport.(*http.Transport).DialContext = dial
+			_, err = client.Do(newRequest(t, call.Method, "http://a/", ""), true)
+			must.ErrorIs(t, err, ErrUnknown, must.Sprintf("%s, %q", name, a.head[:sent]))
+		}
+	}
+}
+
 // The same as TestPoolTakesNoCutAnswerForAWholeOne for the client of plain services.
 func TestClientTakesNoCutAnswerForAWholeOne(t *testing.T) {
 	for name, a := range scriptedAnswers {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -126,7 +126,7 @@
 
 // Do sends the request once and returns its response after reading the header. The error is
 // ErrNotSent, ErrWithheld or ErrConnectionLimit if no byte was sent, ErrForeignResponse if only responses to other
-// requests were received, and otherwise ErrUnknown, also for a response whose status is not a valid one. When ctx
+// requests were received, and otherwise ErrUnknown, also for a response with an invalid status or a broken head. When ctx
 // ends, the connection is closed, also while the body is read. The caller must close the body.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
 	c, err := p.acquire(ctx, call)
@@ -355,7 +355,7 @@
 			err = c.head.err // ReadResponse may have seen a malformed line first
 		}
 		if err == nil {
-			err = checkStatus(resp)
+			err = checkHead(resp)
 		}
 		if err != nil {
 			return nil, errors.WithType(err, ErrUnknown)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -72,7 +74,7 @@
 	}
 	resp, err := client.Do(req)
 	if err == nil {
-		if err = checkStatus(resp); err == nil {
+		if err = checkHead(resp); err == nil {
 			return resp, nil
 		}
 		_ = resp.Body.Close()
@@ -112,6 +114,33 @@
 // the bytes are no response. Such an error is ErrUnknown, too.
 const ErrInvalidStatus = errors.ConstError("upstream: invalid status in response")
 
+// ErrBrokenHead means that the head of a response breaks off where another response begins, so that neither the status
+// and headers nor the body are known to belong together. Such an error is ErrUnknown, too.
+const ErrBrokenHead = errors.ConstError("upstream: head of response continues with another response")
+
+// statusLine matches the start of a response inside a line. A head that broke off between two lines is refused by
+// http.ReadResponse, because a status line is no header.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}( |$)`)
+
+func containsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
+}
+
+// checkHead returns ErrInvalidStatus or ErrBrokenHead unless the head of a response is one.
+func checkHead(resp *http.Response) error {
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
+	broken := containsStatusLine(resp.Status)
+	for _, values := range resp.Header {
+		broken = broken || slices.ContainsFunc(values, containsStatusLine)
+	}
+	if broken {
+		return ErrBrokenHead
+	}
+	return nil
+}
+
 // checkStatus returns ErrInvalidStatus unless a response has a valid status. http.ReadResponse takes any number
 // of three characters, also "000" and "+20", and none of these can be sent to a caller.
 func checkStatus(resp *http.Response) error {
