--- a/internal/embedded/harness_test.go
+++ b/internal/embedded/harness_test.go
@@ -29,6 +29,12 @@
 
 // start starts a system, waits until it serves, and stops it at the end of the test.
 func start(t *testing.T, o Options) *System {
+	t.Helper()
+	return startWith(t, o, func(*System) {})
+}
+
+// startWith is start with a function that is called before the configuration is applied.
+func startWith(t *testing.T, o Options, prepare func(s *System)) *System {
 	t.Helper()
 	if o.Log == nil {
 		o.Log = logOnFailure(t)
@@ -42,6 +48,7 @@
 			<-d.Done
 		}
 	})
+	prepare(s)
 	waitCtx, stop := context.WithTimeout(ctx, testTimeout)
 	defer stop()
 	must.NoError(t, s.WaitServing(waitCtx))
