Serve passes events on only once they are whole

Cause: an event line longer than the read buffer of 4,096 bytes was forwarded in parts. If the engine cut it after the first part, the stream was resumed at another replica behind that part: one event made of two engines' bytes, in a stream that ended as complete. Without another replica the part and the error event became one.

The line is collected first, as the gateway does, up to 1 MiB; a longer one is refused as too large. A line that fits the read buffer is not copied. The test of an event of 6,000 bytes that is cut fails before the change at the resumed stream and passes now, as does the stream that is never whole: it ends with the error event after the last whole event.

--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -83,52 +83,68 @@
 	c.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()))
 }
 
-// streamBuffer is the read buffer in bytes; a longer event line is forwarded in parts.
-const streamBuffer = 4096
+// Sizes of event lines, in bytes.
+const (
+	// streamBuffer is the read buffer; a longer line is collected in memory.
+	streamBuffer = 4096
+	// maxEventLine is the longest line that is forwarded.
+	maxEventLine = 1 << 20
+)
 
 var (
 	dataPrefix = []byte("data: ")
 	doneLine   = []byte("data: [DONE]")
 )
 
-// relayStream forwards events as they arrive. A stream is complete only with the
-// engine's final marker; an end without it is ErrUnknown.
+// relayStream forwards events as they arrive, each only once it is whole: another replica may continue after it. A
+// stream is complete only with the engine's final marker; an end without it is ErrUnknown, and a line that is longer
+// than maxEventLine is ErrTooLarge.
 func (r *relay) relayStream(resp *http.Response, d *destination) error {
 	reader := bufio.NewReaderSize(resp.Body, streamBuffer)
 	id := idField(r.x.id)
-	partial := false // the previous part did not end its line
 	for {
-		line, err := reader.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return errors.WithType(errors.Annotate(err, "stream ended without its final event"), upstream.ErrUnknown)
-		}
-		complete := line[len(line)-1] == '\n'
+		line, err := readLine(reader)
 		switch {
-		case partial:
-			err = r.writeLine(line, complete)
+		case errors.Is(err, upstream.ErrTooLarge):
+			return err
+		case err != nil:
+			return errors.WithType(errors.Annotate(err, "stream ended without its final event"), upstream.ErrUnknown)
 		case bytes.HasPrefix(line, doneLine):
 			return r.completeStream(d)
 		case !bytes.HasPrefix(line, dataPrefix):
-			continue // blank lines and comments: writeLine ends the events
+			continue // blank lines and comments: writeEvent ends the events
 		case !bytes.Contains(line, id):
 			r.api.Telemetry.MismatchedAnswers.Inc()
 			return upstream.ErrForeignResponse
-		default:
-			r.startStream(d)
-			r.observeToken()
-			err = r.writeLine(line, complete)
 		}
-		if err != nil {
+		r.startStream(d)
+		r.observeToken()
+		if err := r.writeEvent(line); err != nil {
 			return err
 		}
-		partial = !complete
 	}
 }
 
-// writeLine forwards an event line or a part of one. At the end of the line it ends the
-// event and flushes it.
-func (r *relay) writeLine(line []byte, complete bool) error {
-	if err := r.write(line); err != nil || !complete {
+// readLine returns the next whole line, which is valid until the next read. The error is upstream.ErrTooLarge for a
+// line longer than maxEventLine, or that of the reader.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	var long []byte
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if long = append(long, line...); len(long) > maxEventLine {
+			return nil, upstream.ErrTooLarge
+		}
+		line, err = reader.ReadSlice('\n')
+	}
+	return append(long, line...), err
+}
+
+// writeEvent forwards an event of one line and flushes it.
+func (r *relay) writeEvent(line []byte) error {
+	if err := r.write(line); err != nil {
 		return err
 	}
 	r.delivered++
--- a/internal/embedded/cut_test.go
+++ b/internal/embedded/cut_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +192,47 @@
 		}
 	}
 }
+
+// Guards against events that begin with a part of one replica's event and end with another's, or with an error.
+func TestLongEventThatIsCutIsNotPassedOnInPart(t *testing.T) {
+	const longText = 6000 // longer than the read buffer of a stream
+	event := func(n int) string {
+		return fmt.Sprintf("data: {\"id\":\"long\",\"token\":%d,\"text\":%q}\n\n", n, strings.Repeat(strconv.Itoa(n), longText))
+	}
+	for name, cuts := range map[string]int{"resumed": 1, "never whole": 2} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			s := startWith(t, Options{Daemons: 1, VMs: 2, GroupSize: 1, Replicas: 2}, func(s *System) {
+				for _, vm := range s.VMs {
+					vm.Kill()
+					next := vm.Engine.Handler()
+					listenAt(t, vm.Row.Address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if r.URL.Path != chatPath {
+							next.ServeHTTP(w, r)
+							return
+						}
+						w.Header().Set("Content-Type", "text/event-stream")
+						if from, _ := strconv.Atoi(r.Header.Get(engine.HeaderResume)); from == 0 {
+							_, _ = io.WriteString(w, event(0))
+						}
+						if requests.Add(1) <= int64(cuts) {
+							_, _ = io.WriteString(w, event(1)[:longText-1])
+							panic(http.ErrAbortHandler)
+						}
+						_, _ = io.WriteString(w, event(1)+"data: [DONE]\n\n")
+					}))
+				}
+			})
+			r := send(s.Daemons[0], chatPath, chat("long", 2, true), "X-Request-Id", "long")
+			rest, ok := strings.CutPrefix(r.body, event(0))
+			must.True(t, ok, must.Sprint(r.status, len(r.body)))
+			if cuts == 1 {
+				must.NoError(t, r.err)
+				must.True(t, rest == event(1)+"data: [DONE]\n\n", must.Sprintf("%d bytes, %.50q", len(rest), rest))
+			} else {
+				must.Error(t, r.err)
+				must.StrHasPrefix(t, "event: error\n", rest)
+			}
+		})
+	}
+}
