A change of protocol is no answer

Cause: http.Transport returns 101 as a final response, and the daemon never asks for another protocol. A service's 101 was passed on, its real answer dropped, and the ledger recorded 101 with an empty body as the outcome of a request that may run at most once, and replayed it (seen by hand through serve, with a POST sent twice). Pool skipped 101 as an interim response.

101 is an invalid status now: the outcome is unknown. The test fails before the change.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -245,6 +245,23 @@
 	}
 }
 
+// Guards against a change of protocol, which no request asks for, that is passed on or recorded as an answer.
+func TestSwitchedProtocolIsNoAnswer(t *testing.T) {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		return newScriptedConn(io.EOF, 0, "HTTP/1.1 101 Switching Protocols\r\n\r\n"+ownResponse), nil
+	}
+	p := newTestPool()
+	p.Dial = dial
+	_, err := readWholeResponse(p, newGetCall("a"))
+	must.ErrorIs(t, err, ErrInvalidStatus)
+	must.ErrorIs(t, err, ErrUnknown)
+	client := New(time.Second)
+	client.fresh.Transport.(*http.Transport).DialContext = dial
+	_, err = client.Do(newRequest(t, http.MethodPost, "http://a/", ""), true)
+	must.ErrorIs(t, err, ErrInvalidStatus)
+	must.ErrorIs(t, err, ErrUnknown)
+}
+
 // The same as TestPoolTakesNoCutAnswerForAWholeOne for the client of plain services.
 func TestClientTakesNoCutAnswerForAWholeOne(t *testing.T) {
 	for name, a := range scriptedAnswers {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -111,7 +111,8 @@
 }
 
 // ErrInvalidStatus means that the first line of a response has no status of RFC 9110, three digits from 100 to 599:
-// the bytes are no response. Such an error is ErrUnknown, too.
+// the bytes are no response. It also means 101, as no request asks for another protocol. Such an error is ErrUnknown,
+// too.
 const ErrInvalidStatus = errors.ConstError("upstream: invalid status in response")
 
 // ErrBrokenHead means that the head of a response breaks off where another response begins, so that neither the status
@@ -142,11 +143,13 @@
 }
 
 // checkStatus returns ErrInvalidStatus unless a response has a valid status. http.ReadResponse takes any number
-// of three characters, also "000" and "+20", and none of these can be sent to a caller.
+// of three characters, also "000" and "+20", and none of these can be sent to a caller. http.Transport returns 101 as a
+// final response.
 func checkStatus(resp *http.Response) error {
 	const digits = 3
 	code, _, _ := strings.Cut(resp.Status, " ")
-	if len(code) != digits || strings.Trim(code, "0123456789") != "" || resp.StatusCode < 100 || resp.StatusCode > 599 {
+	valid := len(code) == digits && strings.Trim(code, "0123456789") == "" && resp.StatusCode >= 100 && resp.StatusCode <= 599
+	if !valid || resp.StatusCode == http.StatusSwitchingProtocols {
 		return errors.WithType(errors.Errorf("invalid status %q", code), ErrInvalidStatus)
 	}
 	return nil
