--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -123,7 +123,7 @@
 	switch {
 	case s.framing == upstream.Unframed && s.ending != upstream.EndedByMark:
 		return "unframed"
-	case s.stream && s.status != 0 && s.took >= s.deadline.Truncate(time.Millisecond): // sent in whole milliseconds
+	case s.stream && s.status != 0 && s.took.Milliseconds() >= s.deadline.Milliseconds(): // sent in whole milliseconds
 		return "after_deadline"
 	case s.stream && s.events == 0:
 		return "no_event"
