--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -20,6 +20,9 @@
 	err    error // that has ended the connection; nil: none is known
 }
 
+// NewConn returns a Conn over a connection on which no call has failed yet.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -30,7 +33,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: conn}, nil
+		return NewConn(conn), nil
 	}
 }
 
