Confirmed ends of streams follow the same rule for a begun event

A part of an event from any replica, not only from the silent one, outweighs another replica's word that there is no more.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -43,7 +43,7 @@
 	passingOn    bool      // an event is being written to the caller, or the first one will be
 	ended        bool
 	// endConfirmed means that another replica has no more events of this stream. That ends the answer
-	// when the silent replica has ended or is given up, as it might still send one, unless it has sent a part.
+	// when the silent replica has ended or is given up, as it might still send one, unless a part of one was received.
 	endConfirmed bool
 	attempt      *handoverAttempt // in progress, or taken over; nil: none
 }
--- a/internal/gateway/passstream.go
+++ b/internal/gateway/passstream.go
@@ -58,7 +58,7 @@
 		failure := sendFailed(s, err) // before the wait, in which a successor may cancel this send
 		successor, complete := h.await()
 		x.recordFailure(s, failure)
-		if complete && !s.events.insideEvent() && ctx.Err() == nil {
+		if complete && !x.begunEvent.Load() && ctx.Err() == nil {
 			x.partial = false
 			return nil, nil
 		}
