--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -43,7 +43,9 @@
 	if err == io.EOF {
 		return n, c.endError()
 	}
-	c.keep(err)
+	if err != nil {
+		c.keep(err)
+	}
 	return n, err
 }
 
@@ -67,7 +69,9 @@
 	c.writes.RLock()
 	defer c.writes.RUnlock()
 	n, err := c.Conn.Write(p)
-	c.keep(err)
+	if err != nil {
+		c.keep(err)
+	}
 	return n, err
 }
 
